Lay a thin whole path: log, control, entry, upstream and tackctl

Cause: the repository was empty; everything else grows on one request that is served and one configuration that is in force, through separate processes.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,47 @@
+# Thin front for CMake. See INSTALL.md.
+
+PRESET ?= dev
+JOBS ?= $(shell nproc)
+BUILD = build/$(PRESET)
+
+.PHONY: all build deps test demo bench format check-format lint generated check-generated clean
+
+all: build
+
+# Installs the packages that are missing (Debian).
+deps:
+	@src/cmake/install-packages.sh
+
+$(BUILD)/build.ninja:
+	cmake --preset $(PRESET)
+
+build: deps
+	@$(MAKE) --no-print-directory $(BUILD)/build.ninja
+	cmake --build --preset $(PRESET) -j $(JOBS)
+
+test: build
+	testsuite/run-tests.sh $(PRESET)
+
+demo: build
+	$(BUILD)/testsuite/demo/tack-demo
+
+bench: build
+	testsuite/run-benches.sh $(BUILD)
+
+format:
+	src/cmake/format.sh
+
+check-format:
+	src/cmake/format.sh --check
+
+lint: $(BUILD)/build.ninja
+	src/cmake/lint.sh $(BUILD) $(JOBS)
+
+generated:
+	src/proto/regenerate.sh
+
+check-generated:
+	src/proto/regenerate.sh --check
+
+clean:
+	rm -rf build
--- /dev/null
+++ b/src/include/dandeliontack/control_client.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <dandeliontack/endpoint.hpp>
+#include <dandeliontack/routing.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace dandeliontack
+{
+
+/// Subscribes to a control process's routing table and subscribes again, with
+/// backoff, whenever the stream ends.
+class control_client
+{
+public:
+    using table_handler = std::function<void(routing_table)>;
+    using link_handler = std::function<void(bool connected)>;
+
+    /// Both handlers run on `executor`.
+    control_client(
+        boost::asio::any_io_executor executor, const endpoint& control,
+        std::string node, table_handler on_table, link_handler on_link);
+    ~control_client();
+    control_client(const control_client&) = delete;
+    control_client& operator=(const control_client&) = delete;
+
+    void start();
+    /// Ends the subscription. No handler runs after this returns, but for
+    /// those that the executor has queued already.
+    void stop();
+
+private:
+    struct core;
+    std::shared_ptr<core> core_;
+};
+
+} // namespace dandeliontack
--- /dev/null
+++ b/src/include/dandeliontack/control_node.hpp
@@ -0,0 +1,121 @@
+#pragma once
+
+#include <dandeliontack/control_server.hpp>
+#include <dandeliontack/control_settings.hpp>
+#include <dandeliontack/host_list.hpp>
+#include <dandeliontack/http_server.hpp>
+#include <dandeliontack/log.hpp>
+#include <dandeliontack/log_client.hpp>
+#include <dandeliontack/log_order.hpp>
+#include <dandeliontack/metrics.hpp>
+#include <dandeliontack/proposer.hpp>
+#include <dandeliontack/reducer.hpp>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace dandeliontack
+{
+
+/// What became of a published record.
+struct record_outcome
+{
+    std::uint64_t offset = 0;
+    bool accepted = false;
+    findings found;
+};
+
+/// Tails the log, applies it and tells the entry processes what to route by.
+/// All of it runs on one executor with one thread.
+class control_node
+{
+public:
+    /// All references must outlive the node.
+    control_node(
+        boost::asio::any_io_executor executor, control_settings settings,
+        log_client& log, host_list_client& hosts, control_server& server,
+        metric_registry& metrics);
+
+    /// Starts all loops. `peer_address` is where peers reach this process.
+    void start(const endpoint& peer_address);
+
+    /// Leaves the membership and stops proposing. Waits for the last records
+    /// to be appended up to `patience`.
+    boost::asio::awaitable<void> stop(std::chrono::milliseconds patience);
+
+    const state& current() const
+    {
+        return state_;
+    }
+    const control_settings& settings() const
+    {
+        return settings_;
+    }
+    const incarnation& self() const
+    {
+        return proposals_.writer();
+    }
+    const std::vector<listed_host>& hosts() const
+    {
+        return hosts_listed_;
+    }
+
+    /// Whether the log was read to its end at least once and has no gap.
+    bool ready() const;
+    /// Why the node can't go on, where records were lost; else empty.
+    const std::string& gap() const
+    {
+        return gap_;
+    }
+
+    /// What became of an operator record, or nothing where it was not seen
+    /// yet or so long ago that it is forgotten.
+    std::optional<record_outcome>
+    outcome_of(const incarnation& writer, std::uint64_t sequence) const;
+
+private:
+    using record_key = std::pair<incarnation, std::uint64_t>;
+
+    boost::asio::awaitable<void> tail(log_stream stream);
+    boost::asio::awaitable<void> poll_hosts();
+    boost::asio::awaitable<void> order_operators();
+    void take_batch(log_stream stream, const log_batch& batch);
+    void apply_ready();
+    void apply(const event& e);
+    void note_outcome(const event& e, const effects& todo);
+    void join_once();
+    void publish_routing();
+    std::chrono::milliseconds ordering_delay() const;
+
+    boost::asio::any_io_executor executor_;
+    control_settings settings_;
+    log_client& log_;
+    host_list_client& host_list_;
+    control_server& server_;
+    metric_registry& metrics_;
+    part_log out_;
+
+    log_order order_;
+    state state_;
+    proposer proposals_;
+    boost::asio::steady_timer unordered_;
+    std::vector<listed_host> hosts_listed_;
+    std::map<record_key, record_outcome> outcomes_;
+    std::deque<record_key> outcome_age_;
+    endpoint peer_address_;
+    bool caught_up_ = false;
+    bool joined_ = false;
+    bool stopping_ = false;
+    std::string gap_;
+};
+
+/// The administration API of a control process, behind `admin_pages`.
+http_server::handler make_control_api(const control_node& node);
+
+} // namespace dandeliontack
--- /dev/null
+++ b/src/include/dandeliontack/control_server.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <dandeliontack/endpoint.hpp>
+#include <dandeliontack/metrics.hpp>
+#include <dandeliontack/routing.hpp>
+
+#include <memory>
+
+namespace dandeliontack
+{
+
+/// Streams the routing table to the entry processes that subscribe over gRPC.
+/// Its methods may be called from any thread.
+class control_server
+{
+public:
+    /// `metrics` must outlive the server.
+    explicit control_server(metric_registry& metrics);
+    ~control_server();
+    control_server(const control_server&) = delete;
+    control_server& operator=(const control_server&) = delete;
+
+    /// Binds and serves on threads of its own. Returns the endpoint with its
+    /// real port. Throws `std::runtime_error` if binding fails.
+    endpoint listen(const endpoint& where);
+
+    /// Sends the table to all subscribers. A slow subscriber skips tables and
+    /// gets the newest.
+    void publish(const routing_table& table);
+
+    /// Ends all streams and stops serving.
+    void stop();
+
+private:
+    struct core;
+    std::unique_ptr<core> core_;
+};
+
+} // namespace dandeliontack
--- /dev/null
+++ b/src/include/dandeliontack/control_settings.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <dandeliontack/settings.hpp>
+
+#include <chrono>
+
+namespace dandeliontack
+{
+
+/// Section `[log]`: the platform's log service.
+struct log_settings
+{
+    endpoint address;
+    std::chrono::milliseconds timeout = std::chrono::seconds(2);
+    /// How long one read waits for a new record.
+    std::chrono::milliseconds poll = std::chrono::seconds(5);
+};
+
+/// Section `[hosts]`: the platform's host list.
+struct hosts_settings
+{
+    endpoint address;
+    std::chrono::milliseconds interval = std::chrono::milliseconds(500);
+    std::chrono::milliseconds timeout = std::chrono::seconds(2);
+};
+
+/// Section `[grpc]`: where entry processes and peers reach this process.
+struct grpc_settings
+{
+    endpoint listen;
+};
+
+/// All settings of `tack-control`.
+struct control_settings
+{
+    node_settings node;
+    log_settings log;
+    hosts_settings hosts;
+    grpc_settings grpc;
+    admin_settings admin;
+    logging_settings logging;
+};
+
+checked<control_settings> parse_control_settings(const ini_document& document);
+
+} // namespace dandeliontack
--- /dev/null
+++ b/src/include/dandeliontack/entry_settings.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <dandeliontack/settings.hpp>
+
+#include <chrono>
+#include <cstdint>
+
+namespace dandeliontack
+{
+
+/// Section `[control]`: the control process on the same host.
+struct control_link_settings
+{
+    endpoint address;
+};
+
+/// Section `[callers]`: what callers may send.
+struct callers_settings
+{
+    endpoint listen;
+    std::uint64_t header_bytes = 8 * 1024;
+    std::uint64_t body_bytes = 1024 * 1024;
+    std::uint64_t connections = 4096;
+    std::chrono::milliseconds idle = std::chrono::seconds(60);
+    std::chrono::milliseconds transfer = std::chrono::seconds(10);
+};
+
+/// Section `[upstreams]`.
+struct upstreams_settings
+{
+    /// The largest body that an upstream may answer with, in bytes.
+    std::uint64_t body_bytes = 16 * 1024 * 1024;
+    /// Among how many entry processes a worker's slots are shared.
+    std::uint64_t entry_processes = 1;
+};
+
+/// Section `[stop]`: what happens on SIGTERM.
+struct stop_settings
+{
+    /// How long requests are still accepted after readiness is off, so that
+    /// the balancer learns of it.
+    std::chrono::milliseconds linger = std::chrono::seconds(2);
+    /// How long requests in progress may take after that.
+    std::chrono::milliseconds patience = std::chrono::seconds(30);
+};
+
+/// All settings of `tack-entry`.
+struct entry_settings
+{
+    node_settings node;
+    control_link_settings control;
+    callers_settings callers;
+    upstreams_settings upstreams;
+    stop_settings stop;
+    admin_settings admin;
+    logging_settings logging;
+};
+
+checked<entry_settings> parse_entry_settings(const ini_document& document);
+
+} // namespace dandeliontack
--- /dev/null
+++ b/src/include/dandeliontack/http_connection.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <dandeliontack/endpoint.hpp>
+#include <dandeliontack/http.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+
+namespace dandeliontack
+{
+
+/// Why an exchange brought no whole response.
+struct exchange_error
+{
+    /// Whether the request may have been received and carried out.
+    outcome result = outcome::unknown;
+    std::string reason;
+};
+
+using exchange_result = std::variant<http_response, exchange_error>;
+
+/// A client connection that carries one request at a time. It connects when
+/// needed and reuses the connection only after a whole response to its last
+/// request. After a timeout, a cut or surplus bytes the connection is closed.
+class http_connection
+{
+public:
+    /// `body_limit` bounds the body of a response, in bytes.
+    http_connection(
+        boost::asio::any_io_executor executor, endpoint peer,
+        std::uint64_t body_limit = 16 * 1024 * 1024);
+    ~http_connection();
+    http_connection(http_connection&&) noexcept;
+    http_connection& operator=(http_connection&&) noexcept;
+
+    /// Sends a request and reads the whole response. One call at a time.
+    boost::asio::awaitable<exchange_result>
+    exchange(http_request request, std::chrono::milliseconds timeout);
+
+    /// Whether the connection is open and may carry another request.
+    bool reusable() const;
+    void close();
+
+private:
+    struct core;
+    std::unique_ptr<core> core_;
+};
+
+} // namespace dandeliontack
--- /dev/null
+++ b/src/include/dandeliontack/http_server.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <dandeliontack/endpoint.hpp>
+#include <dandeliontack/http.hpp>
+#include <dandeliontack/metrics.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+namespace dandeliontack
+{
+
+/// Bounds on what one connection may cost.
+struct http_limits
+{
+    std::uint32_t header_bytes = 8 * 1024;
+    std::uint64_t body_bytes = 1024 * 1024;
+    std::size_t connections = 4096;
+    /// How long a connection may stay open without a request.
+    std::chrono::milliseconds idle = std::chrono::seconds(60);
+    /// How long reading one request, or writing one response, may take.
+    std::chrono::milliseconds transfer = std::chrono::seconds(10);
+};
+
+/// A HTTP/1.1 server on one executor. Requests that can't be parsed or
+/// exceed a limit are refused with a problem document and counted as
+/// `tack_http_rejected_total`. Where the handler throws, the connection is
+/// closed without an answer.
+class http_server
+{
+public:
+    using handler =
+        std::function<boost::asio::awaitable<http_response>(http_request)>;
+
+    /// `metrics` must outlive the server and its connections.
+    http_server(
+        boost::asio::any_io_executor executor, http_limits limits,
+        metric_registry& metrics, handler handle);
+    ~http_server();
+    http_server(const http_server&) = delete;
+    http_server& operator=(const http_server&) = delete;
+
+    /// Binds, listens and begins to accept. Returns the endpoint with its
+    /// real port. Throws `boost::system::system_error` if binding fails.
+    endpoint listen(const endpoint& where);
+
+    /// Stops accepting, lets requests in progress finish, and closes idle
+    /// connections. Returns when none is left or `patience` has passed.
+    boost::asio::awaitable<void> drain(std::chrono::milliseconds patience);
+
+    /// Connections that are open now.
+    std::size_t connections() const;
+
+private:
+    struct core;
+    std::shared_ptr<core> core_;
+};
+
+} // namespace dandeliontack
--- /dev/null
+++ b/src/libcontrol/control_node.cpp
@@ -0,0 +1,246 @@
+#include <dandeliontack/control_node.hpp>
+#include <dandeliontack/record_codec.hpp>
+
+#include <boost/asio.hpp>
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace dandeliontack
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
+constexpr auto read_retry = std::chrono::milliseconds(100);
+constexpr std::size_t kept_outcomes = 4096;
+// Each member waits this much longer than the one before it, so that as a
+// rule only the first puts operator records in order.
+constexpr auto ordering_step = std::chrono::milliseconds(100);
+
+asio::awaitable<void>
+pause_for(asio::any_io_executor executor, std::chrono::milliseconds duration)
+{
+    asio::steady_timer timer(executor, duration);
+    co_await timer.async_wait(no_throw);
+}
+
+} // namespace
+
+control_node::control_node(
+    asio::any_io_executor executor, control_settings settings, log_client& log,
+    host_list_client& hosts, control_server& server, metric_registry& metrics)
+    : executor_(std::move(executor)),
+      settings_(std::move(settings)),
+      log_(log),
+      host_list_(hosts),
+      server_(server),
+      metrics_(metrics),
+      out_("control.node"),
+      proposals_(
+          executor_, log, log_stream::system, make_incarnation(), metrics),
+      unordered_(executor_)
+{
+}
+
+void control_node::start(const endpoint& peer_address)
+{
+    peer_address_ = peer_address;
+    asio::co_spawn(executor_, tail(log_stream::system), asio::detached);
+    asio::co_spawn(executor_, tail(log_stream::operators), asio::detached);
+    asio::co_spawn(executor_, poll_hosts(), asio::detached);
+    asio::co_spawn(executor_, order_operators(), asio::detached);
+    asio::co_spawn(executor_, proposals_.run(), asio::detached);
+}
+
+asio::awaitable<void> control_node::stop(std::chrono::milliseconds patience)
+{
+    stopping_ = true;
+    if (joined_)
+        proposals_.propose(membership_event{node_left{self()}});
+    const auto until = std::chrono::steady_clock::now() + patience;
+    while (proposals_.backlog() != 0 &&
+           std::chrono::steady_clock::now() < until)
+        co_await pause_for(executor_, std::chrono::milliseconds(5));
+    proposals_.stop();
+}
+
+bool control_node::ready() const
+{
+    return caught_up_ && gap_.empty() && !stopping_;
+}
+
+asio::awaitable<void> control_node::tail(log_stream stream)
+{
+    // The first read tells where the log ends, so it must not wait.
+    std::chrono::milliseconds wait{0};
+    while (gap_.empty())
+    {
+        const auto result =
+            co_await log_.read(stream, order_.next_offset(stream), wait);
+        if (const auto* failure = std::get_if<read_failed>(&result))
+        {
+            metrics_.get_counter("tack_log_reads_failed_total").add();
+            out_.debug("Reading the log failed: ", failure->reason, ".");
+            co_await pause_for(executor_, read_retry);
+            continue;
+        }
+        take_batch(stream, std::get<log_batch>(result));
+        wait = settings_.log.poll;
+    }
+}
+
+void control_node::take_batch(log_stream stream, const log_batch& batch)
+{
+    const auto expected = order_.next_offset(stream);
+    if (batch.first_offset > expected)
+    {
+        gap_ = "the log was trimmed: offset " + std::to_string(expected) +
+               " is wanted, " + std::to_string(batch.first_offset) +
+               " is the oldest";
+        metrics_.get_gauge("tack_log_gap").set(1);
+        out_.error("Can't go on: ", gap_, ".");
+        return;
+    }
+    auto offset = batch.first_offset;
+    for (const auto& record : batch.records)
+        order_.push(decode_record(stream, offset++, record));
+    apply_ready();
+    if (stream == log_stream::system && order_.next_offset(stream) >= batch.end)
+    {
+        caught_up_ = true;
+        join_once();
+    }
+    unordered_.cancel();
+}
+
+void control_node::apply_ready()
+{
+    bool applied = false;
+    while (auto e = order_.pop())
+    {
+        apply(*e);
+        applied = true;
+    }
+    if (applied)
+        publish_routing();
+}
+
+void control_node::apply(const event& e)
+{
+    auto result = reduce(std::move(state_), e);
+    state_ = std::move(result.next);
+    metrics_.get_counter("tack_events_applied_total").add();
+    note_outcome(e, result.todo);
+}
+
+void control_node::note_outcome(const event& e, const effects& todo)
+{
+    if (e.origin.stream != log_stream::operators)
+        return;
+    const record_key key{e.origin.writer, e.origin.sequence};
+    const auto rejected = std::ranges::find_if(
+        todo, [](const effect& item)
+        { return std::holds_alternative<record_rejected>(item); });
+    const bool refused = rejected != todo.end();
+    if (refused)
+        metrics_.get_counter("tack_records_rejected_total").add();
+    record_outcome noted{e.origin.offset, !refused, {}};
+    if (refused)
+        noted.found = std::get<record_rejected>(*rejected).found;
+    if (!outcomes_.try_emplace(key, std::move(noted)).second)
+        return;
+    outcome_age_.push_back(key);
+    if (outcome_age_.size() > kept_outcomes)
+    {
+        outcomes_.erase(outcome_age_.front());
+        outcome_age_.pop_front();
+    }
+}
+
+void control_node::join_once()
+{
+    if (std::exchange(joined_, true))
+        return;
+    proposals_.propose(membership_event{node_joined{
+        settings_.node.name, settings_.node.data_centre, peer_address_}});
+    out_.info(
+        "Caught up with the log at offset ", state_.order.system_end, ".");
+}
+
+void control_node::publish_routing()
+{
+    server_.publish(make_routing_table(state_, hosts_listed_));
+    metrics_.get_gauge("tack_applied_system_end")
+        .set(static_cast<std::int64_t>(state_.order.system_end));
+    metrics_.get_gauge("tack_applied_operators_end")
+        .set(static_cast<std::int64_t>(state_.order.operators_end));
+}
+
+asio::awaitable<void> control_node::poll_hosts()
+{
+    while (!stopping_)
+    {
+        auto result = co_await host_list_.fetch();
+        if (auto* hosts = std::get_if<std::vector<listed_host>>(&result))
+        {
+            if (*hosts != hosts_listed_)
+            {
+                hosts_listed_ = std::move(*hosts);
+                out_.info(
+                    "The host list has ", hosts_listed_.size(), " hosts.");
+                publish_routing();
+            }
+        }
+        else
+        {
+            metrics_.get_counter("tack_host_list_failed_total").add();
+            out_.debug(
+                "Fetching the host list failed: ",
+                std::get<host_list_failed>(result).reason, ".");
+        }
+        co_await pause_for(executor_, settings_.hosts.interval);
+    }
+}
+
+std::chrono::milliseconds control_node::ordering_delay() const
+{
+    const auto& nodes = state_.membership.nodes;
+    const auto rank = std::distance(nodes.begin(), nodes.find(self()));
+    return rank * ordering_step;
+}
+
+asio::awaitable<void> control_node::order_operators()
+{
+    std::uint64_t proposed_end = 0;
+    while (!stopping_)
+    {
+        const auto read_end = order_.next_offset(log_stream::operators);
+        const auto ordered = std::max(order_.ordered_end(), proposed_end);
+        if (!caught_up_ || read_end <= ordered)
+        {
+            unordered_.expires_at(asio::steady_timer::time_point::max());
+            co_await unordered_.async_wait(no_throw);
+            continue;
+        }
+        co_await pause_for(executor_, ordering_delay());
+        proposed_end = order_.next_offset(log_stream::operators);
+        if (proposed_end > order_.ordered_end())
+            proposals_.propose(order_event{operators_ordered{proposed_end}});
+    }
+}
+
+std::optional<record_outcome> control_node::outcome_of(
+    const incarnation& writer, std::uint64_t sequence) const
+{
+    const auto found = outcomes_.find({writer, sequence});
+    if (found == outcomes_.end())
+        return std::nullopt;
+    return found->second;
+}
+
+} // namespace dandeliontack
--- /dev/null
+++ b/src/libcontrol/control_settings.cpp
@@ -0,0 +1,88 @@
+#include <dandeliontack/control_settings.hpp>
+
+#include <array>
+
+namespace dandeliontack
+{
+
+namespace
+{
+
+constexpr double longest_ms = 600'000;
+
+std::span<const field<log_settings>> log_fields()
+{
+    static const std::array table{
+        field<log_settings>{
+            .key = "address",
+            .member = &log_settings::address,
+            .required = true},
+        field<log_settings>{
+            .key = "timeout",
+            .member = &log_settings::timeout,
+            .least = 1,
+            .most = longest_ms},
+        field<log_settings>{
+            .key = "poll",
+            .member = &log_settings::poll,
+            .least = 1,
+            .most = longest_ms}};
+    return table;
+}
+
+std::span<const field<hosts_settings>> hosts_fields()
+{
+    static const std::array table{
+        field<hosts_settings>{
+            .key = "address",
+            .member = &hosts_settings::address,
+            .required = true},
+        field<hosts_settings>{
+            .key = "interval",
+            .member = &hosts_settings::interval,
+            .least = 10,
+            .most = longest_ms},
+        field<hosts_settings>{
+            .key = "timeout",
+            .member = &hosts_settings::timeout,
+            .least = 1,
+            .most = longest_ms}};
+    return table;
+}
+
+std::span<const field<grpc_settings>> grpc_fields()
+{
+    static const std::array table{field<grpc_settings>{
+        .key = "listen", .member = &grpc_settings::listen, .required = true}};
+    return table;
+}
+
+using reader = section_reader<control_settings>;
+
+const std::array readers{
+    reader{"node", true, read_member<&control_settings::node, node_fields>},
+    reader{"log", true, read_member<&control_settings::log, log_fields>},
+    reader{"hosts", true, read_member<&control_settings::hosts, hosts_fields>},
+    reader{"grpc", true, read_member<&control_settings::grpc, grpc_fields>},
+    reader{"admin", true, read_member<&control_settings::admin, admin_fields>},
+    reader{
+        "logging", false,
+        read_member<&control_settings::logging, logging_fields>}};
+
+} // namespace
+
+checked<control_settings> parse_control_settings(const ini_document& document)
+{
+    findings found;
+    auto settings = read_sections<control_settings>(document, readers, found);
+    check_clashes(
+        document,
+        {{"grpc", "listen", settings.grpc.listen},
+         {"admin", "listen", settings.admin.listen}},
+        found);
+    if (!found.empty())
+        return found;
+    return settings;
+}
+
+} // namespace dandeliontack
--- /dev/null
+++ b/src/libdecide/domains.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "hasher.hpp"
+#include <dandeliontack/effect.hpp>
+#include <dandeliontack/event.hpp>
+#include <dandeliontack/state.hpp>
+
+namespace dandeliontack
+{
+
+/// What a domain's function gets besides its event: the state, which it may
+/// change, where the record stands, and the effects, which it may add to.
+struct reduce_context
+{
+    state& current;
+    const event& cause;
+    effects& todo;
+
+    /// Notes that the record is not accepted, for the given reasons.
+    void reject(findings found) const;
+    /// The same with one reason, placed at the record's offset.
+    void reject(const std::string& key, const std::string& message) const;
+};
+
+// One overload a domain, each in the file reduce_DOMAIN.cpp.
+void apply(const reduce_context& context, const order_event& e);
+void apply(const reduce_context& context, const config_event& e);
+void apply(const reduce_context& context, const membership_event& e);
+void apply(const reduce_context& context, const fleet_event& e);
+void apply(const reduce_context& context, const job_event& e);
+
+// Feeds a part of the state to the hash; in the file of its domain.
+void feed(hasher& h, const order_state& s);
+void feed(hasher& h, const config_state& s);
+void feed(hasher& h, const membership_state& s);
+void feed(hasher& h, const fleet_state& s);
+void feed(hasher& h, const job_state& s);
+void feed(hasher& h, const incarnation& value);
+
+} // namespace dandeliontack
--- /dev/null
+++ b/src/libpeer/control_server.cpp
@@ -0,0 +1,173 @@
+#include "control.grpc.pb.h"
+#include "routing_codec.hpp"
+#include <dandeliontack/control_server.hpp>
+
+#include <grpcpp/grpcpp.h>
+
+#include <mutex>
+#include <set>
+#include <stdexcept>
+#include <utility>
+
+namespace dandeliontack
+{
+
+namespace
+{
+
+constexpr auto shutdown_patience = std::chrono::milliseconds(500);
+
+using shared_table = std::shared_ptr<const wire::routing_table>;
+
+class subscriber;
+
+// The newest table and everyone who wants it.
+struct hub
+{
+    std::mutex mutex;
+    shared_table newest;
+    std::uint64_t version = 0;
+    std::set<subscriber*> subscribers;
+};
+
+// One open stream. gRPC owns it until OnDone.
+class subscriber final : public grpc::ServerWriteReactor<wire::routing_table>
+{
+public:
+    subscriber(hub& shared, gauge& open) : hub_(shared), open_(open)
+    {
+        open_.add(1);
+        const std::scoped_lock lock(hub_.mutex);
+        hub_.subscribers.insert(this);
+        write_newest();
+    }
+
+    // Sends the newest table unless it was sent or a write is under way. The
+    // hub's mutex must be held.
+    void write_newest()
+    {
+        if (writing_ || finished_ || !hub_.newest || sent_ == hub_.version)
+            return;
+        writing_ = true;
+        sent_ = hub_.version;
+        in_transfer_ = hub_.newest;
+        StartWrite(in_transfer_.get());
+    }
+
+    void OnWriteDone(bool ok) override
+    {
+        const std::scoped_lock lock(hub_.mutex);
+        writing_ = false;
+        if (ok)
+            write_newest();
+        else
+            finish();
+    }
+
+    void OnCancel() override
+    {
+        const std::scoped_lock lock(hub_.mutex);
+        finish();
+    }
+
+    void OnDone() override
+    {
+        {
+            const std::scoped_lock lock(hub_.mutex);
+            hub_.subscribers.erase(this);
+        }
+        open_.add(-1);
+        delete this;
+    }
+
+private:
+    void finish()
+    {
+        if (!std::exchange(finished_, true))
+            Finish(grpc::Status::CANCELLED);
+    }
+
+    hub& hub_;
+    gauge& open_;
+    shared_table in_transfer_;
+    std::uint64_t sent_ = 0;
+    bool writing_ = false;
+    bool finished_ = false;
+};
+
+class control_service final : public wire::control::CallbackService
+{
+public:
+    control_service(hub& shared, metric_registry& metrics)
+        : hub_(shared), open_(metrics.get_gauge("tack_control_subscribers"))
+    {
+    }
+
+    grpc::ServerWriteReactor<wire::routing_table>* subscribe_routing(
+        grpc::CallbackServerContext* /*context*/,
+        const wire::routing_request* /*request*/) override
+    {
+        return new subscriber(hub_, open_);
+    }
+
+private:
+    hub& hub_;
+    gauge& open_;
+};
+
+} // namespace
+
+struct control_server::core
+{
+    explicit core(metric_registry& metrics) : service(shared, metrics) {}
+
+    hub shared;
+    control_service service;
+    std::unique_ptr<grpc::Server> server;
+};
+
+control_server::control_server(metric_registry& metrics)
+    : core_(std::make_unique<core>(metrics))
+{
+}
+
+control_server::~control_server()
+{
+    stop();
+}
+
+endpoint control_server::listen(const endpoint& where)
+{
+    int port = 0;
+    grpc::ServerBuilder builder;
+    builder.AddListeningPort(
+        to_string(where), grpc::InsecureServerCredentials(), &port);
+    builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+    builder.RegisterService(&core_->service);
+    core_->server = builder.BuildAndStart();
+    if (!core_->server || port == 0)
+        throw std::runtime_error("can't listen on " + to_string(where));
+    return {where.address, static_cast<std::uint16_t>(port)};
+}
+
+void control_server::publish(const routing_table& table)
+{
+    auto message = std::make_shared<const wire::routing_table>(to_wire(table));
+    const std::scoped_lock lock(core_->shared.mutex);
+    core_->shared.newest = std::move(message);
+    ++core_->shared.version;
+    for (auto* open : core_->shared.subscribers)
+        open->write_newest();
+}
+
+void control_server::stop()
+{
+    if (!core_->server)
+        return;
+    core_->server->Shutdown(
+        std::chrono::system_clock::now() + shutdown_patience);
+    core_->server->Wait();
+    core_->server.reset();
+}
+
+} // namespace dandeliontack
--- /dev/null
+++ b/src/libutil/settings.cpp
@@ -0,0 +1,71 @@
+#include <dandeliontack/settings.hpp>
+
+#include <array>
+
+namespace dandeliontack
+{
+
+namespace
+{
+
+const std::array node_table{
+    field<node_settings>{
+        .key = "name", .member = &node_settings::name, .required = true},
+    field<node_settings>{
+        .key = "data_centre",
+        .member = &node_settings::data_centre,
+        .required = true}};
+
+const std::array admin_table{field<admin_settings>{
+    .key = "listen", .member = &admin_settings::listen, .required = true}};
+
+const std::array logging_table{field<logging_settings>{
+    .key = "level",
+    .member = &logging_settings::level,
+    .choices = {"debug", "info", "warn", "error"}}};
+
+unsigned line_of(const ini_document& document, const bound_address& bound)
+{
+    const auto* section = document.find(bound.section);
+    if (!section)
+        return 0;
+    const auto entry =
+        std::ranges::find(section->entries, bound.key, &ini_entry::key);
+    return entry == section->entries.end() ? section->line : entry->line;
+}
+
+} // namespace
+
+std::span<const field<node_settings>> node_fields()
+{
+    return node_table;
+}
+
+std::span<const field<admin_settings>> admin_fields()
+{
+    return admin_table;
+}
+
+std::span<const field<logging_settings>> logging_fields()
+{
+    return logging_table;
+}
+
+void check_clashes(
+    const ini_document& document, const std::vector<bound_address>& addresses,
+    findings& found)
+{
+    for (auto later = addresses.begin(); later != addresses.end(); ++later)
+    {
+        const auto earlier = std::ranges::find(
+            addresses.begin(), later, later->where, &bound_address::where);
+        if (earlier == later || later->where.port == 0)
+            continue;
+        found.push_back(
+            {document.file, line_of(document, *later),
+             later->section + "." + later->key,
+             "address clashes with " + earlier->section + "." + earlier->key});
+    }
+}
+
+} // namespace dandeliontack
--- /dev/null
+++ b/src/tack-entry/main.cpp
@@ -0,0 +1,111 @@
+#include <dandeliontack/control_client.hpp>
+#include <dandeliontack/entry_service.hpp>
+#include <dandeliontack/program.hpp>
+
+#include <absl/flags/flag.h>
+#include <boost/asio.hpp>
+
+ABSL_FLAG(
+    std::string, settings, "/etc/dandeliontack/entry.ini",
+    "The settings file (INI).");
+ABSL_FLAG(
+    bool, check, false, "Checks the settings, prints all findings and exits.");
+
+namespace
+{
+
+using namespace dandeliontack;
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+constexpr auto admin_patience = std::chrono::seconds(1);
+
+http_limits limits_of(const callers_settings& callers)
+{
+    return {
+        static_cast<std::uint32_t>(callers.header_bytes), callers.body_bytes,
+        callers.connections, callers.idle, callers.transfer};
+}
+
+http_server::handler make_entry_api(const entry_service& service)
+{
+    return [&service](http_request request) -> asio::awaitable<http_response>
+    {
+        const std::string target(request.target());
+        if (target_path(target) == "/v1/status")
+            co_return entry_status(service);
+        co_return make_problem(
+            http::status::not_found, outcome::not_run, "no such page",
+            target_path(target));
+    };
+}
+
+// Readiness goes off first; the balancer has its time; then what runs is
+// finished.
+asio::awaitable<void> run_until_stopped(
+    const stop_settings& stop, bool& stopping, http_server& callers,
+    http_server& admin)
+{
+    const part_log out("entry");
+    co_await wait_for_stop_signal();
+    out.info("Stopping.");
+    stopping = true;
+    asio::steady_timer linger(co_await asio::this_coro::executor, stop.linger);
+    co_await linger.async_wait(asio::use_awaitable);
+    co_await callers.drain(stop.patience);
+    co_await admin.drain(admin_patience);
+}
+
+int run(const entry_settings& settings)
+{
+    start_logging(settings.logging.level);
+    const part_log out("entry");
+    metric_registry metrics;
+    asio::io_context context(1);
+    const auto executor = context.get_executor();
+    bool stopping = false;
+    entry_service service(executor, settings, metrics);
+    http_server callers(
+        executor, limits_of(settings.callers), metrics,
+        [&](http_request request)
+        { return service.handle(std::move(request)); });
+    http_server admin(
+        executor, {}, metrics,
+        admin_pages(
+            metrics, [&] { return service.has_table() && !stopping; },
+            make_entry_api(service)));
+    auto& linked = metrics.get_gauge("tack_control_linked");
+    control_client control(
+        executor, settings.control.address, settings.node.name,
+        [&](routing_table table) { service.set_table(std::move(table)); },
+        [&](bool connected) { linked.set(connected ? 1 : 0); });
+
+    announce("callers", callers.listen(settings.callers.listen));
+    announce("admin", admin.listen(settings.admin.listen));
+    control.start();
+    out.info("Started ", settings.node.name, ".");
+    asio::co_spawn(
+        executor, run_until_stopped(settings.stop, stopping, callers, admin),
+        [&](std::exception_ptr) { context.stop(); });
+    context.run();
+    control.stop();
+    out.info("Stopped.");
+    return exit_ok;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    parse_flags(
+        argc, argv,
+        "Serves callers over HTTP by the routing state that the control "
+        "process of its host\nsends.\n\n  tack-entry --settings entry.ini\n");
+    const auto settings = load_settings<entry_settings>(
+        absl::GetFlag(FLAGS_settings), parse_entry_settings);
+    if (!settings)
+        return exit_bad_input;
+    if (absl::GetFlag(FLAGS_check))
+        return exit_ok;
+    return run_guarded([&] { return run(*settings); });
+}
--- /dev/null
+++ b/testsuite/standins/platform/main.cpp
@@ -0,0 +1,228 @@
+// Takes the platform's place in tests: the log service and the host list.
+// Faults are set by POST /fault?mode=MODE[&ms=N][&stream=NAME&before=OFFSET]:
+//   none           works
+//   down           refuses every log call with 503
+//   cut            closes log connections without an answer, nothing done
+//   slow           answers log calls after `ms`
+//   lose-answers   carries out appends but closes the connection
+//   trim           drops records of a stream below an offset, once
+
+#include "log.pb.h"
+#include "stream_store.hpp"
+#include <dandeliontack/program.hpp>
+#include <dandeliontack/settings.hpp>
+
+#include <absl/flags/flag.h>
+#include <boost/asio.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json.hpp>
+
+#include <charconv>
+#include <map>
+
+ABSL_FLAG(std::string, listen, "127.0.0.1:0", "Where to serve.");
+ABSL_FLAG(
+    absl::Duration, list_lag, absl::ZeroDuration(),
+    "How late the host list shows a change.");
+
+namespace
+{
+
+using namespace dandeliontack;
+using standins::stream_store;
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+
+constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t largest_read = 1024;
+
+std::uint64_t number(std::string_view target, std::string_view name)
+{
+    const auto text = query_value(target, name);
+    std::uint64_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+http_response plain(http::status status, std::string text = {})
+{
+    return make_response(status, "text/plain", std::move(text));
+}
+
+// Throwing this makes the server close the connection without an answer.
+struct no_answer : std::exception
+{
+};
+
+class platform
+{
+public:
+    platform(asio::any_io_executor executor, std::chrono::milliseconds lag)
+        : executor_(executor),
+          lag_(lag),
+          operators_(executor),
+          system_(executor)
+    {
+    }
+
+    asio::awaitable<http_response> handle(http_request request)
+    {
+        const std::string target(request.target());
+        const std::string path(target_path(target));
+        if (path == "/streams/operators/records")
+            co_return co_await log_call(operators_, std::move(request));
+        if (path == "/streams/system/records")
+            co_return co_await log_call(system_, std::move(request));
+        if (path == "/hosts")
+            co_return list_hosts();
+        if (path.starts_with("/hosts/"))
+            co_return change_host(path.substr(7), request);
+        if (path == "/fault")
+            co_return set_fault(target);
+        co_return plain(http::status::not_found);
+    }
+
+private:
+    asio::awaitable<http_response>
+    log_call(stream_store& stream, http_request request);
+    asio::awaitable<http_response>
+    read(stream_store& stream, std::string target);
+    http_response append(stream_store& stream, const std::string& body);
+    http_response set_fault(const std::string& target);
+    http_response list_hosts() const;
+    http_response
+    change_host(const std::string& name, const http_request& request);
+
+    asio::any_io_executor executor_;
+    std::chrono::milliseconds lag_;
+    stream_store operators_;
+    stream_store system_;
+    std::string mode_ = "none";
+    std::chrono::milliseconds delay_{};
+    std::map<std::string, json::object> hosts_;
+};
+
+asio::awaitable<http_response>
+platform::log_call(stream_store& stream, http_request request)
+{
+    if (mode_ == "down")
+        co_return plain(http::status::service_unavailable, "down\n");
+    if (mode_ == "cut")
+        throw no_answer();
+    if (mode_ == "slow")
+    {
+        asio::steady_timer timer(executor_, delay_);
+        co_await timer.async_wait(no_throw);
+    }
+    if (request.method() == http::verb::get)
+        co_return co_await read(stream, std::string(request.target()));
+    auto response = append(stream, request.body());
+    if (mode_ == "lose-answers")
+        throw no_answer();
+    co_return response;
+}
+
+asio::awaitable<http_response>
+platform::read(stream_store& stream, std::string target)
+{
+    const auto from = number(target, "from");
+    const auto until = std::chrono::steady_clock::now() +
+                       std::chrono::milliseconds(number(target, "wait_ms"));
+    co_await stream.wait_for(from, until);
+    if (mode_ == "down")
+        co_return plain(http::status::service_unavailable, "down\n");
+    wire::log_read_reply reply;
+    reply.set_oldest(stream.oldest());
+    reply.set_first_offset(std::max(from, stream.oldest()));
+    reply.set_end(stream.end());
+    for (auto& record : stream.read(from, largest_read))
+        reply.add_records(std::move(record));
+    co_return make_response(
+        http::status::ok, "application/x-protobuf", reply.SerializeAsString());
+}
+
+http_response platform::append(stream_store& stream, const std::string& body)
+{
+    wire::log_append_request request;
+    if (!request.ParseFromString(body) || request.records().empty())
+        return plain(http::status::bad_request, "not an append request\n");
+    wire::log_append_reply reply;
+    reply.set_first_offset(
+        stream.append({request.records().begin(), request.records().end()}));
+    return make_response(
+        http::status::ok, "application/x-protobuf", reply.SerializeAsString());
+}
+
+http_response platform::set_fault(const std::string& target)
+{
+    const auto mode = query_value(target, "mode");
+    if (mode == "trim")
+    {
+        auto& stream =
+            query_value(target, "stream") == "operators" ? operators_ : system_;
+        stream.trim(number(target, "before"));
+        return plain(http::status::ok);
+    }
+    mode_ = mode;
+    delay_ = std::chrono::milliseconds(number(target, "ms"));
+    return plain(http::status::ok);
+}
+
+http_response platform::list_hosts() const
+{
+    json::array hosts;
+    for (const auto& [name, host] : hosts_)
+        hosts.push_back(host);
+    return make_response(
+        http::status::ok, "application/json",
+        json::serialize(json::object{{"hosts", hosts}}));
+}
+
+// PUT sets a host from JSON, DELETE removes it; both show after the lag.
+http_response
+platform::change_host(const std::string& name, const http_request& request)
+{
+    std::function<void()> change = [this, name] { hosts_.erase(name); };
+    if (request.method() == http::verb::put)
+    {
+        boost::system::error_code ec;
+        auto host = json::parse(request.body(), ec);
+        if (ec || !host.is_object())
+            return plain(http::status::bad_request, "not a JSON object\n");
+        host.as_object()["name"] = name;
+        change = [this, name, host] { hosts_[name] = host.as_object(); };
+    }
+    auto timer = std::make_shared<asio::steady_timer>(executor_, lag_);
+    timer->async_wait([timer, change](auto) { change(); });
+    return plain(http::status::ok);
+}
+
+int run()
+{
+    asio::io_context context(1);
+    metric_registry metrics;
+    platform service(
+        context.get_executor(),
+        absl::ToChronoMilliseconds(absl::GetFlag(FLAGS_list_lag)));
+    http_limits limits;
+    limits.body_bytes = 64 * 1024 * 1024;
+    http_server server(
+        context.get_executor(), limits, metrics, [&](http_request request)
+        { return service.handle(std::move(request)); });
+    const auto where = parse_endpoint(absl::GetFlag(FLAGS_listen));
+    announce("platform", server.listen(where.value()));
+    asio::co_spawn(
+        context, wait_for_stop_signal(),
+        [&](std::exception_ptr) { context.stop(); });
+    context.run();
+    return exit_ok;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    parse_flags(argc, argv, "The platform's stand-in for tests.");
+    return run_guarded(run);
+}
