--- a/src/include/dandeliontack/fields.hpp
+++ b/src/include/dandeliontack/fields.hpp
@@ -82,8 +82,9 @@
     const std::string& file, const ini_section& section,
     std::span<const field<Aggregate>> table, Aggregate& out, findings& found)
 {
-    const auto place = [&](unsigned line, std::string_view key)
-    { return finding{file, line, section.name + "." + std::string(key), {}}; };
+    const auto place = [&](unsigned line, std::string_view key) {
+        return finding{file, line, section.name + "." + std::string(key), {}};
+    };
     for (const auto& entry : section.entries)
     {
         const auto known = std::ranges::find(
@@ -97,8 +98,9 @@
         }
         const value_bounds bounds{known->least, known->most, known->choices};
         item.message = std::visit(
-            [&](auto member)
-            { return parse_value(entry.value, bounds, out.*member); },
+            [&](auto member) {
+                return parse_value(entry.value, bounds, out.*member);
+            },
             known->member);
         if (!item.message.empty())
             found.push_back(item);
--- a/src/libcontrol/control_api.cpp
+++ b/src/libcontrol/control_api.cpp
@@ -103,8 +103,7 @@
     incarnation value;
     if (text.size() != 2 * half)
         return std::nullopt;
-    const auto parse = [](std::string_view digits, std::uint64_t& out)
-    {
+    const auto parse = [](std::string_view digits, std::uint64_t& out) {
         const auto* end = digits.data() + digits.size();
         const auto parsed = std::from_chars(digits.data(), end, out, 16);
         return parsed.ec == std::errc{} && parsed.ptr == end;
@@ -146,8 +145,7 @@
 
 http_server::handler make_control_api(const control_node& node)
 {
-    return [&node](http_request request) -> asio::awaitable<http_response>
-    {
+    return [&node](http_request request) -> asio::awaitable<http_response> {
         const std::string target(request.target());
         const auto path = target_path(target);
         if (path == "/v1/status")
--- a/src/libcontrol/control_node.cpp
+++ b/src/libcontrol/control_node.cpp
@@ -44,8 +44,7 @@
       proposals_(
           executor_, log, log_stream::system, make_incarnation(), metrics),
       unordered_(executor_)
-{
-}
+{}
 
 void control_node::start(const endpoint& peer_address)
 {
@@ -143,9 +142,9 @@
     if (e.origin.stream != log_stream::operators)
         return;
     const record_key key{e.origin.writer, e.origin.sequence};
-    const auto rejected = std::ranges::find_if(
-        todo, [](const effect& item)
-        { return std::holds_alternative<record_rejected>(item); });
+    const auto rejected = std::ranges::find_if(todo, [](const effect& item) {
+        return std::holds_alternative<record_rejected>(item);
+    });
     const bool refused = rejected != todo.end();
     if (refused)
         metrics_.get_counter("tack_records_rejected_total").add();
--- a/src/libutil/finding.cpp
+++ b/src/libcore/finding.cpp
@@ -20,8 +20,9 @@
 {
     return std::accumulate(
         items.begin(), items.end(), std::string(),
-        [](std::string text, const finding& item)
-        { return std::move(text) + to_string(item) + "\n"; });
+        [](std::string text, const finding& item) {
+            return std::move(text) + to_string(item) + "\n";
+        });
 }
 
 } // namespace dandeliontack
--- a/src/libutil/incarnation.cpp
+++ b/src/libcore/incarnation.cpp
@@ -10,8 +10,9 @@
 incarnation make_incarnation()
 {
     std::random_device source;
-    const auto draw = [&]
-    { return (static_cast<std::uint64_t>(source()) << 32U) | source(); };
+    const auto draw = [&] {
+        return (static_cast<std::uint64_t>(source()) << 32U) | source();
+    };
     return {draw(), draw()};
 }
 
--- a/src/libdecide/reduce_config.cpp
+++ b/src/libdecide/reduce_config.cpp
@@ -39,14 +39,11 @@
 std::string other_pool_of(
     const config_state& s, const std::string& pool, const std::string& host)
 {
-    const auto owner = std::ranges::find_if(
-        s.pools,
-        [&](const auto& item)
-        {
-            return item.first != pool &&
-                   std::ranges::find(item.second.config.hosts, host) !=
-                       item.second.config.hosts.end();
-        });
+    const auto owner = std::ranges::find_if(s.pools, [&](const auto& item) {
+        return item.first != pool &&
+               std::ranges::find(item.second.config.hosts, host) !=
+                   item.second.config.hosts.end();
+    });
     return owner == s.pools.end() ? std::string() : owner->first;
 }
 
@@ -110,8 +107,7 @@
 
 void feed(hasher& h, const config_state& s)
 {
-    const auto feed_all = [&](const auto& map)
-    {
+    const auto feed_all = [&](const auto& map) {
         h.add(map.size());
         for (const auto& [key, value] : map)
         {
--- a/src/libentry/entry_service.cpp
+++ b/src/libentry/entry_service.cpp
@@ -81,13 +81,13 @@
           std::move(executor), settings.upstreams.entry_processes,
           settings.upstreams.body_bytes),
       request_prefix_(to_string(make_incarnation()) + "-")
-{
-}
+{}
 
 void entry_service::set_table(routing_table table)
 {
-    const auto position = [](const routing_table& t)
-    { return std::pair(t.system_end, t.operators_end); };
+    const auto position = [](const routing_table& t) {
+        return std::pair(t.system_end, t.operators_end);
+    };
     if (has_table_ && position(table) < position(table_))
     {
         metrics_.get_counter("tack_routing_older_ignored_total").add();
--- a/src/libentry/upstream_pool.cpp
+++ b/src/libentry/upstream_pool.cpp
@@ -13,15 +13,13 @@
     : pool_(&pool),
       target_(std::move(target)),
       connection_(std::move(connection))
-{
-}
+{}
 
 upstream_pool::lease::lease(lease&& other) noexcept
     : pool_(std::exchange(other.pool_, nullptr)),
       target_(std::move(other.target_)),
       connection_(std::move(other.connection_))
-{
-}
+{}
 
 upstream_pool::lease::~lease()
 {
@@ -33,8 +31,7 @@
     boost::asio::any_io_executor executor, std::uint64_t sharers,
     std::uint64_t body_limit)
     : executor_(std::move(executor)), sharers_(sharers), body_limit_(body_limit)
-{
-}
+{}
 
 std::uint64_t upstream_pool::share_of(const upstream& target) const
 {
@@ -88,8 +85,9 @@
 {
     return std::accumulate(
         peers_.begin(), peers_.end(), std::uint64_t{0},
-        [](std::uint64_t sum, const auto& item)
-        { return sum + item.second.in_flight; });
+        [](std::uint64_t sum, const auto& item) {
+            return sum + item.second.in_flight;
+        });
 }
 
 } // namespace dandeliontack
--- a/src/libpeer/control_client.cpp
+++ b/src/libpeer/control_client.cpp
@@ -38,8 +38,7 @@
           timer(executor),
           stub(wire::control::NewStub(grpc::CreateChannel(
               to_string(control), grpc::InsecureChannelCredentials())))
-    {
-    }
+    {}
 
     void subscribe();
     void subscribe_later();
@@ -88,8 +87,7 @@
             return;
         asio::post(
             owner_->executor,
-            [owner = owner_, table = from_wire(table_)]() mutable
-            {
+            [owner = owner_, table = from_wire(table_)]() mutable {
                 owner->backoff = shortest_backoff;
                 owner->on_link(true);
                 owner->on_table(std::move(table));
@@ -129,12 +127,10 @@
 {
     timer.expires_after(backoff);
     backoff = std::min(backoff * 2, std::chrono::milliseconds(longest_backoff));
-    timer.async_wait(
-        [self = shared_from_this()](auto ec)
-        {
-            if (!ec)
-                self->subscribe();
-        });
+    timer.async_wait([self = shared_from_this()](auto ec) {
+        if (!ec)
+            self->subscribe();
+    });
 }
 
 void control_client::core::stream_ended()
@@ -151,8 +147,7 @@
     : core_(std::make_shared<core>(
           std::move(executor), control, std::move(node), std::move(on_table),
           std::move(on_link)))
-{
-}
+{}
 
 control_client::~control_client()
 {
--- a/src/libpeer/control_server.cpp
+++ b/src/libpeer/control_server.cpp
@@ -100,8 +100,7 @@
 public:
     control_service(hub& shared, metric_registry& metrics)
         : hub_(shared), open_(metrics.get_gauge("tack_control_subscribers"))
-    {
-    }
+    {}
 
     grpc::ServerWriteReactor<wire::routing_table>* subscribe_routing(
         grpc::CallbackServerContext* /*context*/,
@@ -128,8 +127,7 @@
 
 control_server::control_server(metric_registry& metrics)
     : core_(std::make_unique<core>(metrics))
-{
-}
+{}
 
 control_server::~control_server()
 {
--- a/src/libplatform/codec_config.cpp
+++ b/src/libplatform/codec_config.cpp
@@ -120,8 +120,7 @@
 void encode(const config_event& e, wire::config_record& out)
 {
     std::visit(
-        [&](const auto& change)
-        {
+        [&](const auto& change) {
             out.set_publisher(change.publisher);
             out.set_base(change.base);
         },
--- a/src/libplatform/http_host_list.cpp
+++ b/src/libplatform/http_host_list.cpp
@@ -67,8 +67,7 @@
         : service_(service),
           timeout_(timeout),
           connection_(std::move(executor), service)
-    {
-    }
+    {}
 
     asio::awaitable<host_list_outcome> fetch() override
     {
--- a/src/libplatform/http_log_client.cpp
+++ b/src/libplatform/http_log_client.cpp
@@ -35,8 +35,7 @@
           connections_{
               stream_connections{{executor, service}, {executor, service}},
               stream_connections{{executor, service}, {executor, service}}}
-    {
-    }
+    {}
 
     asio::awaitable<append_outcome>
     append(log_stream stream, std::vector<std::string> records) override;
--- a/src/libplatform/proposer.cpp
+++ b/src/libplatform/proposer.cpp
@@ -35,8 +35,7 @@
       writer_(writer),
       metrics_(metrics),
       wake_(executor)
-{
-}
+{}
 
 std::uint64_t proposer::propose(event_body body, std::uint64_t term)
 {
--- a/src/libutil/http_connection.cpp
+++ b/src/libutil/http_connection.cpp
@@ -33,8 +33,7 @@
         : stream(std::move(executor)),
           peer(std::move(address)),
           body_limit(limit)
-    {
-    }
+    {}
 
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
@@ -47,8 +46,7 @@
     asio::any_io_executor executor, endpoint peer, std::uint64_t body_limit)
     : core_(std::make_unique<core>(
           std::move(executor), std::move(peer), body_limit))
-{
-}
+{}
 
 http_connection::~http_connection() = default;
 http_connection::http_connection(http_connection&&) noexcept = default;
--- a/src/libutil/http_server.cpp
+++ b/src/libutil/http_server.cpp
@@ -66,8 +66,7 @@
           metrics(registry),
           handle(std::move(handler_function)),
           acceptor(executor)
-    {
-    }
+    {}
 
     asio::awaitable<void> accept_loop();
     asio::awaitable<void> serve(std::shared_ptr<session> s);
@@ -201,8 +200,7 @@
     metric_registry& metrics, handler handle)
     : core_(std::make_shared<core>(
           std::move(executor), limits, metrics, std::move(handle)))
-{
-}
+{}
 
 http_server::~http_server()
 {
--- a/src/libutil/ini.cpp
+++ b/src/libutil/ini.cpp
@@ -53,6 +53,12 @@
         return found_;
     }
 
+    // In the order of the file.
+    const std::vector<std::string>& sections() const
+    {
+        return sections_;
+    }
+
 private:
     void scan_line(const std::string& line)
     {
@@ -78,6 +84,8 @@
             return report(section_, "section header is not of the form [name]");
         if (!lines_.try_emplace({section_, ""}, number_).second)
             report(section_, "section given twice");
+        else
+            sections_.push_back(section_);
     }
 
     void report(std::string key, std::string message)
@@ -89,6 +97,7 @@
     std::string section_;
     unsigned number_ = 0;
     line_index lines_;
+    std::vector<std::string> sections_;
     findings found_;
 };
 
@@ -103,15 +112,18 @@
     return out;
 }
 
+// The library's parser leaves out sections without entries.
 ini_section make_section(
-    const std::string& name, const boost::property_tree::ptree& tree,
+    const std::string& name, const boost::property_tree::ptree& document,
     const line_scanner& lines)
 {
     ini_section section{name, lines.line_of(name, ""), {}};
+    const auto tree = document.find(name);
+    if (tree == document.not_found())
+        return section;
     std::ranges::transform(
-        tree, std::back_inserter(section.entries),
-        [&](const auto& child)
-        {
+        tree->second, std::back_inserter(section.entries),
+        [&](const auto& child) {
             return ini_entry{
                 child.first, trimmed(child.second.data()),
                 lines.line_of(name, child.first)};
@@ -147,8 +159,10 @@
     }
     ini_document document{std::move(file), {}};
     std::ranges::transform(
-        tree, std::back_inserter(document.sections), [&](const auto& child)
-        { return make_section(child.first, child.second, lines); });
+        lines.sections(), std::back_inserter(document.sections),
+        [&](const std::string& name) {
+            return make_section(name, tree, lines);
+        });
     return document;
 }
 
--- a/src/libutil/log.cpp
+++ b/src/libutil/log.cpp
@@ -47,8 +47,7 @@
 part_log::part_log(std::string_view part)
     : backend_(std::make_shared<backend>(
           backend{log4cxx::Logger::getLogger(std::string(part))}))
-{
-}
+{}
 
 bool part_log::enabled(severity level) const
 {
--- a/src/libutil/program.cpp
+++ b/src/libutil/program.cpp
@@ -20,8 +20,9 @@
 {
     absl::FlagsUsageConfig config;
     config.version_string = [] { return std::string(TACK_VERSION "\n"); };
-    config.contains_help_flags = [](absl::string_view file)
-    { return file.find("main.cpp") != absl::string_view::npos; };
+    config.contains_help_flags = [](absl::string_view file) {
+        return file.find("main.cpp") != absl::string_view::npos;
+    };
     absl::SetFlagsUsageConfig(config);
     absl::SetProgramUsageMessage(std::string(usage));
     const auto rest = absl::ParseCommandLine(argc, argv);
@@ -58,8 +59,7 @@
     http_server::handler next)
 {
     return [&metrics, ready = std::move(ready), next = std::move(next)](
-               http_request request) -> asio::awaitable<http_response>
-    {
+               http_request request) -> asio::awaitable<http_response> {
         const std::string path(target_path(std::string_view(
             request.target().data(), request.target().size())));
         if (path == "/healthz")
--- a/src/tack-entry/main.cpp
+++ b/src/tack-entry/main.cpp
@@ -29,8 +29,7 @@
 
 http_server::handler make_entry_api(const entry_service& service)
 {
-    return [&service](http_request request) -> asio::awaitable<http_response>
-    {
+    return [&service](http_request request) -> asio::awaitable<http_response> {
         const std::string target(request.target());
         if (target_path(target) == "/v1/status")
             co_return entry_status(service);
@@ -67,8 +66,9 @@
     entry_service service(executor, settings, metrics);
     http_server callers(
         executor, limits_of(settings.callers), metrics,
-        [&](http_request request)
-        { return service.handle(std::move(request)); });
+        [&](http_request request) {
+            return service.handle(std::move(request));
+        });
     http_server admin(
         executor, {}, metrics,
         admin_pages(
--- a/src/tackctl/commands.cpp
+++ b/src/tackctl/commands.cpp
@@ -69,9 +69,7 @@
     publication work(context.get_executor(), chosen, std::move(*events));
     int code = exit_failed;
     boost::asio::co_spawn(
-        context, work.run(),
-        [&](std::exception_ptr error, int result)
-        {
+        context, work.run(), [&](std::exception_ptr error, int result) {
             if (error)
                 std::rethrow_exception(error);
             code = result;
@@ -88,8 +86,9 @@
     json_answer answer;
     boost::asio::co_spawn(
         context, get_json(connection, chosen, "/v1/status"),
-        [&](std::exception_ptr, json_answer result)
-        { answer = std::move(result); });
+        [&](std::exception_ptr, json_answer result) {
+            answer = std::move(result);
+        });
     context.run();
     if (!answer)
     {
--- a/src/tackctl/publication.cpp
+++ b/src/tackctl/publication.cpp
@@ -32,11 +32,10 @@
 std::uint64_t
 revision_in(const json::array& values, const json::object& identity)
 {
-    const auto matches = [&](const json::value& value)
-    {
-        return std::ranges::all_of(
-            identity, [&](const auto& member)
-            { return value.as_object().at(member.key()) == member.value(); });
+    const auto matches = [&](const json::value& value) {
+        return std::ranges::all_of(identity, [&](const auto& member) {
+            return value.as_object().at(member.key()) == member.value();
+        });
     };
     const auto found = std::ranges::find_if(values, matches);
     return found == values.end()
@@ -91,8 +90,7 @@
           executor_, *log_, log_stream::operators, make_incarnation(),
           metrics_),
       control_(executor_, chosen.control)
-{
-}
+{}
 
 bool publication::timed_out() const
 {
@@ -111,8 +109,7 @@
     for (auto& e : events_)
     {
         std::visit(
-            [&](auto& change)
-            {
+            [&](auto& change) {
                 change.publisher = chosen_.publisher;
                 change.base = revision_of(change, *status);
             },
--- a/testsuite/demo/main.cpp
+++ b/testsuite/demo/main.cpp
@@ -88,8 +88,7 @@
 bool stop_all(cluster& system)
 {
     bool graceful = true;
-    const auto stop = [&](const std::string& name, child_process& process)
-    {
+    const auto stop = [&](const std::string& name, child_process& process) {
         process.send_signal(SIGTERM);
         const bool stopped = process.wait_exit(stop_limit) == 0;
         std::cout << name << (stopped ? ": stopped\n" : ": did not stop\n");
--- a/testsuite/harness/child_process.cpp
+++ b/testsuite/harness/child_process.cpp
@@ -62,8 +62,7 @@
     : pid_(std::exchange(other.pid_, -1)),
       output_(std::exchange(other.output_, -1)),
       printed_(std::move(other.printed_))
-{
-}
+{}
 
 child_process& child_process::operator=(child_process&& other) noexcept
 {
--- a/testsuite/harness/cluster.cpp
+++ b/testsuite/harness/cluster.cpp
@@ -46,8 +46,9 @@
     request.prepare_payload();
     asio::co_spawn(
         context, connection.exchange(std::move(request), call_timeout),
-        [&](std::exception_ptr, exchange_result got)
-        { result = std::move(got); });
+        [&](std::exception_ptr, exchange_result got) {
+            result = std::move(got);
+        });
     context.run();
     if (auto* error = std::get_if<exchange_error>(&result))
         throw std::runtime_error(error->reason);
@@ -221,19 +222,14 @@
     const entry_process& entry, const std::string& service,
     std::size_t upstreams)
 {
-    return eventually(
-        [&]
-        {
-            const auto status = get_json(entry.admin, "/v1/status");
-            const auto& routes = status.at("routes").as_array();
-            return std::ranges::any_of(
-                routes,
-                [&](const json::value& route)
-                {
-                    return route.at("service").as_string() == service &&
-                           route.at("upstreams").as_array().size() == upstreams;
-                });
+    return eventually([&] {
+        const auto status = get_json(entry.admin, "/v1/status");
+        const auto& routes = status.at("routes").as_array();
+        return std::ranges::any_of(routes, [&](const json::value& route) {
+            return route.at("service").as_string() == service &&
+                   route.at("upstreams").as_array().size() == upstreams;
         });
+    });
 }
 
 } // namespace dandeliontack::harness
--- a/testsuite/standins/platform/main.cpp
+++ b/testsuite/standins/platform/main.cpp
@@ -63,8 +63,7 @@
           lag_(lag),
           operators_(executor),
           system_(executor)
-    {
-    }
+    {}
 
     asio::awaitable<http_response> handle(http_request request)
     {
@@ -208,13 +207,14 @@
     http_limits limits;
     limits.body_bytes = 64 * 1024 * 1024;
     http_server server(
-        context.get_executor(), limits, metrics, [&](http_request request)
-        { return service.handle(std::move(request)); });
+        context.get_executor(), limits, metrics, [&](http_request request) {
+            return service.handle(std::move(request));
+        });
     const auto where = parse_endpoint(absl::GetFlag(FLAGS_listen));
     announce("platform", server.listen(where.value()));
-    asio::co_spawn(
-        context, wait_for_stop_signal(),
-        [&](std::exception_ptr) { context.stop(); });
+    asio::co_spawn(context, wait_for_stop_signal(), [&](std::exception_ptr) {
+        context.stop();
+    });
     context.run();
     return exit_ok;
 }
--- a/testsuite/standins/platform/stream_store.hpp
+++ b/testsuite/standins/platform/stream_store.hpp
@@ -72,12 +72,10 @@
         while (end() <= from && std::chrono::steady_clock::now() < until)
         {
             boost::asio::steady_timer limit(changed_.get_executor(), until);
-            limit.async_wait(
-                [this](auto ec)
-                {
-                    if (!ec)
-                        changed_.cancel();
-                });
+            limit.async_wait([this](auto ec) {
+                if (!ec)
+                    changed_.cancel();
+            });
             co_await changed_.async_wait(
                 boost::asio::as_tuple(boost::asio::use_awaitable));
         }
--- a/testsuite/standins/worker/main.cpp
+++ b/testsuite/standins/worker/main.cpp
@@ -28,8 +28,7 @@
 public:
     worker(std::string name, std::chrono::milliseconds service_time)
         : name_(std::move(name)), service_time_(service_time)
-    {
-    }
+    {}
 
     asio::awaitable<http_response> handle(http_request request)
     {
@@ -66,13 +65,14 @@
         absl::GetFlag(FLAGS_name),
         absl::ToChronoMilliseconds(absl::GetFlag(FLAGS_service_time)));
     http_server server(
-        context.get_executor(), {}, metrics, [&](http_request request)
-        { return upstream.handle(std::move(request)); });
+        context.get_executor(), {}, metrics, [&](http_request request) {
+            return upstream.handle(std::move(request));
+        });
     const auto where = parse_endpoint(absl::GetFlag(FLAGS_listen));
     announce("worker", server.listen(where.value()));
-    asio::co_spawn(
-        context, wait_for_stop_signal(),
-        [&](std::exception_ptr) { context.stop(); });
+    asio::co_spawn(context, wait_for_stop_signal(), [&](std::exception_ptr) {
+        context.stop();
+    });
     context.run();
     return exit_ok;
 }
