Lay the seams for the domains

Cause: request path, agreement, capacity, jobs and reports will grow at the same time and would meet in the same files. Change: one file a domain for events, state, effects and reducer; one file a kind of configuration (pool, service, wave, team, job) for check, wire form, section and certification; pure planners and a duty that runs them on the leader; an interface for what the platform does to hosts and jobs.

--- a/src/include/dandeliontack/config_events.hpp
+++ b/src/include/dandeliontack/config_events.hpp
@@ -1,75 +1,57 @@
 #pragma once
 
-#include <chrono>
-#include <compare>
+#include <dandeliontack/job_config.hpp>
+#include <dandeliontack/pool_config.hpp>
+#include <dandeliontack/service_config.hpp>
+#include <dandeliontack/team_config.hpp>
+#include <dandeliontack/wave_config.hpp>
+
 #include <cstdint>
 #include <string>
 #include <variant>
-#include <vector>
 
 namespace dandeliontack
 {
 
-/// What a node does for a pool when it can't confirm that its state is fresh.
-enum class stale_policy : std::uint8_t
+/// An operator published a value.
+template <class Config>
+struct published
 {
-    serve,
-    refuse
+    std::string publisher;
+    /// The revision that the change is based on; 0 for a new value.
+    std::uint64_t base = 0;
+    Config config;
 };
 
-/// A pool of hosts, as operators publish it.
-struct pool_config
-{
-    std::string name;
-    std::vector<std::string> hosts;
-    /// How many hosts must stay in service through maintenance.
-    std::uint64_t budget_hosts = 0;
-    /// How old unconfirmed state may get before `when_stale` applies.
-    std::chrono::milliseconds staleness_bound = std::chrono::seconds(10);
-    stale_policy when_stale = stale_policy::serve;
+using pool_published = published<pool_config>;
+using service_published = published<service_config>;
+using wave_published = published<wave_config>;
+using team_published = published<team_config>;
+using job_published = published<job_config>;
 
-    bool operator==(const pool_config&) const = default;
-};
+using config_event = std::variant<
+    pool_published, service_published, wave_published, team_published,
+    job_published>;
 
-/// What callers ask for; several schema versions of one service may be in
-/// force side by side.
-struct service_key
+/// The key under which a value is in force: its name, or name and schema
+/// version for a service.
+template <class Config>
+const std::string& key_of(const Config& config)
 {
-    std::string name;
-    std::uint64_t schema_version = 1;
-
-    auto operator<=>(const service_key&) const = default;
-};
-
-/// A service, as operators publish it.
-struct service_config
+    return config.name;
+}
+inline const service_key& key_of(const service_config& config)
 {
-    service_key key;
-    /// The pool whose hosts answer it.
-    std::string pool;
-    /// How long a request may take where the caller names no deadline.
-    std::chrono::milliseconds deadline = std::chrono::seconds(5);
-
-    bool operator==(const service_config&) const = default;
-};
-
-/// An operator published a pool, based on revision `base` of it; 0 for a new
-/// one.
-struct pool_published
-{
-    std::string publisher;
-    std::uint64_t base = 0;
-    pool_config config;
-};
-
-/// An operator published a service, based on revision `base` of it.
-struct service_published
-{
-    std::string publisher;
-    std::uint64_t base = 0;
-    service_config config;
-};
-
-using config_event = std::variant<pool_published, service_published>;
+    return config.key;
+}
+
+/// What findings and effects call a value: `pool NAME`, `service NAME
+/// VERSION`, `wave NAME`, `team NAME` or `job NAME`.
+std::string subject_of(const pool_config& config);
+std::string subject_of(const service_config& config);
+std::string subject_of(const wave_config& config);
+std::string subject_of(const team_config& config);
+std::string subject_of(const job_config& config);
+std::string subject_of(const config_event& e);
 
 } // namespace dandeliontack
--- a/src/include/dandeliontack/config_file.hpp
+++ b/src/include/dandeliontack/config_file.hpp
@@ -9,13 +9,11 @@
 namespace dandeliontack
 {
 
-/// Parses what operators publish: sections `[pool NAME]` and
-/// `[service NAME]` or `[service NAME VERSION]`. All findings come together
-/// with their line. The events have neither publisher nor base.
+/// Parses what operators publish: sections `[pool NAME]`, `[service NAME]` or
+/// `[service NAME VERSION]`, `[wave NAME]`, `[team NAME]` and `[job NAME]`.
+/// All findings come together with their line. The events have neither
+/// publisher nor base.
 checked<std::vector<config_event>>
 parse_config_file(const ini_document& document);
 
-/// `pool NAME` or `service NAME VERSION`, as findings and effects name it.
-std::string subject_of(const config_event& e);
-
 } // namespace dandeliontack
--- a/src/include/dandeliontack/control_node.hpp
+++ b/src/include/dandeliontack/control_node.hpp
@@ -14,6 +14,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -49,6 +50,26 @@
     /// to be appended up to `patience`.
     boost::asio::awaitable<void> stop(std::chrono::milliseconds patience);
 
+    using applied_handler =
+        std::function<void(const event& e, const effects& todo)>;
+
+    /// Calls `observe` after each applied event, also while the log is
+    /// replayed.
+    void on_applied(applied_handler observe);
+
+    /// Whether this node decides for all at present.
+    bool leads() const;
+
+    /// Appends a decision to the system's stream. What becomes of it is only
+    /// known when it is applied.
+    void propose(event_body body);
+
+    /// Decisions that the log has not confirmed yet.
+    std::size_t backlog() const
+    {
+        return proposals_.backlog();
+    }
+
     const state& current() const
     {
         return state_;
@@ -108,6 +129,7 @@
     std::vector<listed_host> hosts_listed_;
     std::map<record_key, record_outcome> outcomes_;
     std::deque<record_key> outcome_age_;
+    std::vector<applied_handler> observers_;
     endpoint peer_address_;
     bool caught_up_ = false;
     bool joined_ = false;
--- a/src/include/dandeliontack/effect.hpp
+++ b/src/include/dandeliontack/effect.hpp
@@ -1,47 +1,45 @@
 #pragma once
 
-#include <dandeliontack/finding.hpp>
-#include <dandeliontack/incarnation.hpp>
+#include <dandeliontack/config_effects.hpp>
+#include <dandeliontack/fleet_effects.hpp>
+#include <dandeliontack/job_effects.hpp>
+#include <dandeliontack/membership_effects.hpp>
 
-#include <cstdint>
-#include <string>
+#include <type_traits>
 #include <variant>
 #include <vector>
 
 namespace dandeliontack
 {
 
-/// What entry processes route by has changed.
-struct routing_changed
+/// The effect of a type that a domain's variant holds, or null.
+template <class Effect, class... Alternatives>
+const Effect* get_effect(const std::variant<Alternatives...>& domain)
 {
-};
+    if constexpr ((std::is_same_v<Effect, Alternatives> || ...))
+        return std::get_if<Effect>(&domain);
+    return nullptr;
+}
 
-/// A published value is in force from this record on.
-struct config_accepted
-{
-    /// `pool NAME` or `service NAME VERSION`.
-    std::string subject;
-    std::uint64_t revision = 0;
-};
+/// What should happen because of an applied event. A variant a domain.
+using effect =
+    std::variant<config_effect, membership_effect, fleet_effect, job_effect>;
 
-/// A record was not accepted.
-struct record_rejected
-{
-    incarnation writer;
-    std::uint64_t sequence = 0;
-    findings found;
-};
+using effects = std::vector<effect>;
 
-/// A record was a second copy of one that was applied before.
-struct duplicate_dropped
+/// The first effect of a type, or null. The list owns it.
+template <class Effect>
+const Effect* find_effect(const effects& todo)
 {
-    incarnation writer;
-    std::uint64_t sequence = 0;
-};
-
-using effect = std::variant<
-    routing_changed, config_accepted, record_rejected, duplicate_dropped>;
-
-using effects = std::vector<effect>;
+    for (const auto& item : todo)
+    {
+        const auto* found = std::visit(
+            [](const auto& domain) { return get_effect<Effect>(domain); },
+            item);
+        if (found)
+            return found;
+    }
+    return nullptr;
+}
 
 } // namespace dandeliontack
--- a/src/include/dandeliontack/fields.hpp
+++ b/src/include/dandeliontack/fields.hpp
@@ -20,14 +20,38 @@
 
 using std::chrono::milliseconds;
 
+/// A member of an enumeration type whose values are written as words.
+template <class Aggregate>
+struct choice_pointer
+{
+    /// The words of the values 0, 1 and so on.
+    std::vector<std::string_view> words;
+    /// Sets the member to a value by its number.
+    void (*set)(Aggregate& out, std::size_t number);
+};
+
 /// A pointer to a member of one of the types that a setting can have.
 template <class Aggregate>
 using member_pointer = std::variant<
-    std::string Aggregate::*, std::uint64_t Aggregate::*, double Aggregate::*,
-    bool Aggregate::*, milliseconds Aggregate::*, endpoint Aggregate::*,
+    choice_pointer<Aggregate>, std::string Aggregate::*,
+    std::uint64_t Aggregate::*, double Aggregate::*, bool Aggregate::*,
+    milliseconds Aggregate::*, endpoint Aggregate::*,
     std::optional<endpoint> Aggregate::*,
     std::vector<std::string> Aggregate::*>;
 
+/// Makes a `choice_pointer` for a member whose type is an enumeration.
+template <auto Member>
+auto choice_member(std::vector<std::string_view> words)
+{
+    return []<class Aggregate, class Enum>(
+               Enum Aggregate::*, std::vector<std::string_view> known) {
+        return choice_pointer<Aggregate>{
+            std::move(known), [](Aggregate& out, std::size_t number) {
+                out.*Member = static_cast<Enum>(number);
+            }};
+    }(Member, std::move(words));
+}
+
 /// One key of a section: where its value goes and what it may be.
 template <class Aggregate>
 struct field
@@ -75,6 +99,30 @@
 /// Renders a duration in the form that `parse_value` reads.
 std::string to_string(milliseconds value);
 
+template <class Aggregate>
+std::string read_member_value(
+    const std::string& text, const value_bounds& bounds,
+    const choice_pointer<Aggregate>& choice, Aggregate& out)
+{
+    std::string word;
+    const value_bounds words{bounds.least, bounds.most, choice.words};
+    auto message = parse_value(text, words, word);
+    if (message.empty())
+        choice.set(
+            out,
+            static_cast<std::size_t>(std::distance(
+                choice.words.begin(), std::ranges::find(choice.words, word))));
+    return message;
+}
+
+template <class Aggregate, class Member>
+std::string read_member_value(
+    const std::string& text, const value_bounds& bounds,
+    Member Aggregate::* member, Aggregate& out)
+{
+    return parse_value(text, bounds, out.*member);
+}
+
 /// Fills `out` from a section by its table of fields and adds whatever is
 /// wrong (unknown key, wrong type, out of range, missing key) to `found`.
 template <class Aggregate>
@@ -98,8 +146,8 @@
         }
         const value_bounds bounds{known->least, known->most, known->choices};
         item.message = std::visit(
-            [&](auto member) {
-                return parse_value(entry.value, bounds, out.*member);
+            [&](const auto& member) {
+                return read_member_value(entry.value, bounds, member, out);
             },
             known->member);
         if (!item.message.empty())
--- a/src/include/dandeliontack/record_codec.hpp
+++ b/src/include/dandeliontack/record_codec.hpp
@@ -18,10 +18,4 @@
 event decode_record(
     log_stream stream, std::uint64_t offset, std::string_view bytes);
 
-/// Checks a value that operators publish, alike for a file and for a record.
-/// The findings have the key `pool NAME` or `service NAME VERSION` and lack
-/// file and line.
-findings check_pool(const pool_config& config);
-findings check_service(const service_config& config);
-
 } // namespace dandeliontack
--- a/src/libcontrol/control_api.cpp
+++ b/src/libcontrol/control_api.cpp
@@ -57,6 +57,22 @@
     return out;
 }
 
+// Every value in force by its subject, for those who publish changes.
+json::object revisions_json(const config_state& config)
+{
+    json::object out;
+    const auto add_all = [&](const auto& map) {
+        for (const auto& [key, value] : map)
+            out[subject_of(value.config)] = value.revision;
+    };
+    add_all(config.pools);
+    add_all(config.services);
+    add_all(config.waves);
+    add_all(config.teams);
+    add_all(config.jobs);
+    return out;
+}
+
 json::array nodes_json(const membership_state& membership)
 {
     json::array out;
@@ -92,6 +108,7 @@
         {"state_hash", hex(hash_of(s))},
         {"pools", pools_json(s.config)},
         {"services", services_json(s.config)},
+        {"revisions", revisions_json(s.config)},
         {"nodes", nodes_json(s.membership)},
         {"rejections", rejections_json(s.order)},
         {"listed_hosts", node.hosts().size()}};
--- a/src/libcontrol/control_node.cpp
+++ b/src/libcontrol/control_node.cpp
@@ -135,6 +135,8 @@
     state_ = std::move(result.next);
     metrics_.get_counter("tack_events_applied_total").add();
     note_outcome(e, result.todo);
+    for (const auto& observe : observers_)
+        observe(e, result.todo);
 }
 
 void control_node::note_outcome(const event& e, const effects& todo)
@@ -142,15 +144,12 @@
     if (e.origin.stream != log_stream::operators)
         return;
     const record_key key{e.origin.writer, e.origin.sequence};
-    const auto rejected = std::ranges::find_if(todo, [](const effect& item) {
-        return std::holds_alternative<record_rejected>(item);
-    });
-    const bool refused = rejected != todo.end();
-    if (refused)
+    const auto* rejected = find_effect<record_rejected>(todo);
+    if (rejected)
         metrics_.get_counter("tack_records_rejected_total").add();
-    record_outcome noted{e.origin.offset, !refused, {}};
-    if (refused)
-        noted.found = std::get<record_rejected>(*rejected).found;
+    record_outcome noted{e.origin.offset, !rejected, {}};
+    if (rejected)
+        noted.found = rejected->found;
     if (!outcomes_.try_emplace(key, std::move(noted)).second)
         return;
     outcome_age_.push_back(key);
@@ -206,6 +205,22 @@
     }
 }
 
+bool control_node::leads() const
+{
+    const auto& nodes = state_.membership.nodes;
+    return ready() && !nodes.empty() && nodes.begin()->first == self();
+}
+
+void control_node::propose(event_body body)
+{
+    proposals_.propose(std::move(body));
+}
+
+void control_node::on_applied(applied_handler observe)
+{
+    observers_.push_back(std::move(observe));
+}
+
 std::chrono::milliseconds control_node::ordering_delay() const
 {
     const auto& nodes = state_.membership.nodes;
--- a/src/libdecide/domains.hpp
+++ b/src/libdecide/domains.hpp
@@ -36,5 +36,10 @@
 void feed(hasher& h, const fleet_state& s);
 void feed(hasher& h, const job_state& s);
 void feed(hasher& h, const incarnation& value);
+void feed(hasher& h, const pool_config& config);
+void feed(hasher& h, const service_config& config);
+void feed(hasher& h, const wave_config& config);
+void feed(hasher& h, const team_config& config);
+void feed(hasher& h, const job_config& config);
 
 } // namespace dandeliontack
--- /dev/null
+++ b/src/libdecide/plan_fleet.cpp
@@ -0,0 +1,12 @@
+#include <dandeliontack/planner.hpp>
+
+namespace dandeliontack
+{
+
+std::vector<event_body>
+plan_fleet(const state& /*s*/, const planning_input& /*input*/)
+{
+    return {};
+}
+
+} // namespace dandeliontack
--- a/src/libdecide/reduce_config.cpp
+++ b/src/libdecide/reduce_config.cpp
@@ -1,101 +1,60 @@
+#include "certify.hpp"
 #include "domains.hpp"
 
-#include <algorithm>
-
 namespace dandeliontack
 {
 
 namespace
 {
 
-std::string stale_base(std::uint64_t base, std::uint64_t current)
+// The map that holds values of a type.
+auto& map_of(config_state& s, const pool_config&)
 {
-    return "based on revision " + std::to_string(base) + ", but revision " +
-           std::to_string(current) + " is in force";
+    return s.pools;
 }
-
-// Puts a value in force if it is based on the revision in force now.
-template <class Map, class Config>
-bool accept(
-    const reduce_context& context, Map& map, const typename Map::key_type& key,
-    std::uint64_t base, const Config& config, const std::string& subject)
+auto& map_of(config_state& s, const service_config&)
 {
-    const auto known = map.find(key);
-    const auto revision = known == map.end() ? 0 : known->second.revision;
-    if (base != revision)
-    {
-        context.reject(subject, stale_base(base, revision));
-        return false;
-    }
-    map.insert_or_assign(
-        key, typename Map::mapped_type{
-                 config, revision + 1, context.cause.origin.offset});
-    context.todo.emplace_back(config_accepted{subject, revision + 1});
-    context.todo.emplace_back(routing_changed{});
-    return true;
+    return s.services;
 }
-
-// The name of another pool that has the host, or an empty text.
-std::string other_pool_of(
-    const config_state& s, const std::string& pool, const std::string& host)
+auto& map_of(config_state& s, const wave_config&)
 {
-    const auto owner = std::ranges::find_if(s.pools, [&](const auto& item) {
-        return item.first != pool &&
-               std::ranges::find(item.second.config.hosts, host) !=
-                   item.second.config.hosts.end();
-    });
-    return owner == s.pools.end() ? std::string() : owner->first;
+    return s.waves;
 }
-
-void apply_one(const reduce_context& context, const pool_published& e)
+auto& map_of(config_state& s, const team_config&)
 {
-    const auto subject = "pool " + e.config.name;
-    for (const auto& host : e.config.hosts)
-    {
-        const auto other =
-            other_pool_of(context.current.config, e.config.name, host);
-        if (!other.empty())
-        {
-            context.reject(
-                subject, "host " + host + " belongs to pool " + other);
-            return;
-        }
-    }
-    accept(
-        context, context.current.config.pools, e.config.name, e.base, e.config,
-        subject);
+    return s.teams;
 }
-
-void apply_one(const reduce_context& context, const service_published& e)
+auto& map_of(config_state& s, const job_config&)
 {
-    const auto& key = e.config.key;
-    const auto subject =
-        "service " + key.name + " " + std::to_string(key.schema_version);
-    if (!context.current.config.pools.contains(e.config.pool))
-    {
-        context.reject(subject, "there is no pool " + e.config.pool);
-        return;
-    }
-    accept(
-        context, context.current.config.services, key, e.base, e.config,
-        subject);
+    return s.jobs;
 }
 
-void feed(hasher& h, const pool_config& c)
+std::string stale_base(std::uint64_t base, std::uint64_t current)
 {
-    h.add(c.name);
-    h.add_range(c.hosts);
-    h.add(c.budget_hosts);
-    h.add(c.staleness_bound);
-    h.add(c.when_stale);
+    return "based on revision " + std::to_string(base) + ", but revision " +
+           std::to_string(current) + " is in force";
 }
 
-void feed(hasher& h, const service_config& c)
+// Puts a value in force if it is based on the revision in force now and fits
+// the other values.
+template <class Config>
+void apply_one(const reduce_context& context, const published<Config>& e)
 {
-    h.add(c.key.name);
-    h.add(c.key.schema_version);
-    h.add(c.pool);
-    h.add(c.deadline);
+    auto& map = map_of(context.current.config, e.config);
+    const auto subject = subject_of(e.config);
+    const auto& key = key_of(e.config);
+    const auto known = map.find(key);
+    const auto revision = known == map.end() ? 0 : known->second.revision;
+    if (e.base != revision)
+        return context.reject(subject, stale_base(e.base, revision));
+    const auto reason = certify(context.current, e.config);
+    if (!reason.empty())
+        return context.reject(subject, reason);
+    map.insert_or_assign(
+        key,
+        in_force<Config>{e.config, revision + 1, context.cause.origin.offset});
+    context.todo.emplace_back(config_accepted{subject, revision + 1});
+    context.todo.emplace_back(routing_changed{});
 }
 
 } // namespace
@@ -118,6 +77,9 @@
     };
     feed_all(s.pools);
     feed_all(s.services);
+    feed_all(s.waves);
+    feed_all(s.teams);
+    feed_all(s.jobs);
 }
 
 } // namespace dandeliontack
--- a/src/libplatform/config_file.cpp
+++ b/src/libplatform/config_file.cpp
@@ -1,7 +1,7 @@
+#include "config_kind.hpp"
 #include <dandeliontack/config_file.hpp>
-#include <dandeliontack/fields.hpp>
-#include <dandeliontack/record_codec.hpp>
 
+#include <algorithm>
 #include <array>
 #include <iterator>
 #include <sstream>
@@ -12,43 +12,19 @@
 namespace
 {
 
-// A pool as its section has it.
-struct pool_section
+// A kind of section and how many words its name may have.
+struct section_kind
 {
-    std::vector<std::string> hosts;
-    std::uint64_t budget_hosts = 0;
-    milliseconds staleness_bound = std::chrono::seconds(10);
-    std::string when_stale = "serve";
+    std::string_view word;
+    std::size_t most_words;
+    config_event (*read)(const config_section& from, findings& found);
 };
 
-struct service_section
-{
-    std::string pool;
-    milliseconds deadline = std::chrono::seconds(5);
-};
-
-const std::array pool_fields{
-    field<pool_section>{
-        .key = "hosts", .member = &pool_section::hosts, .required = true},
-    field<pool_section>{
-        .key = "budget_hosts", .member = &pool_section::budget_hosts},
-    field<pool_section>{
-        .key = "staleness_bound",
-        .member = &pool_section::staleness_bound,
-        .least = 1},
-    field<pool_section>{
-        .key = "when_stale",
-        .member = &pool_section::when_stale,
-        .choices = {"serve", "refuse"}}};
-
-const std::array service_fields{
-    field<service_section>{
-        .key = "pool", .member = &service_section::pool, .required = true},
-    field<service_section>{
-        .key = "deadline",
-        .member = &service_section::deadline,
-        .least = 1,
-        .most = 3'600'000}};
+constexpr std::array kinds{
+    section_kind{"pool", 2, read_pool},
+    section_kind{"service", 3, read_service},
+    section_kind{"wave", 2, read_wave}, section_kind{"team", 2, read_team},
+    section_kind{"job", 2, read_job}};
 
 std::vector<std::string> words_of(const std::string& text)
 {
@@ -56,52 +32,13 @@
     return {std::istream_iterator<std::string>(in), {}};
 }
 
-void place(
-    findings more, const std::string& file, unsigned line, findings& found)
+const section_kind* kind_of(const std::vector<std::string>& words)
 {
-    for (auto& item : more)
-    {
-        item.file = file;
-        item.line = line;
-        found.push_back(std::move(item));
-    }
-}
-
-config_event read_pool(
-    const std::string& file, const ini_section& section,
-    const std::vector<std::string>& words, findings& found)
-{
-    pool_section values;
-    const auto before = found.size();
-    read_fields<pool_section>(file, section, pool_fields, values, found);
-    pool_config config{
-        words.at(1), values.hosts, values.budget_hosts, values.staleness_bound,
-        values.when_stale == "refuse" ? stale_policy::refuse
-                                      : stale_policy::serve};
-    if (found.size() == before)
-        place(check_pool(config), file, section.line, found);
-    return pool_published{{}, 0, std::move(config)};
-}
-
-config_event read_service(
-    const std::string& file, const ini_section& section,
-    const std::vector<std::string>& words, findings& found)
-{
-    service_section values;
-    const auto before = found.size();
-    read_fields<service_section>(file, section, service_fields, values, found);
-    std::uint64_t version = 1;
-    if (words.size() == 3)
-    {
-        const auto wrong = parse_value(words[2], value_bounds{}, version);
-        if (!wrong.empty())
-            found.push_back(
-                {file, section.line, section.name, "schema version " + wrong});
-    }
-    service_config config{{words.at(1), version}, values.pool, values.deadline};
-    if (found.size() == before)
-        place(check_service(config), file, section.line, found);
-    return service_published{{}, 0, std::move(config)};
+    const auto* kind = std::ranges::find_if(kinds, [&](const auto& known) {
+        return words.size() >= 2 && words.size() <= known.most_words &&
+               words.front() == known.word;
+    });
+    return kind == kinds.end() ? nullptr : kind;
 }
 
 } // namespace
@@ -113,17 +50,16 @@
     std::vector<config_event> events;
     for (const auto& section : document.sections)
     {
-        const auto words = words_of(section.name);
-        if (words.size() == 2 && words[0] == "pool")
-            events.push_back(read_pool(document.file, section, words, found));
-        else if (
-            (words.size() == 2 || words.size() == 3) && words[0] == "service")
+        auto words = words_of(section.name);
+        const auto* kind = kind_of(words);
+        if (kind)
             events.push_back(
-                read_service(document.file, section, words, found));
+                kind->read({document.file, section, std::move(words)}, found));
         else
             found.push_back(
                 {document.file, section.line, section.name,
-                 "must be [pool NAME] or [service NAME [VERSION]]"});
+                 "must be [pool NAME], [service NAME [VERSION]], [wave NAME], "
+                 "[team NAME] or [job NAME]"});
     }
     if (events.empty() && found.empty())
         found.push_back({document.file, 0, "", "has no section"});
--- a/src/libplatform/record_codec_test.cpp
+++ b/src/libplatform/record_codec_test.cpp
@@ -104,7 +104,9 @@
         to_string(std::get<findings>(parsed)),
         "c.ini:1: pool a: budget_hosts is larger than the number of hosts\n"
         "c.ini:4: service b.pool: missing key\n"
-        "c.ini:6: thing: must be [pool NAME] or [service NAME [VERSION]]\n");
+        "c.ini:6: thing: must be [pool NAME], [service NAME [VERSION]], [wave "
+        "NAME], "
+        "[team NAME] or [job NAME]\n");
 }
 
 TEST(host_list, hosts_are_read_and_bad_lists_are_refused)
--- a/src/tack-control/main.cpp
+++ b/src/tack-control/main.cpp
@@ -1,3 +1,4 @@
+#include <dandeliontack/capacity_duty.hpp>
 #include <dandeliontack/control_node.hpp>
 #include <dandeliontack/program.hpp>
 
@@ -16,6 +17,7 @@
 using namespace dandeliontack;
 namespace asio = boost::asio;
 
+constexpr auto planning_interval = std::chrono::milliseconds(200);
 constexpr auto stop_patience = std::chrono::seconds(2);
 
 asio::awaitable<void> run_until_stopped(
@@ -42,6 +44,7 @@
         executor, settings.hosts.address, settings.hosts.timeout);
     control_server server(metrics);
     control_node node(executor, settings, *log, *hosts, server, metrics);
+    capacity_duty capacity(executor, node, planning_interval);
     http_server admin(
         executor, {}, metrics,
         admin_pages(
@@ -51,6 +54,7 @@
     announce("grpc", peer_address);
     announce("admin", admin.listen(settings.admin.listen));
     node.start(peer_address);
+    asio::co_spawn(executor, capacity.run(), asio::detached);
     out.info("Started ", settings.node.name, ".");
     asio::co_spawn(
         executor, run_until_stopped(node, admin, server),
--- a/src/tackctl/publication.cpp
+++ b/src/tackctl/publication.cpp
@@ -29,34 +29,12 @@
     co_await timer.async_wait(no_throw);
 }
 
-std::uint64_t
-revision_in(const json::array& values, const json::object& identity)
+// The revision in force, 0 for a value that is not.
+std::uint64_t revision_of(const config_event& e, const json::object& status)
 {
-    const auto matches = [&](const json::value& value) {
-        return std::ranges::all_of(identity, [&](const auto& member) {
-            return value.as_object().at(member.key()) == member.value();
-        });
-    };
-    const auto found = std::ranges::find_if(values, matches);
-    return found == values.end()
-               ? 0
-               : found->at("revision").to_number<std::uint64_t>();
-}
-
-std::uint64_t revision_of(const pool_published& e, const json::object& status)
-{
-    return revision_in(
-        status.at("pools").as_array(), {{"name", e.config.name}});
-}
-
-std::uint64_t
-revision_of(const service_published& e, const json::object& status)
-{
-    // Parsed JSON holds whole numbers as signed.
-    const auto version = static_cast<std::int64_t>(e.config.key.schema_version);
-    return revision_in(
-        status.at("services").as_array(),
-        {{"name", e.config.key.name}, {"schema_version", version}});
+    const auto& revisions = status.at("revisions").as_object();
+    const auto* known = revisions.if_contains(subject_of(e));
+    return known ? known->to_number<std::uint64_t>() : 0;
 }
 
 } // namespace
@@ -108,10 +86,11 @@
     }
     for (auto& e : events_)
     {
+        const auto base = revision_of(e, *status);
         std::visit(
             [&](auto& change) {
                 change.publisher = chosen_.publisher;
-                change.base = revision_of(change, *status);
+                change.base = base;
             },
             e);
         sequences_.push_back(proposals_.propose(e));
