--- a/src/cmake/dependencies.cmake
+++ b/src/cmake/dependencies.cmake
@@ -11,8 +11,9 @@
 
 find_program(ccache_program ccache)
 if(ccache_program)
-  # The slopiness flags are what ccache needs to cache with a precompiled header.
+  # The sloppiness flags are what ccache needs to cache with a precompiled header.
   set(CMAKE_CXX_COMPILER_LAUNCHER
-      ${CMAKE_COMMAND} -E env CCACHE_SLOPPINESS=pch_defines,time_macros,include_file_mtime,include_file_ctime
+      ${CMAKE_COMMAND} -E env CCACHE_BASEDIR=${CMAKE_SOURCE_DIR} CCACHE_NOHASHDIR=1
+      CCACHE_SLOPPINESS=pch_defines,time_macros,include_file_mtime,include_file_ctime
       ${ccache_program})
 endif()
