Refuse ambiguous framing and answers that may be cut

Cause: a transfer coding other than chunked was read as a request without a body, so that the body's bytes were taken for a second request; folded lines and leading empty lines were accepted; an answer that only the connection's end would end could be truncated unseen; surplus bytes that arrived on an idle upstream connection were read as the next answer; the idle bound did not hold, because the wait went around the stream's timer; closing with unread bytes could reset a connection before its refusal was read.

Change: the header's bytes are scanned before they are parsed, the framing is checked after, and responses without a length or of an interim status are faults. An idle upstream connection on which anything has arrived is not used again. Closing a caller's connection ends the sending side first; a stop takes the connections that the system has already accepted.

--- a/src/include/dandeliontack/entry_settings.hpp
+++ b/src/include/dandeliontack/entry_settings.hpp
@@ -4,6 +4,9 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
 
 namespace dandeliontack
 {
@@ -32,6 +35,27 @@
     std::uint64_t body_bytes = 16 * 1024 * 1024;
     /// Among how many entry processes a worker's slots are shared.
     std::uint64_t entry_processes = 1;
+    /// How often one request may be sent again to another upstream.
+    std::uint64_t retries = 2;
+    /// How many requests may wait for a slot, for each service and class.
+    std::uint64_t queue = 128;
+};
+
+/// Section `[tickets]`: how non-idempotent requests run at most once.
+struct tickets_settings
+{
+    /// Where the other entry processes' callers are served; only these are
+    /// asked about a ticket that they may have issued.
+    std::vector<std::string> peers;
+    /// Where other entry processes reach this one, if not at
+    /// `callers.listen`.
+    std::optional<endpoint> advertise;
+    /// How many tickets are remembered at once.
+    std::uint64_t capacity = 65536;
+    /// How long a ticket is remembered after it was issued.
+    std::chrono::milliseconds lifetime = std::chrono::minutes(10);
+    /// How many bytes of answers are kept for copies that come later.
+    std::uint64_t answer_bytes = 16 * 1024 * 1024;
 };
 
 /// Section `[stop]`: what happens on SIGTERM.
@@ -51,6 +75,7 @@
     control_link_settings control;
     callers_settings callers;
     upstreams_settings upstreams;
+    tickets_settings tickets;
     stop_settings stop;
     admin_settings admin;
     logging_settings logging;
--- a/src/include/dandeliontack/http_server.hpp
+++ b/src/include/dandeliontack/http_server.hpp
@@ -50,6 +50,10 @@
     /// real port. Throws `boost::system::system_error` if binding fails.
     endpoint listen(const endpoint& where);
 
+    /// From now on each response ends its connection, so that callers which
+    /// keep connections open move to another process before `drain`.
+    void close_after_responses();
+
     /// Stops accepting, lets requests in progress finish, and closes idle
     /// connections. Returns when none is left or `patience` has passed.
     boost::asio::awaitable<void> drain(std::chrono::milliseconds patience);
--- a/src/libentry/entry_settings.cpp
+++ b/src/libentry/entry_settings.cpp
@@ -58,10 +58,45 @@
         row{.key = "entry_processes",
             .member = &s::entry_processes,
             .least = 1,
-            .most = 64}};
+            .most = 64},
+        row{.key = "retries", .member = &s::retries, .least = 0, .most = 10},
+        row{.key = "queue", .member = &s::queue, .least = 0, .most = 100'000}};
     return table;
 }
 
+std::span<const field<tickets_settings>> tickets_fields()
+{
+    using row = field<tickets_settings>;
+    using s = tickets_settings;
+    static const std::array table{
+        row{.key = "peers", .member = &s::peers},
+        row{.key = "advertise", .member = &s::advertise},
+        row{.key = "capacity",
+            .member = &s::capacity,
+            .least = 1,
+            .most = 10'000'000},
+        row{.key = "lifetime",
+            .member = &s::lifetime,
+            .least = 10,
+            .most = 24 * longest_ms},
+        row{.key = "answer_bytes",
+            .member = &s::answer_bytes,
+            .least = 0,
+            .most = most_bytes}};
+    return table;
+}
+
+void check_peers(
+    const ini_document& document, const tickets_settings& tickets,
+    findings& found)
+{
+    for (const auto& peer : tickets.peers)
+        if (!parse_endpoint(peer))
+            found.push_back(
+                {document.file, 0, "tickets.peers",
+                 "'" + peer + "' is not an IP number with a port"});
+}
+
 std::span<const field<stop_settings>> stop_fields()
 {
     using row = field<stop_settings>;
@@ -86,6 +121,7 @@
     reader{"control", true, read_member<&all::control, control_fields>},
     reader{"callers", true, read_member<&all::callers, callers_fields>},
     reader{"upstreams", false, read_member<&all::upstreams, upstreams_fields>},
+    reader{"tickets", false, read_member<&all::tickets, tickets_fields>},
     reader{"stop", false, read_member<&all::stop, stop_fields>},
     reader{"admin", true, read_member<&all::admin, admin_fields>},
     reader{"logging", false, read_member<&all::logging, logging_fields>}};
@@ -101,6 +137,7 @@
         {{"callers", "listen", settings.callers.listen},
          {"admin", "listen", settings.admin.listen}},
         found);
+    check_peers(document, settings.tickets, found);
     if (!found.empty())
         return found;
     return settings;
--- a/src/libutil/http_connection.cpp
+++ b/src/libutil/http_connection.cpp
@@ -18,6 +18,7 @@
 {
 
 constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
+constexpr unsigned first_final_status = 200;
 
 exchange_error
 failed(outcome result, std::string_view step, beast::error_code ec)
@@ -40,8 +41,65 @@
     endpoint peer;
     std::uint64_t body_limit;
     bool open = false;
+
+    bool quiet();
+    asio::awaitable<beast::error_code> connect();
+    asio::awaitable<exchange_result> read_response(bool head);
 };
 
+// Whether nothing has arrived on an idle connection. Bytes that nobody asked
+// for, or its end, make it unfit for another request.
+bool http_connection::core::quiet()
+{
+    auto& socket = stream.socket();
+    beast::error_code ec;
+    socket.non_blocking(true, ec);
+    char first = 0;
+    socket.receive(
+        asio::buffer(&first, 1), asio::socket_base::message_peek, ec);
+    return ec == asio::error::would_block;
+}
+
+asio::awaitable<beast::error_code> http_connection::core::connect()
+{
+    const tcp::endpoint remote(asio::ip::make_address(peer.address), peer.port);
+    auto [ec] = co_await stream.async_connect(remote, no_throw);
+    if (!ec)
+    {
+        beast::error_code ignored;
+        stream.socket().set_option(tcp::no_delay(true), ignored);
+        open = true;
+    }
+    co_return ec;
+}
+
+// Reads one whole response. One whose end is only the connection's end can't
+// be told from a truncated one, and an interim response was not asked for.
+asio::awaitable<exchange_result> http_connection::core::read_response(bool head)
+{
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(body_limit);
+    parser.skip(head);
+    auto [header_ec, header_bytes] =
+        co_await http::async_read_header(stream, buffer, parser, no_throw);
+    if (header_ec)
+        co_return failed(outcome::unknown, "read", header_ec);
+    if (parser.get().result_int() < first_final_status)
+        co_return exchange_error{
+            outcome::unknown, "read: unexpected interim response"};
+    if (!parser.is_done() && parser.need_eof())
+        co_return exchange_error{
+            outcome::unknown, "read: response without a length"};
+    if (!parser.is_done())
+    {
+        auto [ec, bytes] =
+            co_await http::async_read(stream, buffer, parser, no_throw);
+        if (ec)
+            co_return failed(outcome::unknown, "read", ec);
+    }
+    co_return parser.release();
+}
+
 http_connection::http_connection(
     asio::any_io_executor executor, endpoint peer, std::uint64_t body_limit)
     : core_(std::make_unique<core>(
@@ -68,22 +126,21 @@
 asio::awaitable<exchange_result> http_connection::exchange(
     http_request request, std::chrono::milliseconds timeout)
 {
-    core_->stream.expires_after(timeout);
-    if (!core_->open)
+    auto& c = *core_;
+    if (c.open && !c.quiet())
+        close();
+    c.stream.expires_after(timeout);
+    if (!c.open)
     {
-        const tcp::endpoint remote(
-            asio::ip::make_address(core_->peer.address), core_->peer.port);
-        auto [ec] = co_await core_->stream.async_connect(remote, no_throw);
+        const auto ec = co_await c.connect();
         if (ec)
         {
             close();
             co_return failed(outcome::not_run, "connect", ec);
         }
-        core_->stream.socket().set_option(tcp::no_delay(true), ec);
-        core_->open = true;
     }
     auto [write_ec, written] =
-        co_await http::async_write(core_->stream, request, no_throw);
+        co_await http::async_write(c.stream, request, no_throw);
     if (write_ec)
     {
         close();
@@ -91,21 +148,13 @@
             written == 0 ? outcome::not_run : outcome::unknown, "write",
             write_ec);
     }
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(core_->body_limit);
-    if (request.method() == http::verb::head)
-        parser.skip(true);
-    auto [read_ec, bytes] = co_await http::async_read(
-        core_->stream, core_->buffer, parser, no_throw);
-    if (read_ec)
-    {
+    auto result =
+        co_await c.read_response(request.method() == http::verb::head);
+    c.stream.expires_never();
+    const auto* response = std::get_if<http_response>(&result);
+    if (!response || !response->keep_alive() || c.buffer.size() != 0)
         close();
-        co_return failed(outcome::unknown, "read", read_ec);
-    }
-    core_->stream.expires_never();
-    if (!parser.get().keep_alive() || core_->buffer.size() != 0)
-        close();
-    co_return parser.release();
+    co_return result;
 }
 
 } // namespace dandeliontack
--- a/src/libutil/http_server.cpp
+++ b/src/libutil/http_server.cpp
@@ -1,3 +1,4 @@
+#include <dandeliontack/http_header_scan.hpp>
 #include <dandeliontack/http_server.hpp>
 #include <dandeliontack/log.hpp>
 
@@ -22,6 +23,12 @@
 
 constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
 constexpr auto drain_poll_interval = std::chrono::milliseconds(5);
+constexpr std::size_t read_bytes = 4096;
+// What is read and dropped after a refusal, so that the sender sees it.
+constexpr std::size_t discarded_bytes = 256 * 1024;
+constexpr auto discard_limit = std::chrono::seconds(1);
+
+using request_parser = http::request_parser<http::string_body>;
 
 // A connection and whether a request on it is in progress.
 struct session
@@ -31,6 +38,39 @@
     bool busy = false;
 };
 
+std::string_view view_of(const beast::flat_buffer& buffer)
+{
+    const auto data = buffer.data();
+    return {static_cast<const char*>(data.data()), data.size()};
+}
+
+// The end of a header, or the error for it.
+beast::error_code error_of(header_scan found)
+{
+    switch (found)
+    {
+    case header_scan::bare_line_feed:
+        return http::error::bad_line_ending;
+    case header_scan::folded_line:
+        return http::error::bad_value;
+    case header_scan::empty_first_line:
+        return http::error::bad_method;
+    default:
+        return {};
+    }
+}
+
+// Only `chunked` says where the body ends; any other coding is refused rather
+// than read as no body at all.
+bool has_known_framing(const http_request& request)
+{
+    const auto found = request.find(http::field::transfer_encoding);
+    return found == request.end() ||
+           (request.version() == 11 &&
+            beast::iequals(found->value(), "chunked") &&
+            request.count(http::field::transfer_encoding) == 1);
+}
+
 http_response refusal_for(beast::error_code ec)
 {
     if (ec == http::error::header_limit)
@@ -71,6 +111,13 @@
     asio::awaitable<void> accept_loop();
     asio::awaitable<void> serve(std::shared_ptr<session> s);
     asio::awaitable<bool> serve_one(session& s);
+    asio::awaitable<beast::error_code> read_header(session& s);
+    asio::awaitable<beast::error_code>
+    read_message(session& s, request_parser& parser);
+    asio::awaitable<bool> first_bytes(session& s);
+    asio::awaitable<void> finish(session& s);
+    void start(tcp::socket socket);
+    void accept_waiting();
     asio::awaitable<std::optional<http_response>> answer(http_request request);
     asio::awaitable<bool>
     write_response(session& s, http_response response, bool keep_alive);
@@ -84,8 +131,38 @@
     std::list<std::shared_ptr<session>> sessions;
     part_log out{"http.server"};
     bool draining = false;
+    bool closing = false;
 };
 
+void http_server::core::start(tcp::socket socket)
+{
+    if (sessions.size() >= limits.connections)
+    {
+        metrics.get_counter("tack_http_connections_refused_total").add();
+        return;
+    }
+    beast::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    auto s = std::make_shared<session>(
+        session{beast::tcp_stream(std::move(socket)), {}, false});
+    asio::co_spawn(executor, serve(std::move(s)), asio::detached);
+}
+
+// Takes what the system has already accepted for the listening socket:
+// closing it would reset these connections.
+void http_server::core::accept_waiting()
+{
+    beast::error_code ec;
+    acceptor.non_blocking(true, ec);
+    while (!ec)
+    {
+        tcp::socket socket(executor);
+        acceptor.accept(socket, ec);
+        if (!ec)
+            start(std::move(socket));
+    }
+}
+
 asio::awaitable<void> http_server::core::accept_loop()
 {
     const auto self = shared_from_this();
@@ -101,16 +178,7 @@
             co_await pause.async_wait(no_throw);
             continue;
         }
-        if (sessions.size() >= limits.connections)
-        {
-            metrics.get_counter("tack_http_connections_refused_total").add();
-            continue;
-        }
-        beast::error_code ignored;
-        socket.set_option(tcp::no_delay(true), ignored);
-        auto s = std::make_shared<session>(
-            session{beast::tcp_stream(std::move(socket)), {}, false});
-        asio::co_spawn(executor, serve(std::move(s)), asio::detached);
+        start(std::move(socket));
     }
 }
 
@@ -121,31 +189,81 @@
     while (co_await serve_one(*s))
     {
     }
-    beast::error_code ignored;
-    s->stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    co_await finish(*s);
     s->stream.close();
     sessions.erase(place);
 }
 
-// Serves one request and says whether the connection can carry another.
-asio::awaitable<bool> http_server::core::serve_one(session& s)
+// Ends the sending side and drops what still arrives, within bounds: closing
+// with unread bytes would reset the connection and could lose the response.
+asio::awaitable<void> http_server::core::finish(session& s)
+{
+    beast::error_code ec;
+    s.stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+    s.stream.expires_after(discard_limit);
+    std::size_t left = discarded_bytes;
+    s.buffer.clear();
+    while (!ec && left > 0)
+    {
+        auto [read_ec, bytes] = co_await s.stream.async_read_some(
+            s.buffer.prepare(read_bytes), no_throw);
+        ec = read_ec;
+        left -= std::min(left, bytes);
+    }
+}
+
+// Waits for the next request's first bytes. A connection that a drain cancels
+// is still read where bytes have arrived.
+asio::awaitable<bool> http_server::core::first_bytes(session& s)
+{
+    if (s.buffer.size() != 0)
+        co_return true;
+    s.stream.expires_after(limits.idle);
+    auto [ec, bytes] = co_await s.stream.async_read_some(
+        s.buffer.prepare(
+            std::min<std::size_t>(read_bytes, limits.header_bytes)),
+        no_throw);
+    s.buffer.commit(bytes);
+    if (!ec)
+        co_return true;
+    beast::error_code ignored;
+    co_return ec ==
+        asio::error::operation_aborted&& draining&& s.stream.socket().available(
+            ignored) > 0;
+}
+
+// Reads until the header is complete, and checks the shapes that the parser
+// would accept though others read them differently.
+asio::awaitable<beast::error_code> http_server::core::read_header(session& s)
 {
-    if (s.buffer.size() == 0)
+    auto found = scan_header(view_of(s.buffer));
+    while (found == header_scan::incomplete)
     {
-        s.stream.expires_after(limits.idle);
-        auto [wait_ec] = co_await s.stream.socket().async_wait(
-            tcp::socket::wait_read, no_throw);
-        if (wait_ec || !s.stream.socket().is_open())
-            co_return false;
+        if (s.buffer.size() >= limits.header_bytes)
+            co_return http::error::header_limit;
+        const auto room = std::min<std::size_t>(
+            read_bytes, limits.header_bytes - s.buffer.size());
+        auto [ec, bytes] =
+            co_await s.stream.async_read_some(s.buffer.prepare(room), no_throw);
+        if (ec)
+            co_return ec;
+        s.buffer.commit(bytes);
+        found = scan_header(view_of(s.buffer));
     }
+    co_return error_of(found);
+}
+
+// Serves one request and says whether the connection can carry another.
+asio::awaitable<bool> http_server::core::serve_one(session& s)
+{
+    if (!co_await first_bytes(s))
+        co_return false;
     s.busy = true;
-    http::request_parser<http::string_body> parser;
+    request_parser parser;
     parser.header_limit(limits.header_bytes);
     parser.body_limit(limits.body_bytes);
     s.stream.expires_after(limits.transfer);
-    auto [ec, bytes] =
-        co_await http::async_read(s.stream, s.buffer, parser, no_throw);
-    if (ec)
+    if (const auto ec = co_await read_message(s, parser))
         co_return co_await reject(s, ec);
     auto request = parser.release();
     const bool keep_alive = request.keep_alive();
@@ -154,9 +272,9 @@
     if (!response)
         co_return false;
     const bool written = co_await write_response(
-        s, std::move(*response), keep_alive && !draining);
+        s, std::move(*response), keep_alive && !closing);
     s.busy = false;
-    co_return written&& keep_alive && !draining;
+    co_return written&& keep_alive && !closing;
 }
 
 // Nothing where the handler threw: the connection is closed without an answer.
@@ -195,6 +313,24 @@
     co_return false;
 }
 
+asio::awaitable<beast::error_code>
+http_server::core::read_message(session& s, request_parser& parser)
+{
+    if (const auto ec = co_await read_header(s))
+        co_return ec;
+    auto [header_ec, header_bytes] =
+        co_await http::async_read_header(s.stream, s.buffer, parser, no_throw);
+    if (header_ec)
+        co_return header_ec;
+    if (!has_known_framing(parser.get()))
+        co_return http::error::bad_transfer_encoding;
+    if (parser.is_done())
+        co_return beast::error_code();
+    auto [ec, bytes] =
+        co_await http::async_read(s.stream, s.buffer, parser, no_throw);
+    co_return ec;
+}
+
 http_server::http_server(
     asio::any_io_executor executor, http_limits limits,
     metric_registry& metrics, handler handle)
@@ -220,11 +356,18 @@
     return {where.address, core_->acceptor.local_endpoint().port()};
 }
 
+void http_server::close_after_responses()
+{
+    core_->closing = true;
+}
+
 asio::awaitable<void> http_server::drain(std::chrono::milliseconds patience)
 {
     const auto held = core_;
     const auto until = std::chrono::steady_clock::now() + patience;
     held->draining = true;
+    held->closing = true;
+    held->accept_waiting();
     beast::error_code ignored;
     held->acceptor.close(ignored);
     while (!held->sessions.empty() && std::chrono::steady_clock::now() < until)
--- a/src/tack-entry/main.cpp
+++ b/src/tack-entry/main.cpp
@@ -49,6 +49,7 @@
     co_await wait_for_stop_signal();
     out.info("Stopping.");
     stopping = true;
+    callers.close_after_responses();
     asio::steady_timer linger(co_await asio::this_coro::executor, stop.linger);
     co_await linger.async_wait(asio::use_awaitable);
     co_await callers.drain(stop.patience);
