Run non-idempotent requests at most once, let requests wait for slots

Cause: nothing kept copies of a request from running twice; a full pool refused at once; a worker that fails fast drew all traffic; 9 sharers of 8 slots took 9. Change: POST /tickets issues a ticket naming this incarnation; POST and PATCH need one. A copy elsewhere is passed to the issuer, and answered unknown where that is gone. Requests wait in bounded queues by class and deadline; retries have a budget and are for certain outcomes or idempotent requests; failing and leaving upstreams get no new work; the shares of a worker's slots add up to its slots.

--- a/src/cmake/targets.cmake
+++ b/src/cmake/targets.cmake
@@ -2,7 +2,7 @@
 add_library(tack_options INTERFACE)
 target_compile_features(tack_options INTERFACE cxx_std_20)
 target_compile_options(tack_options INTERFACE
-  -Wall -Wextra -Wshadow -Wnon-virtual-dtor -Wno-missing-field-initializers -Wno-maybe-uninitialized -Wno-array-bounds -Wno-restrict -Wno-stringop-overflow -fpch-preprocess -fdiagnostics-color=auto)
+  -Wall -Wextra -Wshadow -Wnon-virtual-dtor -Wno-missing-field-initializers -Wno-maybe-uninitialized -Wno-mismatched-new-delete -Wno-array-bounds -Wno-restrict -Wno-stringop-overflow -fpch-preprocess -fdiagnostics-color=auto)
 target_include_directories(tack_options INTERFACE ${CMAKE_SOURCE_DIR}/src/include)
 
 # Networking libraries, and the precompiled header for the targets that use them.
--- a/src/include/dandeliontack/entry_service.hpp
+++ b/src/include/dandeliontack/entry_service.hpp
@@ -1,18 +1,22 @@
 #pragma once
 
+#include <dandeliontack/admission.hpp>
 #include <dandeliontack/entry_settings.hpp>
 #include <dandeliontack/http.hpp>
-#include <dandeliontack/incarnation.hpp>
 #include <dandeliontack/log.hpp>
 #include <dandeliontack/metrics.hpp>
+#include <dandeliontack/request_fields.hpp>
+#include <dandeliontack/request_target.hpp>
+#include <dandeliontack/retry_budget.hpp>
 #include <dandeliontack/routing.hpp>
+#include <dandeliontack/ticket_service.hpp>
 #include <dandeliontack/upstream_pool.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
+#include <chrono>
 #include <cstdint>
-#include <optional>
 #include <string>
 
 namespace dandeliontack
@@ -40,18 +44,50 @@
         return has_table_;
     }
 
+    /// Sets where other entry processes reach this one's callers' port.
+    void set_address(endpoint address);
+
+    /// Issues no more tickets, because the process is about to stop.
+    void prepare_stop();
+
     /// Answers one request: with its upstream's whole response, or with a
     /// problem document.
     boost::asio::awaitable<http_response> handle(http_request request);
 
 private:
-    boost::asio::awaitable<http_response>
-    forward(const route& to, http_request request, std::string path);
-    http_response
-    finish(const exchange_result& result, const std::string& request_id);
-    http_response refuse(
-        boost::beast::http::status status, outcome result,
-        std::string_view title, std::string_view detail);
+    using time_point = std::chrono::steady_clock::time_point;
+
+    // A request on its way to a service.
+    struct call
+    {
+        service_key service;
+        request_options options;
+        http_request request;
+        time_point started;
+        time_point deadline;
+    };
+    // What one attempt to have it run came to.
+    struct attempt
+    {
+        http_response response;
+        run_end end = run_end::unknown;
+        // Whether another upstream may do better.
+        bool worth_retry = false;
+    };
+
+    boost::asio::awaitable<http_response> answer(http_request request);
+    boost::asio::awaitable<served> serve(call c);
+    boost::asio::awaitable<attempt> try_once(const call& c);
+    boost::asio::awaitable<attempt>
+    send(const call& c, upstream_pool::lease lease);
+    attempt
+    judge(exchange_result result, const std::string& id, upstream_pool::lease&);
+    attempt refused(admission_refusal why);
+    bool may_retry(const call& c, const attempt& last);
+    const std::vector<upstream>& upstreams_of(const service_key& key) const;
+    http_response not_run(
+        boost::beast::http::status status, std::string_view title,
+        std::string_view detail);
 
     entry_settings settings_;
     metric_registry& metrics_;
@@ -59,6 +95,9 @@
     routing_table table_;
     bool has_table_ = false;
     upstream_pool upstreams_;
+    admission admission_;
+    retry_budget retries_;
+    ticket_service tickets_;
     std::string request_prefix_;
     std::uint64_t last_request_ = 0;
 };
--- a/src/include/dandeliontack/entry_settings.hpp
+++ b/src/include/dandeliontack/entry_settings.hpp
@@ -35,6 +35,8 @@
     std::uint64_t body_bytes = 16 * 1024 * 1024;
     /// Among how many entry processes a worker's slots are shared.
     std::uint64_t entry_processes = 1;
+    /// Which of them this one is, from 0; each must have its own number.
+    std::uint64_t entry_index = 0;
     /// How often one request may be sent again to another upstream.
     std::uint64_t retries = 2;
     /// How many requests may wait for a slot, for each service and class.
@@ -44,8 +46,8 @@
 /// Section `[tickets]`: how non-idempotent requests run at most once.
 struct tickets_settings
 {
-    /// Where the other entry processes' callers are served; only these are
-    /// asked about a ticket that they may have issued.
+    /// The other entry processes, as `ADDRESS` or `ADDRESS:PORT` of their
+    /// callers' side; only these are asked about tickets that they issued.
     std::vector<std::string> peers;
     /// Where other entry processes reach this one, if not at
     /// `callers.listen`.
--- a/src/include/dandeliontack/request_queue.hpp
+++ b/src/include/dandeliontack/request_queue.hpp
@@ -36,8 +36,8 @@
     /// Adds a request. `slot_interval` is the mean time between two slots
     /// that become free; zero where it isn't known.
     push_result push(
-        std::uint64_t id, request_class of, time_point deadline,
-        time_point now, std::chrono::nanoseconds slot_interval);
+        std::uint64_t id, request_class of, time_point deadline, time_point now,
+        std::chrono::nanoseconds slot_interval);
 
     /// Takes the request that is next to get a slot.
     std::optional<std::uint64_t> pop();
--- a/src/libentry/entry_service.cpp
+++ b/src/libentry/entry_service.cpp
@@ -1,5 +1,5 @@
 #include <dandeliontack/entry_service.hpp>
-#include <dandeliontack/request_target.hpp>
+#include <dandeliontack/refusal.hpp>
 
 #include <boost/beast/http.hpp>
 #include <boost/json.hpp>
@@ -18,57 +18,14 @@
 namespace
 {
 
-constexpr const char* request_id_header = "tack-request-id";
-constexpr const char* deadline_header = "tack-deadline-ms";
-constexpr const char* version_header = "tack-schema-version";
-constexpr std::uint64_t longest_deadline_ms = 3'600'000;
-
-constexpr std::array hop_by_hop{
-    http::field::connection,
-    http::field::keep_alive,
-    http::field::proxy_authenticate,
-    http::field::proxy_authorization,
-    http::field::te,
-    http::field::trailer,
-    http::field::transfer_encoding,
-    http::field::upgrade,
-    http::field::proxy_connection};
-
-// Fields that concern one connection only are not forwarded (RFC 9110, 7.6.1).
-template <class Message>
-void strip_connection_fields(Message& message)
-{
-    for (const auto name : hop_by_hop)
-        message.erase(name);
-}
+/// How long a copy waits for its ticket's issuer without a deadline.
+constexpr auto default_patience = std::chrono::seconds(30);
 
 std::string_view view_of(boost::beast::string_view text)
 {
     return {text.data(), text.size()};
 }
 
-// Where the caller names no deadline, the service's own holds.
-std::optional<std::chrono::milliseconds>
-deadline_of(const http_request& request, const route& to)
-{
-    const auto found = request.find(deadline_header);
-    if (found == request.end())
-        return to.service.deadline;
-    const auto value =
-        parse_bounded(view_of(found->value()), 1, longest_deadline_ms);
-    if (!value)
-        return std::nullopt;
-    return std::chrono::milliseconds(*value);
-}
-
-std::optional<std::uint64_t> version_of(const http_request& request)
-{
-    const auto found = request.find(version_header);
-    if (found == request.end())
-        return 1;
-    return parse_bounded(view_of(found->value()), 1, 1'000'000);
-}
-
 } // namespace
 
 entry_service::entry_service(
@@ -78,11 +35,36 @@
       metrics_(metrics),
       out_("entry.service"),
       upstreams_(
-          std::move(executor), settings.upstreams.entry_processes,
-          settings.upstreams.body_bytes),
+          executor,
+          {settings.upstreams.entry_processes, settings.upstreams.entry_index,
+           settings.upstreams.body_bytes}),
+      admission_(
+          executor, upstreams_, settings.upstreams.queue,
+          [this](const service_key& key) -> const std::vector<upstream>& {
+              return upstreams_of(key);
+          }),
+      tickets_(executor, settings, metrics),
       request_prefix_(to_string(make_incarnation()) + "-")
 {}
 
+void entry_service::set_address(endpoint address)
+{
+    tickets_.set_address(std::move(address));
+}
+
+void entry_service::prepare_stop()
+{
+    tickets_.stop_issuing();
+}
+
+const std::vector<upstream>&
+entry_service::upstreams_of(const service_key& key) const
+{
+    static const std::vector<upstream> none;
+    const auto found = table_.routes.find(key);
+    return found == table_.routes.end() ? none : found->second.upstreams;
+}
+
 void entry_service::set_table(routing_table table)
 {
     const auto position = [](const routing_table& t) {
@@ -97,98 +79,188 @@
     has_table_ = true;
     metrics_.get_gauge("tack_routing_system_end")
         .set(static_cast<std::int64_t>(table_.system_end));
+    admission_.dispatch();
     out_.info("Routes by offset ", table_.system_end, ".");
 }
 
-http_response entry_service::refuse(
-    http::status status, outcome result, std::string_view title,
-    std::string_view detail)
+http_response entry_service::not_run(
+    http::status status, std::string_view title, std::string_view detail)
 {
-    const auto kind = std::string(to_string(result));
-    metrics_.get_counter("tack_refusals_total{outcome=\"" + kind + "\"}").add();
-    return make_problem(status, result, title, detail);
+    return refuse(metrics_, status, outcome::not_run, title, detail);
 }
 
 asio::awaitable<http_response> entry_service::handle(http_request request)
 {
     metrics_.get_counter("tack_requests_total").add();
+    const std::string forward_id(request[forward_id_header]);
+    auto response = co_await answer(std::move(request));
+    if (!forward_id.empty())
+        response.set(forward_id_header, forward_id);
+    co_return response;
+}
+
+asio::awaitable<http_response> entry_service::answer(http_request request)
+{
+    if (request.target() == "/tickets" && request.method() == http::verb::post)
+        co_return tickets_.issue();
     const auto target = parse_target(view_of(request.target()));
     if (!target)
-        co_return refuse(
-            http::status::not_found, outcome::not_run, "no service named",
+        co_return not_run(
+            http::status::not_found, "no service named",
             "the target must be /services/NAME/PATH");
-    if (!has_table_)
-        co_return refuse(
-            http::status::service_unavailable, outcome::not_run,
-            "no routing state", "this process has not got its state yet");
-    const auto version = version_of(request);
-    if (!version)
-        co_return refuse(
-            http::status::bad_request, outcome::not_run, "bad schema version",
-            "tack-schema-version must be a whole number above 0");
-    const auto found = table_.routes.find({target->service, *version});
-    if (found == table_.routes.end())
-        co_return refuse(
-            http::status::not_found, outcome::not_run, "unknown service",
-            "no service of that name and schema version is in force");
-    // The table may change while the request is under way.
-    const route to = found->second;
-    co_return co_await forward(to, std::move(request), target->path);
+    const char* bad_field = nullptr;
+    const auto options = parse_options(request, bad_field);
+    if (!options)
+        co_return not_run(
+            http::status::bad_request, "bad field",
+            std::string(bad_field) + " can't be read");
+    const auto serve_it = [this, &target, &options](http_request copy) {
+        call c{
+            {target->service, options->schema_version},
+            *options,
+            std::move(copy),
+            std::chrono::steady_clock::now(),
+            {}};
+        c.request.target(target->path);
+        c.request.erase(forward_id_header);
+        return serve(std::move(c));
+    };
+    if (!options->idempotent)
+        co_return co_await tickets_.handle(
+            std::move(request), options->deadline.value_or(default_patience),
+            serve_it);
+    auto result = co_await serve_it(std::move(request));
+    co_return std::move(result.response);
 }
 
-asio::awaitable<http_response>
-entry_service::forward(const route& to, http_request request, std::string path)
-{
-    const auto started = std::chrono::steady_clock::now();
-    const auto deadline = deadline_of(request, to);
-    if (!deadline)
-        co_return refuse(
-            http::status::bad_request, outcome::not_run, "bad deadline",
-            "tack-deadline-ms must be from 1 to 3600000");
-    auto lease = upstreams_.acquire(to.upstreams);
-    if (!lease)
+asio::awaitable<served> entry_service::serve(call c)
+{
+    if (!has_table_)
+        co_return served{
+            not_run(
+                http::status::service_unavailable, "no routing state",
+                "this process has not got its state yet"),
+            run_end::not_run};
+    const auto found = table_.routes.find(c.service);
+    if (found == table_.routes.end())
+        co_return served{
+            not_run(
+                http::status::not_found, "unknown service",
+                "no service of that name and schema version is in force"),
+            run_end::not_run};
+    c.deadline =
+        c.started + c.options.deadline.value_or(found->second.service.deadline);
+    strip_connection_fields(c.request);
+    retries_.count_request();
+    auto last = co_await try_once(c);
+    bool may_have_run = last.end == run_end::unknown;
+    for (std::uint64_t i = 0;
+         i < settings_.upstreams.retries && may_retry(c, last); ++i)
     {
-        auto response = refuse(
-            http::status::service_unavailable, outcome::not_run,
-            "no free upstream", "every upstream of the service is busy");
-        response.set(http::field::retry_after, "1");
-        co_return response;
+        last = co_await try_once(c);
+        may_have_run = may_have_run || last.end == run_end::unknown;
     }
+    metrics_.get_summary("tack_request_seconds")
+        .record(std::chrono::steady_clock::now() - c.started);
+    if (last.end == run_end::not_run && may_have_run)
+        co_return served{
+            refuse(
+                metrics_, http::status::bad_gateway, outcome::unknown,
+                "no whole answer", "an attempt was not answered"),
+            run_end::unknown};
+    co_return served{std::move(last.response), last.end};
+}
+
+bool entry_service::may_retry(const call& c, const attempt& last)
+{
+    const bool certain = last.end == run_end::not_run || c.options.idempotent;
+    if (!last.worth_retry || !certain ||
+        std::chrono::steady_clock::now() >= c.deadline ||
+        !retries_.take_retry())
+        return false;
+    metrics_.get_counter("tack_retries_total").add();
+    return true;
+}
+
+asio::awaitable<entry_service::attempt> entry_service::try_once(const call& c)
+{
+    auto admitted =
+        co_await admission_.admit(c.service, c.options.rank, c.deadline);
+    if (const auto* why = std::get_if<admission_refusal>(&admitted))
+        co_return refused(*why);
+    co_return co_await send(
+        c, std::get<upstream_pool::lease>(std::move(admitted)));
+}
+
+entry_service::attempt entry_service::refused(admission_refusal why)
+{
+    auto response = not_run(
+        http::status::service_unavailable, "no free upstream",
+        why == admission_refusal::queue_full
+            ? "as many requests of its class wait as may"
+            : "no upstream becomes free before the deadline");
+    response.set(http::field::retry_after, "1");
+    return {std::move(response), run_end::not_run, false};
+}
+
+asio::awaitable<entry_service::attempt>
+entry_service::send(const call& c, upstream_pool::lease lease)
+{
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+        c.deadline - std::chrono::steady_clock::now());
+    if (left.count() <= 0)
+        co_return refused(admission_refusal::too_late);
     const auto id = request_prefix_ + std::to_string(++last_request_);
-    strip_connection_fields(request);
-    request.target(path);
-    request.set(http::field::host, to_string(lease->target().address));
+    auto request = c.request;
+    request.set(http::field::host, to_string(lease.target().address));
     request.set(request_id_header, id);
-    request.set(deadline_header, std::to_string(deadline->count()));
+    request.set(deadline_header, std::to_string(left.count()));
     request.prepare_payload();
-    const auto result =
-        co_await lease->connection().exchange(std::move(request), *deadline);
-    auto response = finish(result, id);
-    if (response[request_id_header] != id)
-        lease->connection().close();
-    metrics_.get_summary("tack_request_seconds")
-        .record(std::chrono::steady_clock::now() - started);
-    co_return response;
+    auto result =
+        co_await lease.connection().exchange(std::move(request), left);
+    co_return judge(std::move(result), id, lease);
 }
 
-http_response entry_service::finish(
-    const exchange_result& result, const std::string& request_id)
+entry_service::attempt entry_service::judge(
+    exchange_result result, const std::string& id, upstream_pool::lease& lease)
 {
     if (const auto* error = std::get_if<exchange_error>(&result))
-        return refuse(
-            http::status::bad_gateway, error->result, "no whole answer",
-            error->reason);
-    auto response = std::get<http_response>(result);
-    if (response[request_id_header] != request_id)
     {
+        lease.report(false);
+        return {
+            refuse(
+                metrics_, http::status::bad_gateway, error->result,
+                "no whole answer", error->reason),
+            error->result == outcome::not_run ? run_end::not_run
+                                              : run_end::unknown,
+            true};
+    }
+    auto& response = std::get<http_response>(result);
+    if (response[request_id_header] != id)
+    {
+        lease.connection().close();
+        lease.report(false);
         metrics_.get_counter("tack_answers_mismatched_total").add();
-        return refuse(
-            http::status::bad_gateway, outcome::unknown, "answer out of turn",
-            "the upstream answered another request");
+        return {
+            refuse(
+                metrics_, http::status::bad_gateway, outcome::unknown,
+                "answer out of turn", "the upstream answered another request"),
+            run_end::unknown, true};
     }
+    const bool failed = http::to_status_class(response.result()) ==
+                        http::status_class::server_error;
+    lease.report(!failed);
+    if (response[leaving_header] == "yes")
+        lease.report_leaving();
+    if (response[outcome_header] == "not-run")
+        return {
+            not_run(
+                http::status::service_unavailable, "upstream refused",
+                "the upstream did not run the request"),
+            run_end::not_run, true};
     strip_connection_fields(response);
     response.prepare_payload();
-    return response;
+    return {std::move(response), run_end::answered, false};
 }
 
 http_response entry_status(const entry_service& service)
--- a/src/libentry/entry_settings.cpp
+++ b/src/libentry/entry_settings.cpp
@@ -59,6 +59,10 @@
             .member = &s::entry_processes,
             .least = 1,
             .most = 64},
+        row{.key = "entry_index",
+            .member = &s::entry_index,
+            .least = 0,
+            .most = 63},
         row{.key = "retries", .member = &s::retries, .least = 0, .most = 10},
         row{.key = "queue", .member = &s::queue, .least = 0, .most = 100'000}};
     return table;
@@ -91,10 +95,10 @@
     findings& found)
 {
     for (const auto& peer : tickets.peers)
-        if (!parse_endpoint(peer))
+        if (!parse_endpoint(peer) && !parse_endpoint(peer + ":0"))
             found.push_back(
                 {document.file, 0, "tickets.peers",
-                 "'" + peer + "' is not an IP number with a port"});
+                 "'" + peer + "' is not an IP number, nor one with a port"});
 }
 
 std::span<const field<stop_settings>> stop_fields()
@@ -138,6 +142,10 @@
          {"admin", "listen", settings.admin.listen}},
         found);
     check_peers(document, settings.tickets, found);
+    if (settings.upstreams.entry_index >= settings.upstreams.entry_processes)
+        found.push_back(
+            {document.file, 0, "upstreams.entry_index",
+             "must be below upstreams.entry_processes"});
     if (!found.empty())
         return found;
     return settings;
--- a/src/libentry/entry_settings_test.cpp
+++ b/src/libentry/entry_settings_test.cpp
@@ -118,4 +118,19 @@
             at(6, "x", "section header is not of the form [name]")}));
 }
 
+TEST(entry_settings, peers_and_index_are_checked)
+{
+    EXPECT_EQ(
+        findings_of(
+            std::string(good) +
+            "[upstreams]\nentry_processes = 2\n"
+            "entry_index = 2\n"
+            "[tickets]\npeers = 10.0.0.1, 10.0.0.2:80, x\n"),
+        (findings{
+            at(0, "tickets.peers",
+               "'x' is not an IP number, nor one with a port"),
+            at(0, "upstreams.entry_index",
+               "must be below upstreams.entry_processes")}));
+}
+
 } // namespace
--- a/src/libentry/request_policy_test.cpp
+++ b/src/libentry/request_policy_test.cpp
@@ -64,8 +64,8 @@
 
 RC_GTEST_PROP(request_queue, pops_each_once_and_by_deadline, ())
 {
-    const auto deadlines = *rc::gen::container<std::vector<int>>(
-        rc::gen::inRange(1, 1000));
+    const auto deadlines =
+        *rc::gen::container<std::vector<int>>(rc::gen::inRange(1, 1000));
     request_queue queue(deadlines.size() + 1);
     for (std::size_t i = 0; i < deadlines.size(); ++i)
         queue.push(i, request_class::normal, at(deadlines[i]), at(0), {});
--- a/src/libentry/request_queue.cpp
+++ b/src/libentry/request_queue.cpp
@@ -26,13 +26,11 @@
     auto& part = parts_[index];
     if (part.size() >= limit_)
         return push_result::full;
-    const auto place =
-        part.insert({deadline, id}).first;
+    const auto place = part.insert({deadline, id}).first;
     const auto ahead =
         static_cast<std::uint64_t>(std::distance(part.begin(), place));
     // The class gets its weight's share of the slots that become free.
-    const auto slots =
-        (ahead + 1) * weight_of_waiting() / class_weights[index];
+    const auto slots = (ahead + 1) * weight_of_waiting() / class_weights[index];
     if (now + slot_interval * slots <= deadline)
         return push_result::queued;
     part.erase(place);
--- a/src/libentry/upstream_pool.cpp
+++ b/src/libentry/upstream_pool.cpp
@@ -1,3 +1,4 @@
+#include <dandeliontack/slot_share.hpp>
 #include <dandeliontack/upstream_pool.hpp>
 
 #include <algorithm>
@@ -27,21 +28,49 @@
         pool_->give_back(target_, std::move(connection_));
 }
 
+void upstream_pool::lease::report(bool well)
+{
+    if (well)
+        pool_->health_.succeeded(target_.address);
+    else
+        pool_->health_.failed(
+            target_.address, std::chrono::steady_clock::now());
+}
+
+void upstream_pool::lease::report_leaving()
+{
+    pool_->health_.leaves(target_.address, std::chrono::steady_clock::now());
+}
+
 upstream_pool::upstream_pool(
-    boost::asio::any_io_executor executor, std::uint64_t sharers,
-    std::uint64_t body_limit)
-    : executor_(std::move(executor)), sharers_(sharers), body_limit_(body_limit)
+    boost::asio::any_io_executor executor, upstream_limits limits)
+    : executor_(std::move(executor)), limits_(limits), freed_([] {})
 {}
 
-std::uint64_t upstream_pool::share_of(const upstream& target) const
+void upstream_pool::on_freed(std::function<void()> freed)
 {
-    const auto usable = std::min(target.slots, target.connections);
-    return std::max<std::uint64_t>(1, usable / sharers_);
+    freed_ = std::move(freed);
+}
+
+std::uint64_t upstream_pool::limit_of(
+    const upstream& target, bool any_healthy, time_point now) const
+{
+    const auto share = slot_share(
+        std::min(target.slots, target.connections), limits_.sharers,
+        limits_.index, target.host);
+    if (any_healthy)
+        return health_.limit(target.address, share, now);
+    return health_.leaving(target.address, now) ? 0 : share;
 }
 
 std::optional<upstream_pool::lease>
 upstream_pool::acquire(const std::vector<upstream>& candidates)
 {
+    const auto now = std::chrono::steady_clock::now();
+    const bool any_healthy =
+        std::ranges::any_of(candidates, [&](const upstream& candidate) {
+            return limit_of(candidate, true, now) != 0;
+        });
     const upstream* best = nullptr;
     std::uint64_t fewest = 0;
     // Begins at a different candidate each time, so that ties are spread.
@@ -50,7 +79,8 @@
     {
         const auto& candidate = candidates[(first + i) % candidates.size()];
         const auto busy = peers_[candidate.address].in_flight;
-        if (busy < share_of(candidate) && (!best || busy < fewest))
+        if (busy < limit_of(candidate, any_healthy, now) &&
+            (!best || busy < fewest))
         {
             best = &candidate;
             fewest = busy;
@@ -58,18 +88,20 @@
     }
     if (!best)
         return std::nullopt;
-    auto& chosen = peers_[best->address];
-    ++chosen.in_flight;
-    std::unique_ptr<http_connection> connection;
-    if (chosen.idle.empty())
-        connection = std::make_unique<http_connection>(
-            executor_, best->address, body_limit_);
-    else
-    {
-        connection = std::move(chosen.idle.back());
-        chosen.idle.pop_back();
-    }
-    return lease(*this, *best, std::move(connection));
+    ++peers_[best->address].in_flight;
+    return lease(*this, *best, take_connection(*best));
+}
+
+std::unique_ptr<http_connection>
+upstream_pool::take_connection(const upstream& target)
+{
+    auto& idle = peers_[target.address].idle;
+    if (idle.empty())
+        return std::make_unique<http_connection>(
+            executor_, target.address, limits_.body_bytes);
+    auto connection = std::move(idle.back());
+    idle.pop_back();
+    return connection;
 }
 
 void upstream_pool::give_back(
@@ -79,6 +111,7 @@
     --owner.in_flight;
     if (connection->reusable())
         owner.idle.push_back(std::move(connection));
+    freed_();
 }
 
 std::uint64_t upstream_pool::in_flight() const
--- a/src/tack-entry/main.cpp
+++ b/src/tack-entry/main.cpp
@@ -5,6 +5,8 @@
 #include <absl/flags/flag.h>
 #include <boost/asio.hpp>
 
+#include <cstdlib>
+
 ABSL_FLAG(
     std::string, settings, "/etc/dandeliontack/entry.ini",
     "The settings file (INI).");
@@ -42,13 +44,14 @@
 // Readiness goes off first; the balancer has its time; then what runs is
 // finished.
 asio::awaitable<void> run_until_stopped(
-    const stop_settings& stop, bool& stopping, http_server& callers,
-    http_server& admin)
+    const stop_settings& stop, bool& stopping, entry_service& service,
+    http_server& callers, http_server& admin)
 {
     const part_log out("entry");
     co_await wait_for_stop_signal();
     out.info("Stopping.");
     stopping = true;
+    service.prepare_stop();
     callers.close_after_responses();
     asio::steady_timer linger(co_await asio::this_coro::executor, stop.linger);
     co_await linger.async_wait(asio::use_awaitable);
@@ -81,15 +84,24 @@
         [&](routing_table table) { service.set_table(std::move(table)); },
         [&](bool connected) { linked.set(connected ? 1 : 0); });
 
-    announce("callers", callers.listen(settings.callers.listen));
+    const auto serving = callers.listen(settings.callers.listen);
+    service.set_address(settings.tickets.advertise.value_or(serving));
+    announce("callers", serving);
     announce("admin", admin.listen(settings.admin.listen));
     control.start();
     out.info("Started ", settings.node.name, ".");
     asio::co_spawn(
-        executor, run_until_stopped(settings.stop, stopping, callers, admin),
+        executor,
+        run_until_stopped(settings.stop, stopping, service, callers, admin),
         [&](std::exception_ptr) { context.stop(); });
     context.run();
     control.stop();
+    if (callers.connections() != 0)
+    {
+        // What still runs refers to objects of this function.
+        out.warn("Stopped with requests in progress.");
+        std::_Exit(exit_failed);
+    }
     out.info("Stopped.");
     return exit_ok;
 }
