--- a/testsuite/harness/cluster.cpp
+++ b/testsuite/harness/cluster.cpp
@@ -176,12 +176,13 @@
     const std::string& extra)
 {
     const auto settings = folder.write(
-        name + ".ini", node_section(name) +
-                           "[control]\naddress = " + to_string(control_grpc) +
-                           "\n[callers]\nlisten = 127.0.0.1:0\n"
-                           "[admin]\nlisten = 127.0.0.1:0\n"
-                           "[stop]\nlinger = 50ms\n" +
-                           extra);
+        name + ".ini",
+        node_section(name) + "[control]\naddress = " + to_string(control_grpc) +
+            "\n[callers]\nlisten = 127.0.0.1:0\n"
+            "[admin]\nlisten = 127.0.0.1:0\n" +
+            (extra.starts_with("[stop]") ? std::string()
+                                         : "[stop]\nlinger = 50ms\n") +
+            extra);
     child_process process(
         "src/tack-entry/tack-entry", {"--settings=" + settings},
         folder.path() / (name + ".log"));
--- a/testsuite/harness/load.cpp
+++ b/testsuite/harness/load.cpp
@@ -32,7 +32,8 @@
                                                  : copy_end::cut;
     const auto& response = std::get<http_response>(result);
     if (response[http::field::content_type] != "application/problem+json")
-        return copy_end::answered;
+        return response.result() == http::status::ok ? copy_end::answered
+                                                     : copy_end::failed;
     const bool not_run =
         response.body().find("\"outcome\":\"not-run\"") != std::string::npos;
     return not_run ? copy_end::not_run : copy_end::unknown;
@@ -80,12 +81,13 @@
     std::multimap<endpoint, std::unique_ptr<http_connection>> idle;
     std::vector<caller_record> records;
     std::atomic<std::size_t> ended{0};
+    std::atomic<bool> stopping{false};
 };
 
 asio::awaitable<void> load::core::run_caller(unsigned number)
 {
     std::mt19937_64 random(options.seed * 1000 + number);
-    for (unsigned i = 0; i < options.requests; ++i)
+    for (unsigned i = 0; i < options.requests && !stopping; ++i)
     {
         const auto token = std::to_string(number) + "-" + std::to_string(i);
         if (random() % 2 == 0)
@@ -223,6 +225,11 @@
     return core_->ended;
 }
 
+void load::stop()
+{
+    core_->stopping = true;
+}
+
 std::vector<caller_record> load::finish()
 {
     thread_.join();
--- a/testsuite/harness/load.hpp
+++ b/testsuite/harness/load.hpp
@@ -54,6 +54,9 @@
     /// How many requests have ended.
     std::size_t ended() const;
 
+    /// Lets each caller end with its present request.
+    void stop();
+
     /// Waits for all requests and returns what the callers saw.
     std::vector<caller_record> finish();
 
--- a/testsuite/harness/request_history.hpp
+++ b/testsuite/harness/request_history.hpp
@@ -13,6 +13,8 @@
 enum class copy_end
 {
     answered,
+    /// A whole answer by which the upstream itself says that it failed.
+    failed,
     not_run,
     unknown,
     /// No connection was made.
