--- /dev/null
+++ b/src/libutil/http_server_test.cpp
@@ -0,0 +1,100 @@
+// Slow and silent peers cost a connection no longer than its bounds say.
+
+#include <dandeliontack/http_server.hpp>
+
+#include <boost/asio.hpp>
+#include <boost/beast/http.hpp>
+#include <gtest/gtest.h>
+
+#include <optional>
+#include <string>
+#include <thread>
+
+namespace
+{
+
+using namespace dandeliontack;
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+constexpr auto short_bound = std::chrono::milliseconds(50);
+constexpr auto long_bound = std::chrono::seconds(60);
+constexpr std::size_t big_body = 64 * 1024 * 1024;
+
+struct running_server
+{
+    explicit running_server(http_limits limits)
+        : server(
+              context.get_executor(), limits, metrics,
+              [](http_request) -> asio::awaitable<http_response> {
+                  co_return make_response(
+                      http::status::ok, "text/plain",
+                      std::string(big_body, 'x'));
+              }),
+          where(server.listen({})),
+          thread([this] { context.run(); })
+    {}
+
+    ~running_server()
+    {
+        context.stop();
+        thread.join();
+    }
+
+    // Connects, sends some bytes and waits until the server has ended the
+    // connection; returns how much it sent.
+    std::size_t send_and_wait(const std::string& bytes)
+    {
+        asio::io_context own;
+        asio::ip::tcp::socket socket(own);
+        socket.connect({asio::ip::make_address(where.address), where.port});
+        boost::system::error_code ignored;
+        asio::write(socket, asio::buffer(bytes), ignored);
+        // Doesn't read until the server has given up.
+        while (open_connections() != 0)
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        std::string answer;
+        asio::read(socket, asio::dynamic_buffer(answer), ignored);
+        return answer.size();
+    }
+
+    std::size_t open_connections()
+    {
+        return asio::post(
+                   context, asio::use_future([this] {
+                       ever_open = ever_open || server.connections() != 0;
+                       return ever_open ? server.connections() : std::size_t{1};
+                   }))
+            .get();
+    }
+
+    metric_registry metrics;
+    asio::io_context context{1};
+    bool ever_open = false;
+    http_server server;
+    endpoint where;
+    std::thread thread;
+};
+
+TEST(http_server, a_silent_connection_is_closed)
+{
+    running_server s({.idle = short_bound, .transfer = long_bound});
+    EXPECT_EQ(s.send_and_wait(""), 0U);
+}
+
+TEST(http_server, a_slow_writer_is_closed)
+{
+    running_server s({.idle = long_bound, .transfer = short_bound});
+    EXPECT_EQ(s.send_and_wait("GET / HTTP/1.1\r\nhost:"), 0U);
+    s.ever_open = false;
+    EXPECT_EQ(
+        s.send_and_wait("PUT / HTTP/1.1\r\ncontent-length: 9\r\n\r\nab"), 0U);
+}
+
+TEST(http_server, a_slow_reader_is_closed)
+{
+    running_server s({.idle = long_bound, .transfer = short_bound});
+    EXPECT_LT(s.send_and_wait("GET / HTTP/1.1\r\n\r\n"), big_body);
+}
+
+} // namespace
--- a/testsuite/standins/worker/fault.cpp
+++ b/testsuite/standins/worker/fault.cpp
@@ -7,7 +7,7 @@
 namespace
 {
 
-constexpr std::array<std::pair<std::string_view, fault_mode>, 9> names{
+constexpr std::array<std::pair<std::string_view, fault_mode>, 10> names{
     {{"none", fault_mode::none},
      {"truncate", fault_mode::truncate},
      {"double", fault_mode::twice},
@@ -16,6 +16,7 @@
      {"error", fault_mode::error},
      {"reset", fault_mode::reset},
      {"no-length", fault_mode::no_length},
+     {"leaving", fault_mode::leaving},
      {"mix", fault_mode::mix}}};
 
 // Half of the requests of a mix go well.
--- a/testsuite/standins/worker/fault.hpp
+++ b/testsuite/standins/worker/fault.hpp
@@ -23,6 +23,8 @@
     reset,
     /// Sends an answer that only the connection's end would end.
     no_length,
+    /// Answers well, and that it wants no new work.
+    leaving,
     /// Draws one of the others, or none, for each request.
     mix
 };
--- a/testsuite/standins/worker/main.cpp
+++ b/testsuite/standins/worker/main.cpp
@@ -122,6 +122,8 @@
         auto response = make_response(
             http::status::ok, "text/plain",
             name_ + " " + target + " " + request.body());
+        if (fault == fault_mode::leaving)
+            response.set("tack-leaving", "yes");
         co_return text_of(std::move(response), id);
     }
 
