Send messages as one head and one body

Cause: the library's serializer sends each field as buffers of its own; they led the profile of request_path/32. An idle connection's check set its mode each time, and two metrics were looked up by name for each request.

--- a/src/include/dandeliontack/entry_service.hpp
+++ b/src/include/dandeliontack/entry_service.hpp
@@ -91,6 +91,8 @@
 
     entry_settings settings_;
     metric_registry& metrics_;
+    counter& requests_;
+    summary& request_times_;
     part_log out_;
     routing_table table_;
     bool has_table_ = false;
--- a/src/libentry/entry_service.cpp
+++ b/src/libentry/entry_service.cpp
@@ -33,6 +33,8 @@
     metric_registry& metrics)
     : settings_(settings),
       metrics_(metrics),
+      requests_(metrics.get_counter("tack_requests_total")),
+      request_times_(metrics.get_summary("tack_request_seconds")),
       out_("entry.service"),
       upstreams_(
           executor,
@@ -91,7 +93,7 @@
 
 asio::awaitable<http_response> entry_service::handle(http_request request)
 {
-    metrics_.get_counter("tack_requests_total").add();
+    requests_.add();
     const std::string forward_id(request[forward_id_header]);
     auto response = co_await answer(std::move(request));
     if (!forward_id.empty())
@@ -160,8 +162,7 @@
         last = co_await try_once(c);
         may_have_run = may_have_run || last.end == run_end::unknown;
     }
-    metrics_.get_summary("tack_request_seconds")
-        .record(std::chrono::steady_clock::now() - c.started);
+    request_times_.record(std::chrono::steady_clock::now() - c.started);
     if (last.end == run_end::not_run && may_have_run)
         co_return served{
             refuse(
--- a/src/libutil/http_connection.cpp
+++ b/src/libutil/http_connection.cpp
@@ -1,9 +1,11 @@
 #include <dandeliontack/http_connection.hpp>
+#include <dandeliontack/http_head.hpp>
 
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <array>
 #include <utility>
 
 namespace dandeliontack
@@ -51,11 +53,9 @@
 // for, or its end, make it unfit for another request.
 bool http_connection::core::quiet()
 {
-    auto& socket = stream.socket();
     beast::error_code ec;
-    socket.non_blocking(true, ec);
     char first = 0;
-    socket.receive(
+    stream.socket().receive(
         asio::buffer(&first, 1), asio::socket_base::message_peek, ec);
     return ec == asio::error::would_block;
 }
@@ -68,6 +68,8 @@
     {
         beast::error_code ignored;
         stream.socket().set_option(tcp::no_delay(true), ignored);
+        // For `quiet`, which must not wait.
+        stream.socket().non_blocking(true, ignored);
         open = true;
     }
     co_return ec;
@@ -139,8 +141,11 @@
             co_return failed(outcome::not_run, "connect", ec);
         }
     }
+    const auto head = head_of(request);
+    const std::array<asio::const_buffer, 2> parts{
+        asio::buffer(head), asio::buffer(request.body())};
     auto [write_ec, written] =
-        co_await http::async_write(c.stream, request, no_throw);
+        co_await asio::async_write(c.stream, parts, no_throw);
     if (write_ec)
     {
         close();
--- a/src/libutil/http_server.cpp
+++ b/src/libutil/http_server.cpp
@@ -1,3 +1,4 @@
+#include <dandeliontack/http_head.hpp>
 #include <dandeliontack/http_header_scan.hpp>
 #include <dandeliontack/http_server.hpp>
 #include <dandeliontack/log.hpp>
@@ -6,6 +7,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <array>
 #include <list>
 #include <optional>
 #include <utility>
@@ -298,7 +300,10 @@
 {
     response.keep_alive(keep_alive);
     s.stream.expires_after(limits.transfer);
-    auto [ec, bytes] = co_await http::async_write(s.stream, response, no_throw);
+    const auto head = head_of(response);
+    const std::array<asio::const_buffer, 2> parts{
+        asio::buffer(head), asio::buffer(response.body())};
+    auto [ec, bytes] = co_await asio::async_write(s.stream, parts, no_throw);
     co_return !ec;
 }
 
