--- a/testsuite/harness/load.cpp
+++ b/testsuite/harness/load.cpp
@@ -61,7 +61,8 @@
 
 struct load::core
 {
-    core(const balancer& b, load_options o) : entries(b), options(o) {}
+    core(const balancer& b, load_options o) : entries(b), options(std::move(o))
+    {}
 
     asio::awaitable<void> run_caller(unsigned number);
     asio::awaitable<void> read(std::mt19937_64& random, std::string token);
@@ -89,7 +90,8 @@
     std::mt19937_64 random(options.seed * 1000 + number);
     for (unsigned i = 0; i < options.requests && !stopping; ++i)
     {
-        const auto token = std::to_string(number) + "-" + std::to_string(i);
+        const auto token =
+            options.name + std::to_string(number) + "-" + std::to_string(i);
         if (random() % 2 == 0)
             co_await read(random, token);
         else
@@ -115,6 +117,7 @@
     http_request request{method, "/services/citations/r/" + token, 11};
     request.set(http::field::host, "test");
     request.set("tack-deadline-ms", std::to_string(options.deadline.count()));
+    request.set("tack-class", options.rank);
     return request;
 }
 
@@ -206,9 +209,9 @@
 }
 
 load::load(const balancer& entries, load_options options)
-    : core_(std::make_unique<core>(entries, options))
+    : core_(std::make_unique<core>(entries, std::move(options)))
 {
-    for (unsigned i = 0; i < options.callers; ++i)
+    for (unsigned i = 0; i < core_->options.callers; ++i)
         asio::co_spawn(core_->context, core_->run_caller(i), asio::detached);
     thread_ = std::thread([this] { core_->context.run(); });
 }
--- a/testsuite/harness/load.hpp
+++ b/testsuite/harness/load.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <memory>
 #include <mutex>
+#include <string>
 #include <thread>
 #include <vector>
 
@@ -37,6 +38,10 @@
     /// Most copies that are sent of a non-idempotent request.
     unsigned copies = 3;
     std::chrono::milliseconds deadline = std::chrono::seconds(2);
+    /// The requests' class.
+    std::string rank = "normal";
+    /// Begins each request's token, so that loads don't share tokens.
+    std::string name;
 };
 
 /// Sends requests through a balancer from a thread of its own: half of them
--- a/testsuite/harness/request_cluster.cpp
+++ b/testsuite/harness/request_cluster.cpp
@@ -35,7 +35,13 @@
 
 void request_cluster::start_entry(const std::string& name)
 {
-    const auto& entry = system.add_entry(name, control_, entry_settings_);
+    start_entry(name, entry_settings_);
+}
+
+void request_cluster::start_entry(
+    const std::string& name, const std::string& settings)
+{
+    const auto& entry = system.add_entry(name, control_, settings);
     if (!routes_to(entry, "citations", workers_))
         throw std::runtime_error(name + " does not route");
     entries.add(entry.callers);
--- a/testsuite/harness/request_cluster.hpp
+++ b/testsuite/harness/request_cluster.hpp
@@ -20,6 +20,8 @@
 
     /// Starts an entry process, waits until it routes and has it balanced.
     void start_entry(const std::string& name);
+    /// The same with settings of its own.
+    void start_entry(const std::string& name, const std::string& settings);
 
     /// Kills an entry process without warning.
     void kill_entry(const std::string& name);
