Let callers ask for an offset and wait to send their bodies

Change: tack-offset names the lowest offset that an answer may be served from; expect: 100-continue is answered. The fault case also freezes and kills workers; a planned stop of the control process is checked under load.

--- a/src/include/dandeliontack/entry_service.hpp
+++ b/src/include/dandeliontack/entry_service.hpp
@@ -89,6 +89,8 @@
         boost::beast::http::status status, std::string_view title,
         std::string_view detail);
 
+    http_response too_old();
+
     entry_settings settings_;
     metric_registry& metrics_;
     counter& requests_;
--- a/src/include/dandeliontack/request_fields.hpp
+++ b/src/include/dandeliontack/request_fields.hpp
@@ -13,6 +13,9 @@
 inline constexpr const char* request_id_header = "tack-request-id";
 inline constexpr const char* deadline_header = "tack-deadline-ms";
 inline constexpr const char* version_header = "tack-schema-version";
+/// In a request the lowest offset of the system's stream that its answer may
+/// be served from; in an answer the one that it was served from.
+inline constexpr const char* offset_header = "tack-offset";
 inline constexpr const char* class_header = "tack-class";
 inline constexpr const char* idempotent_header = "tack-idempotent";
 inline constexpr const char* ticket_header = "tack-ticket";
@@ -28,6 +31,7 @@
 {
     std::optional<std::chrono::milliseconds> deadline;
     std::uint64_t schema_version = 1;
+    std::uint64_t least_offset = 0;
     request_class rank = request_class::normal;
     bool idempotent = true;
 };
--- a/src/libentry/entry_service.cpp
+++ b/src/libentry/entry_service.cpp
@@ -91,6 +91,15 @@
     return refuse(metrics_, status, outcome::not_run, title, detail);
 }
 
+http_response entry_service::too_old()
+{
+    auto response = not_run(
+        http::status::service_unavailable, "state too old",
+        "this process has not applied the offset that tack-offset asks for");
+    response.set(http::field::retry_after, "1");
+    return response;
+}
+
 asio::awaitable<http_response> entry_service::handle(http_request request)
 {
     requests_.add();
@@ -143,6 +152,8 @@
                 http::status::service_unavailable, "no routing state",
                 "this process has not got its state yet"),
             run_end::not_run};
+    if (table_.system_end < c.options.least_offset)
+        co_return served{too_old(), run_end::not_run};
     const auto found = table_.routes.find(c.service);
     if (found == table_.routes.end())
         co_return served{
@@ -150,6 +161,7 @@
                 http::status::not_found, "unknown service",
                 "no service of that name and schema version is in force"),
             run_end::not_run};
+    const auto offset = table_.system_end;
     c.deadline =
         c.started + c.options.deadline.value_or(found->second.service.deadline);
     strip_connection_fields(c.request);
@@ -169,6 +181,7 @@
                 metrics_, http::status::bad_gateway, outcome::unknown,
                 "no whole answer", "an attempt was not answered"),
             run_end::unknown};
+    last.response.set(offset_header, std::to_string(offset));
     co_return served{std::move(last.response), last.end};
 }
 
--- a/src/libentry/request_fields.cpp
+++ b/src/libentry/request_fields.cpp
@@ -4,6 +4,7 @@
 #include <boost/beast/http.hpp>
 
 #include <array>
+#include <limits>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -68,6 +69,14 @@
     return value.has_value();
 }
 
+bool parse_offset(std::string_view text, request_options& out)
+{
+    const auto value =
+        parse_bounded(text, 0, std::numeric_limits<std::uint64_t>::max());
+    out.least_offset = value.value_or(0);
+    return value.has_value();
+}
+
 bool parse_class(std::string_view text, request_options& out)
 {
     const auto value = parse_request_class(text);
@@ -90,6 +99,7 @@
 constexpr std::array rows{
     option_row{deadline_header, parse_deadline},
     option_row{version_header, parse_version},
+    option_row{offset_header, parse_offset},
     option_row{class_header, parse_class},
     option_row{idempotent_header, parse_idempotent}};
 
--- a/src/libutil/http_server.cpp
+++ b/src/libutil/http_server.cpp
@@ -28,6 +28,7 @@
 constexpr std::size_t read_bytes = 4096;
 // What is read and dropped after a refusal, so that the sender sees it.
 constexpr std::size_t discarded_bytes = 256 * 1024;
+constexpr std::string_view continue_line = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr auto discard_limit = std::chrono::seconds(1);
 
 using request_parser = http::request_parser<http::string_body>;
@@ -331,6 +332,13 @@
         co_return http::error::bad_transfer_encoding;
     if (parser.is_done())
         co_return beast::error_code();
+    if (beast::iequals(parser.get()[http::field::expect], "100-continue"))
+    {
+        auto [continue_ec, written] = co_await asio::async_write(
+            s.stream, asio::buffer(continue_line), no_throw);
+        if (continue_ec)
+            co_return continue_ec;
+    }
     auto [ec, bytes] =
         co_await http::async_read(s.stream, s.buffer, parser, no_throw);
     co_return ec;
--- a/testsuite/request_faults/request_faults_test.cpp
+++ b/testsuite/request_faults/request_faults_test.cpp
@@ -44,6 +44,12 @@
     frozen.process.send_signal(SIGCONT);
     system.set_worker("w2", "mode=error");
     wait_for_more(callers, 200);
+    auto& stuck = system.system.workers.at("w3");
+    stuck.send_signal(SIGSTOP);
+    wait_for_more(callers, 50);
+    stuck.send_signal(SIGCONT);
+    system.system.workers.at("w1").send_signal(SIGKILL);
+    wait_for_more(callers, 200);
     system.kill_entry("e2");
     system.set_worker("w3", "mode=mix&seed=13&ms=400");
     const auto seen = callers.finish();
--- a/testsuite/request_stop/request_stop_test.cpp
+++ b/testsuite/request_stop/request_stop_test.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <csignal>
+
 namespace
 {
 
@@ -35,4 +37,25 @@
     EXPECT_EQ(count_of(seen, copy_end::unreached), 0U);
 }
 
+TEST(request_stop, a_restart_of_control_under_load_cuts_nothing)
+{
+    request_cluster system(2, "");
+    system.start_entry("e0");
+    load callers(system.entries, {.callers = 8, .requests = 20'000, .seed = 6});
+    const auto more = [&] {
+        const auto before = callers.ended();
+        return eventually([&] { return callers.ended() > before + 200; });
+    };
+    ASSERT_TRUE(more());
+    auto& control = system.system.controls.at("control-1").process;
+    control.send_signal(SIGTERM);
+    EXPECT_EQ(control.wait_exit(std::chrono::seconds(60)), 0);
+    EXPECT_TRUE(more());
+    callers.stop();
+    const auto seen = callers.finish();
+    EXPECT_EQ(
+        check_history(seen, system.runs(), {}), std::vector<std::string>{});
+    EXPECT_EQ(count_of(seen, copy_end::answered), seen.size());
+}
+
 } // namespace
--- a/testsuite/request_wholeness/request_wholeness_test.cpp
+++ b/testsuite/request_wholeness/request_wholeness_test.cpp
@@ -175,6 +175,35 @@
     expect_own_answer("/after");
 }
 
+TEST_F(request_wholeness, a_caller_that_waits_to_send_its_body_is_told_to)
+{
+    const auto answer = send_raw(
+        entry().callers, "PUT /services/citations/a HTTP/1.1\r\nhost: a\r\n"
+                         "connection: close\r\nexpect: 100-continue\r\n"
+                         "content-length: 2\r\n\r\nhi");
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200"))
+        << answer;
+    EXPECT_TRUE(answer.ends_with("w1 /a hi")) << answer;
+}
+
+TEST_F(request_wholeness, an_entry_that_is_behind_refuses)
+{
+    const auto now = ask("/a");
+    const std::string offset(now["tack-offset"]);
+    ASSERT_FALSE(offset.empty());
+    const auto asking_for = [&](const std::string& least) {
+        http_request request{http::verb::get, "/services/citations/a", 11};
+        request.set(http::field::host, "a");
+        request.set("tack-offset", least);
+        return call(entry().callers, std::move(request));
+    };
+    EXPECT_EQ(asking_for(offset).result(), http::status::ok);
+    const auto refused = asking_for("999999999");
+    EXPECT_EQ(refused.result(), http::status::service_unavailable);
+    EXPECT_NE(
+        refused.body().find("\"outcome\":\"not-run\""), std::string::npos);
+}
+
 TEST_F(request_wholeness, fields_of_one_connection_are_not_forwarded)
 {
     const auto answer = send_raw(
