Hold the leadership by term and lease, and void records of past terms

Cause: the first member by incarnation led, a dead leader stayed one, and a frozen one could write late. Change: heartbeats and claims as records; a claim is certified by comparing the offset of the leader's last heartbeat; the reducer voids records whose writer does not hold their term; the node decides only while its lease runs.

--- a/src/include/dandeliontack/control_node.hpp
+++ b/src/include/dandeliontack/control_node.hpp
@@ -57,11 +57,20 @@
     /// replayed.
     void on_applied(applied_handler observe);
 
-    /// Whether this node decides for all at present.
+    /// Whether this node decides for all at present: it holds the current term
+    /// and its lease still runs by its own clock. Ask again right before each
+    /// effect, since the process may have been frozen.
     bool leads() const;
 
-    /// Appends a decision to the system's stream. What becomes of it is only
-    /// known when it is applied.
+    /// The term that this node decides under; meaningful while `leads`.
+    std::uint64_t term() const
+    {
+        return state_.membership.term.number;
+    }
+
+    /// Appends a decision to the system's stream under the current term; does
+    /// nothing unless this node leads. What becomes of it is only known when
+    /// it is applied.
     void propose(event_body body);
 
     /// Decisions that the log has not confirmed yet.
@@ -110,7 +119,9 @@
     void apply_ready();
     void apply(const event& e);
     void note_outcome(const event& e, const effects& todo);
-    void join_once();
+    boost::asio::awaitable<void> keep_membership();
+    void join_if_missing();
+    void propose_membership();
     void publish_routing();
     std::chrono::milliseconds ordering_delay() const;
 
@@ -125,6 +136,7 @@
     log_order order_;
     state state_;
     proposer proposals_;
+    leadership leadership_;
     boost::asio::steady_timer unordered_;
     std::vector<listed_host> hosts_listed_;
     std::map<record_key, record_outcome> outcomes_;
@@ -132,7 +144,7 @@
     std::vector<applied_handler> observers_;
     endpoint peer_address_;
     bool caught_up_ = false;
-    bool joined_ = false;
+    bool join_pending_ = false;
     bool stopping_ = false;
     std::string gap_;
 };
--- a/src/include/dandeliontack/control_settings.hpp
+++ b/src/include/dandeliontack/control_settings.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <dandeliontack/leadership.hpp>
 #include <dandeliontack/settings.hpp>
 
 #include <chrono>
@@ -30,6 +31,9 @@
     endpoint listen;
 };
 
+/// Section `[leadership]`: heartbeats, leases and takeover.
+using leadership_settings = lease_settings;
+
 /// All settings of `tack-control`.
 struct control_settings
 {
@@ -37,6 +41,7 @@
     log_settings log;
     hosts_settings hosts;
     grpc_settings grpc;
+    leadership_settings leadership;
     admin_settings admin;
     logging_settings logging;
 };
--- a/src/libcontrol/control_api.cpp
+++ b/src/libcontrol/control_api.cpp
@@ -80,7 +80,9 @@
         out.push_back(
             {{"incarnation", to_string(node)},
              {"name", known.name},
-             {"data_centre", known.data_centre}});
+             {"data_centre", known.data_centre},
+             {"system_end", known.system_end},
+             {"operators_end", known.operators_end}});
     return out;
 }
 
@@ -102,6 +104,10 @@
         {"node", node.settings().node.name},
         {"incarnation", to_string(node.self())},
         {"ready", node.ready()},
+        {"leads", node.leads()},
+        {"term", node.term()},
+        {"leader", to_string(s.membership.term.leader)},
+        {"fenced", s.membership.fenced},
         {"gap", node.gap()},
         {"system_end", s.order.system_end},
         {"operators_end", s.order.operators_end},
--- a/src/libcontrol/control_node.cpp
+++ b/src/libcontrol/control_node.cpp
@@ -22,6 +22,21 @@
 // rule only the first puts operator records in order.
 constexpr auto ordering_step = std::chrono::milliseconds(100);
 
+constexpr int checks_per_heartbeat = 5;
+
+leadership::instant monotonic_now()
+{
+    return std::chrono::duration_cast<leadership::instant>(
+        std::chrono::steady_clock::now().time_since_epoch());
+}
+
+// Heartbeats and the like change nothing that requests are routed by.
+bool may_change_routing(const event& e)
+{
+    return !std::holds_alternative<membership_event>(e.body) &&
+           !std::holds_alternative<order_event>(e.body);
+}
+
 asio::awaitable<void>
 pause_for(asio::any_io_executor executor, std::chrono::milliseconds duration)
 {
@@ -43,6 +58,7 @@
       out_("control.node"),
       proposals_(
           executor_, log, log_stream::system, make_incarnation(), metrics),
+      leadership_(proposals_.writer(), settings_.leadership),
       unordered_(executor_)
 {}
 
@@ -53,13 +69,14 @@
     asio::co_spawn(executor_, tail(log_stream::operators), asio::detached);
     asio::co_spawn(executor_, poll_hosts(), asio::detached);
     asio::co_spawn(executor_, order_operators(), asio::detached);
+    asio::co_spawn(executor_, keep_membership(), asio::detached);
     asio::co_spawn(executor_, proposals_.run(), asio::detached);
 }
 
 asio::awaitable<void> control_node::stop(std::chrono::milliseconds patience)
 {
     stopping_ = true;
-    if (joined_)
+    if (state_.membership.nodes.contains(self()))
         proposals_.propose(membership_event{node_left{self()}});
     const auto until = std::chrono::steady_clock::now() + patience;
     while (proposals_.backlog() != 0 &&
@@ -111,21 +128,31 @@
     apply_ready();
     if (stream == log_stream::system && order_.next_offset(stream) >= batch.end)
     {
-        caught_up_ = true;
-        join_once();
+        if (!std::exchange(caught_up_, true))
+        {
+            out_.info(
+                "Caught up with the log at offset ", state_.order.system_end,
+                ".");
+            publish_routing();
+        }
+        join_if_missing();
     }
     unordered_.cancel();
 }
 
 void control_node::apply_ready()
 {
-    bool applied = false;
+    bool changed = false;
     while (auto e = order_.pop())
     {
         apply(*e);
-        applied = true;
+        changed = changed || may_change_routing(*e);
     }
-    if (applied)
+    metrics_.get_gauge("tack_applied_system_end")
+        .set(static_cast<std::int64_t>(state_.order.system_end));
+    metrics_.get_gauge("tack_applied_operators_end")
+        .set(static_cast<std::int64_t>(state_.order.operators_end));
+    if (changed)
         publish_routing();
 }
 
@@ -134,6 +161,9 @@
     auto result = reduce(std::move(state_), e);
     state_ = std::move(result.next);
     metrics_.get_counter("tack_events_applied_total").add();
+    leadership_.observe(e, state_, monotonic_now());
+    if (find_effect<leader_changed>(result.todo))
+        out_.info("Term ", term(), " began.");
     note_outcome(e, result.todo);
     for (const auto& observe : observers_)
         observe(e, result.todo);
@@ -160,23 +190,51 @@
     }
 }
 
-void control_node::join_once()
+void control_node::join_if_missing()
 {
-    if (std::exchange(joined_, true))
+    const bool member = state_.membership.nodes.contains(self());
+    if (member || stopping_ || join_pending_)
+    {
+        join_pending_ = join_pending_ && !member;
         return;
+    }
+    join_pending_ = true;
     proposals_.propose(membership_event{node_joined{
         settings_.node.name, settings_.node.data_centre, peer_address_}});
-    out_.info(
-        "Caught up with the log at offset ", state_.order.system_end, ".");
+}
+
+void control_node::propose_membership()
+{
+    const auto now = monotonic_now();
+    for (auto& body : leadership_.due(state_, now))
+    {
+        // Only the removal of another member needs the leader's term.
+        const bool needs_term = std::holds_alternative<node_left>(body);
+        const auto sequence = proposals_.propose(body, needs_term ? term() : 0);
+        leadership_.proposed(body, sequence, now);
+    }
+}
+
+asio::awaitable<void> control_node::keep_membership()
+{
+    const auto pause = std::max(
+        std::chrono::milliseconds(1),
+        settings_.leadership.heartbeat / checks_per_heartbeat);
+    while (!stopping_)
+    {
+        if (ready())
+        {
+            join_if_missing();
+            propose_membership();
+        }
+        metrics_.get_gauge("tack_leads").set(leads() ? 1 : 0);
+        co_await pause_for(executor_, pause);
+    }
 }
 
 void control_node::publish_routing()
 {
     server_.publish(make_routing_table(state_, hosts_listed_));
-    metrics_.get_gauge("tack_applied_system_end")
-        .set(static_cast<std::int64_t>(state_.order.system_end));
-    metrics_.get_gauge("tack_applied_operators_end")
-        .set(static_cast<std::int64_t>(state_.order.operators_end));
 }
 
 asio::awaitable<void> control_node::poll_hosts()
@@ -207,13 +265,17 @@
 
 bool control_node::leads() const
 {
-    const auto& nodes = state_.membership.nodes;
-    return ready() && !nodes.empty() && nodes.begin()->first == self();
+    return ready() && leadership_.holds(state_, monotonic_now());
 }
 
 void control_node::propose(event_body body)
 {
-    proposals_.propose(std::move(body));
+    if (!leads())
+    {
+        metrics_.get_counter("tack_proposals_without_lease_total").add();
+        return;
+    }
+    proposals_.propose(std::move(body), term());
 }
 
 void control_node::on_applied(applied_handler observe)
@@ -223,9 +285,7 @@
 
 std::chrono::milliseconds control_node::ordering_delay() const
 {
-    const auto& nodes = state_.membership.nodes;
-    const auto rank = std::distance(nodes.begin(), nodes.find(self()));
-    return rank * ordering_step;
+    return leadership_.rank(state_) * ordering_step;
 }
 
 asio::awaitable<void> control_node::order_operators()
--- a/src/libcontrol/control_settings.cpp
+++ b/src/libcontrol/control_settings.cpp
@@ -57,6 +57,42 @@
     return table;
 }
 
+std::span<const field<leadership_settings>> leadership_fields()
+{
+    using row = field<leadership_settings>;
+    const auto duration =
+        [](std::string_view key,
+           std::chrono::milliseconds lease_settings::* member) {
+            return row{
+                .key = key, .member = member, .least = 1, .most = longest_ms};
+        };
+    static const std::array table{
+        duration("heartbeat", &lease_settings::heartbeat),
+        duration("lease", &lease_settings::lease),
+        duration("takeover", &lease_settings::takeover),
+        duration("takeover_step", &lease_settings::takeover_step),
+        duration("member_timeout", &lease_settings::member_timeout)};
+    return table;
+}
+
+// Each of these must be longer than the one before it.
+void check_leadership(
+    const ini_document& document, const leadership_settings& s, findings& found)
+{
+    if (s.lease <= s.heartbeat)
+        found.push_back(
+            {document.file, 0, "leadership.lease",
+             "must be longer than heartbeat"});
+    if (s.takeover <= s.lease)
+        found.push_back(
+            {document.file, 0, "leadership.takeover",
+             "must be longer than lease"});
+    if (s.member_timeout <= s.takeover)
+        found.push_back(
+            {document.file, 0, "leadership.member_timeout",
+             "must be longer than takeover"});
+}
+
 using reader = section_reader<control_settings>;
 
 const std::array readers{
@@ -64,6 +100,9 @@
     reader{"log", true, read_member<&control_settings::log, log_fields>},
     reader{"hosts", true, read_member<&control_settings::hosts, hosts_fields>},
     reader{"grpc", true, read_member<&control_settings::grpc, grpc_fields>},
+    reader{
+        "leadership", false,
+        read_member<&control_settings::leadership, leadership_fields>},
     reader{"admin", true, read_member<&control_settings::admin, admin_fields>},
     reader{
         "logging", false,
@@ -80,6 +119,7 @@
         {{"grpc", "listen", settings.grpc.listen},
          {"admin", "listen", settings.admin.listen}},
         found);
+    check_leadership(document, settings.leadership, found);
     if (!found.empty())
         return found;
     return settings;
--- a/src/libdecide/domains.hpp
+++ b/src/libdecide/domains.hpp
@@ -29,6 +29,9 @@
 void apply(const reduce_context& context, const fleet_event& e);
 void apply(const reduce_context& context, const job_event& e);
 
+/// Whether a record was written under a term that its writer does not hold.
+bool is_fenced(const membership_state& s, const event_origin& origin);
+
 // Feeds a part of the state to the hash; in the file of its domain.
 void feed(hasher& h, const order_state& s);
 void feed(hasher& h, const config_state& s);
--- a/src/libdecide/reducer.cpp
+++ b/src/libdecide/reducer.cpp
@@ -86,6 +86,14 @@
             duplicate_dropped{e.origin.writer, e.origin.sequence});
         return result;
     }
+    auto& membership = result.next.membership;
+    if (is_fenced(membership, e.origin))
+    {
+        ++membership.fenced;
+        result.todo.emplace_back(
+            record_fenced{e.origin.writer, e.origin.sequence, e.origin.term});
+        return result;
+    }
     std::visit([&](const auto& body) { apply(context, body); }, e.body);
     return result;
 }
