--- a/src/include/dandeliontack/control_node.hpp
+++ b/src/include/dandeliontack/control_node.hpp
@@ -112,7 +112,13 @@
 private:
     using record_key = std::pair<incarnation, std::uint64_t>;
 
+    boost::asio::awaitable<void> run_log();
+    boost::asio::awaitable<bool> load();
+    boost::asio::awaitable<std::optional<log_batch>>
+    read_log(log_stream stream, std::uint64_t from, std::chrono::milliseconds);
     boost::asio::awaitable<void> tail(log_stream stream);
+    void note_gap(std::uint64_t wanted, std::uint64_t oldest);
+    void write_snapshot_if_due();
     boost::asio::awaitable<void> poll_hosts();
     boost::asio::awaitable<void> order_operators();
     void take_batch(log_stream stream, const log_batch& batch);
@@ -143,6 +149,8 @@
     std::deque<record_key> outcome_age_;
     std::vector<applied_handler> observers_;
     endpoint peer_address_;
+    std::chrono::steady_clock::time_point snapshot_proposed_;
+    std::uint64_t snapshot_proposed_end_ = 0;
     bool caught_up_ = false;
     bool join_pending_ = false;
     bool stopping_ = false;
--- a/src/include/dandeliontack/control_settings.hpp
+++ b/src/include/dandeliontack/control_settings.hpp
@@ -4,6 +4,7 @@
 #include <dandeliontack/settings.hpp>
 
 #include <chrono>
+#include <cstdint>
 
 namespace dandeliontack
 {
@@ -34,6 +35,15 @@
 /// Section `[leadership]`: heartbeats, leases and takeover.
 using leadership_settings = lease_settings;
 
+/// Section `[snapshots]`: when the leader writes a snapshot to the log.
+struct snapshot_settings
+{
+    /// After so many records of the system's stream.
+    std::uint64_t records = 20'000;
+    /// Or after this time, where there is any new record.
+    std::chrono::milliseconds interval = std::chrono::minutes(10);
+};
+
 /// All settings of `tack-control`.
 struct control_settings
 {
@@ -42,6 +52,7 @@
     hosts_settings hosts;
     grpc_settings grpc;
     leadership_settings leadership;
+    snapshot_settings snapshots;
     admin_settings admin;
     logging_settings logging;
 };
--- a/src/include/dandeliontack/leadership.hpp
+++ b/src/include/dandeliontack/leadership.hpp
@@ -45,6 +45,10 @@
     /// Takes note of an event that was applied and led to `s`.
     void observe(const event& e, const state& s, instant now);
 
+    /// Takes note of a state that came whole, from a snapshot. All signs of
+    /// life in it count as heard now.
+    void loaded(const state& s, instant now);
+
     /// The records to propose now. Call `proposed` for each.
     std::vector<membership_event> due(const state& s, instant now);
 
--- a/src/include/dandeliontack/order_state.hpp
+++ b/src/include/dandeliontack/order_state.hpp
@@ -42,6 +42,19 @@
     /// The newest rejections, oldest first.
     std::deque<rejection> rejections;
 
+    /// The system's end that the newest whole snapshot was taken at.
+    std::uint64_t snapshot_end = 0;
+    /// The snapshot that is being written, up to its last part seen.
+    struct snapshot_progress
+    {
+        incarnation writer;
+        std::uint64_t system_end = 0;
+        std::uint64_t next_index = 0;
+
+        bool operator==(const snapshot_progress&) const = default;
+    };
+    snapshot_progress progress;
+
     bool operator==(const order_state&) const = default;
 };
 
--- a/src/libcontrol/control_node.cpp
+++ b/src/libcontrol/control_node.cpp
@@ -1,5 +1,7 @@
 #include <dandeliontack/control_node.hpp>
 #include <dandeliontack/record_codec.hpp>
+#include <dandeliontack/snapshot.hpp>
+#include <dandeliontack/snapshot_loader.hpp>
 
 #include <boost/asio.hpp>
 
@@ -65,8 +67,8 @@
 void control_node::start(const endpoint& peer_address)
 {
     peer_address_ = peer_address;
-    asio::co_spawn(executor_, tail(log_stream::system), asio::detached);
-    asio::co_spawn(executor_, tail(log_stream::operators), asio::detached);
+    snapshot_proposed_ = std::chrono::steady_clock::now();
+    asio::co_spawn(executor_, run_log(), asio::detached);
     asio::co_spawn(executor_, poll_hosts(), asio::detached);
     asio::co_spawn(executor_, order_operators(), asio::detached);
     asio::co_spawn(executor_, keep_membership(), asio::detached);
@@ -90,22 +92,79 @@
     return caught_up_ && gap_.empty() && !stopping_;
 }
 
+asio::awaitable<void> control_node::run_log()
+{
+    if (!co_await load())
+        co_return;
+    asio::co_spawn(executor_, tail(log_stream::operators), asio::detached);
+    co_await tail(log_stream::system);
+}
+
+asio::awaitable<std::optional<log_batch>> control_node::read_log(
+    log_stream stream, std::uint64_t from, std::chrono::milliseconds wait)
+{
+    auto result = co_await log_.read(stream, from, wait);
+    if (auto* batch = std::get_if<log_batch>(&result))
+        co_return std::move(*batch);
+    metrics_.get_counter("tack_log_reads_failed_total").add();
+    out_.debug(
+        "Reading the log failed: ", std::get<read_failed>(result).reason, ".");
+    co_await pause_for(executor_, read_retry);
+    co_return std::nullopt;
+}
+
+// Reads the system's stream to its end and takes the newest snapshot in it as
+// the state to go on from. Returns whether the node can go on.
+asio::awaitable<bool> control_node::load()
+{
+    snapshot_loader loader;
+    while (!loader.complete())
+    {
+        const auto batch = co_await read_log(
+            log_stream::system, loader.next_offset(),
+            std::chrono::milliseconds(0));
+        if (batch)
+            loader.take(*batch);
+    }
+    if (loader.gap())
+    {
+        note_gap(0, loader.oldest());
+        co_return false;
+    }
+    auto start = loader.finish();
+    state_ = std::move(start.loaded);
+    order_ = log_order(state_.order.system_end, state_.order.operators_end);
+    leadership_.loaded(state_, monotonic_now());
+    if (state_.order.system_end != 0)
+        out_.info("Loaded a snapshot at offset ", state_.order.system_end, ".");
+    metrics_.get_gauge("tack_snapshot_loaded_end")
+        .set(static_cast<std::int64_t>(state_.order.system_end));
+    for (auto& e : start.tail)
+        order_.push(std::move(e));
+    apply_ready();
+    co_return true;
+}
+
+void control_node::note_gap(std::uint64_t wanted, std::uint64_t oldest)
+{
+    gap_ = "the log was trimmed: offset " + std::to_string(wanted) +
+           " is wanted, " + std::to_string(oldest) +
+           " is the oldest, and no whole snapshot covers the gap";
+    metrics_.get_gauge("tack_log_gap").set(1);
+    out_.error("Can't go on: ", gap_, ".");
+}
+
 asio::awaitable<void> control_node::tail(log_stream stream)
 {
     // The first read tells where the log ends, so it must not wait.
     std::chrono::milliseconds wait{0};
     while (gap_.empty())
     {
-        const auto result =
-            co_await log_.read(stream, order_.next_offset(stream), wait);
-        if (const auto* failure = std::get_if<read_failed>(&result))
-        {
-            metrics_.get_counter("tack_log_reads_failed_total").add();
-            out_.debug("Reading the log failed: ", failure->reason, ".");
-            co_await pause_for(executor_, read_retry);
+        const auto batch =
+            co_await read_log(stream, order_.next_offset(stream), wait);
+        if (!batch)
             continue;
-        }
-        take_batch(stream, std::get<log_batch>(result));
+        take_batch(stream, *batch);
         wait = settings_.log.poll;
     }
 }
@@ -115,11 +174,7 @@
     const auto expected = order_.next_offset(stream);
     if (batch.first_offset > expected)
     {
-        gap_ = "the log was trimmed: offset " + std::to_string(expected) +
-               " is wanted, " + std::to_string(batch.first_offset) +
-               " is the oldest";
-        metrics_.get_gauge("tack_log_gap").set(1);
-        out_.error("Can't go on: ", gap_, ".");
+        note_gap(expected, batch.first_offset);
         return;
     }
     auto offset = batch.first_offset;
@@ -226,12 +281,34 @@
         {
             join_if_missing();
             propose_membership();
+            write_snapshot_if_due();
         }
         metrics_.get_gauge("tack_leads").set(leads() ? 1 : 0);
         co_await pause_for(executor_, pause);
     }
 }
 
+// The leader writes the state to the log well before the log drops the records
+// that the last snapshot goes on from.
+void control_node::write_snapshot_if_due()
+{
+    const auto now = std::chrono::steady_clock::now();
+    const auto& order = state_.order;
+    const auto newest = std::max(order.snapshot_end, snapshot_proposed_end_);
+    const bool due = order.system_end >= newest + settings_.snapshots.records ||
+                     now - snapshot_proposed_ >= settings_.snapshots.interval;
+    // Between a mark and the records that it puts in order the two ends don't
+    // say where to go on.
+    const bool between = order_.ordered_end() > order.operators_end;
+    if (!due || between || proposals_.backlog() != 0 || !leads())
+        return;
+    snapshot_proposed_ = now;
+    snapshot_proposed_end_ = order.system_end;
+    for (auto& chunk : make_snapshot(state_))
+        propose(order_event{std::move(chunk)});
+    metrics_.get_counter("tack_snapshots_written_total").add();
+}
+
 void control_node::publish_routing()
 {
     server_.publish(make_routing_table(state_, hosts_listed_));
--- a/src/libcontrol/control_settings.cpp
+++ b/src/libcontrol/control_settings.cpp
@@ -75,6 +75,20 @@
     return table;
 }
 
+std::span<const field<snapshot_settings>> snapshot_fields()
+{
+    static const std::array table{
+        field<snapshot_settings>{
+            .key = "records",
+            .member = &snapshot_settings::records,
+            .least = 1},
+        field<snapshot_settings>{
+            .key = "interval",
+            .member = &snapshot_settings::interval,
+            .least = 1}};
+    return table;
+}
+
 // Each of these must be longer than the one before it.
 void check_leadership(
     const ini_document& document, const leadership_settings& s, findings& found)
@@ -103,6 +117,9 @@
     reader{
         "leadership", false,
         read_member<&control_settings::leadership, leadership_fields>},
+    reader{
+        "snapshots", false,
+        read_member<&control_settings::snapshots, snapshot_fields>},
     reader{"admin", true, read_member<&control_settings::admin, admin_fields>},
     reader{
         "logging", false,
--- a/src/libdecide/leadership.cpp
+++ b/src/libdecide/leadership.cpp
@@ -70,6 +70,14 @@
     note_heard(e, s, now);
 }
 
+void leadership::loaded(const state& s, instant now)
+{
+    leader_heard_ = {s.membership.term.heard_at, now};
+    heard_.clear();
+    for (const auto& [node, known] : s.membership.nodes)
+        heard_.emplace(node, heard{known.heard_at, now});
+}
+
 bool leadership::may_claim(const state& s, instant now) const
 {
     const auto& term = s.membership.term;
--- a/src/libdecide/reduce_order.cpp
+++ b/src/libdecide/reduce_order.cpp
@@ -14,6 +14,22 @@
     context.reject(e.found);
 }
 
+void apply_one(const reduce_context& context, const snapshot_chunk& e)
+{
+    auto& order = context.current.order;
+    const auto& writer = context.cause.origin.writer;
+    if (e.index == 0)
+        order.progress = {writer, e.system_end, 0};
+    const bool next = order.progress.writer == writer &&
+                      order.progress.system_end == e.system_end &&
+                      order.progress.next_index == e.index;
+    if (!next)
+        return;
+    ++order.progress.next_index;
+    if (order.progress.next_index == e.count)
+        order.snapshot_end = e.system_end;
+}
+
 void feed(hasher& h, const finding& item)
 {
     h.add(item.file);
@@ -60,6 +76,10 @@
     h.add(s.rejections.size());
     for (const auto& item : s.rejections)
         feed(h, item);
+    h.add(s.snapshot_end);
+    feed(h, s.progress.writer);
+    h.add(s.progress.system_end);
+    h.add(s.progress.next_index);
 }
 
 } // namespace dandeliontack
--- a/src/libplatform/record_codec.cpp
+++ b/src/libplatform/record_codec.cpp
@@ -10,11 +10,35 @@
 namespace
 {
 
+void encode_order(const operators_ordered& e, wire::record& out)
+{
+    out.mutable_ordered()->set_end(e.end);
+}
+// A malformed record is never written.
+void encode_order(const record_malformed&, wire::record&) {}
+void encode_order(const snapshot_chunk& e, wire::record& out)
+{
+    auto& to = *out.mutable_chunk();
+    to.set_system_end(e.system_end);
+    to.set_operators_end(e.operators_end);
+    to.set_state_hash(e.state_hash);
+    to.set_index(e.index);
+    to.set_count(e.count);
+    to.set_checksum(e.checksum);
+    to.set_data(e.data);
+}
+
+snapshot_chunk decode_chunk(const wire::snapshot_chunk& in, findings& found)
+{
+    if (in.index() >= in.count())
+        found.push_back({"", 0, "index", "is not below count"});
+    return {in.system_end(), in.operators_end(), in.state_hash(), in.index(),
+            in.count(),      in.checksum(),      in.data()};
+}
+
 void encode_body(const order_event& e, wire::record& out)
 {
-    // A malformed record is never written, so only the mark is encoded.
-    if (const auto* mark = std::get_if<operators_ordered>(&e))
-        out.mutable_ordered()->set_end(mark->end);
+    std::visit([&](const auto& one) { encode_order(one, out); }, e);
 }
 void encode_body(const config_event& e, wire::record& out)
 {
@@ -47,6 +71,8 @@
         return decode(in.fleet(), found);
     case wire::record::kJob:
         return decode(in.job(), found);
+    case wire::record::kChunk:
+        return order_event{decode_chunk(in.chunk(), found)};
     case wire::record::BODY_NOT_SET:
         break;
     }
