--- a/src/libcontrol/control_api.cpp
+++ b/src/libcontrol/control_api.cpp
@@ -111,6 +111,7 @@
         {"gap", node.gap()},
         {"system_end", s.order.system_end},
         {"operators_end", s.order.operators_end},
+        {"snapshot_end", s.order.snapshot_end},
         {"state_hash", hex(hash_of(s))},
         {"pools", pools_json(s.config)},
         {"services", services_json(s.config)},
--- a/src/libcontrol/control_node.cpp
+++ b/src/libcontrol/control_node.cpp
@@ -94,10 +94,12 @@
 
 asio::awaitable<void> control_node::run_log()
 {
-    if (!co_await load())
-        co_return;
-    asio::co_spawn(executor_, tail(log_stream::operators), asio::detached);
-    co_await tail(log_stream::system);
+    const bool loaded = co_await load();
+    if (loaded)
+    {
+        asio::co_spawn(executor_, tail(log_stream::operators), asio::detached);
+        co_await tail(log_stream::system);
+    }
 }
 
 asio::awaitable<std::optional<log_batch>> control_node::read_log(
--- a/testsuite/agreement_takeover/agreement_takeover_test.cpp
+++ b/testsuite/agreement_takeover/agreement_takeover_test.cpp
@@ -89,4 +89,33 @@
     EXPECT_EQ(count_leaders(system), 1U);
 }
 
+std::size_t count_held(const cluster& system)
+{
+    return std::stoul(get(system.platform_address, "/fault").body());
+}
+
+TEST(agreement_takeover, a_late_record_of_a_frozen_leader_is_void_everywhere)
+{
+    cluster system;
+    // The leader writes under its term often, since it writes snapshots.
+    add_controls(system, 3, fast_leadership + "[snapshots]\nrecords = 20\n");
+    const auto first = wait_for_leader(system);
+    ASSERT_TRUE(first);
+    const auto& frozen = system.controls.at(*first);
+    system.set_fault("mode=hold&writer=" + status_of(frozen).incarnation);
+    ASSERT_TRUE(eventually([&] { return count_held(system) == 1; }));
+    frozen.process.send_signal(SIGSTOP);
+    const auto second = wait_for_leader(system, {*first});
+    ASSERT_TRUE(second);
+    const auto& control = system.controls.at(*second);
+    EXPECT_EQ(status_of(control).fenced, 0U);
+
+    system.set_fault("mode=release");
+    EXPECT_TRUE(eventually([&] { return status_of(control).fenced > 0; }));
+    frozen.process.send_signal(SIGCONT);
+    EXPECT_TRUE(eventually([&] { return status_of(frozen).fenced > 0; }));
+    EXPECT_TRUE(eventually([&] { return status_of(frozen).nodes == 3; }));
+    EXPECT_TRUE(states_agree(system));
+}
+
 } // namespace
--- a/testsuite/harness/control_group.cpp
+++ b/testsuite/harness/control_group.cpp
@@ -28,6 +28,10 @@
     const auto status = get_json(control.admin, "/v1/status");
     return {
         status.at("system_end").to_number<std::uint64_t>(),
+        status.at("operators_end").to_number<std::uint64_t>(),
+        status.at("snapshot_end").to_number<std::uint64_t>(),
+        status.at("ready").as_bool(),
+        std::string(status.at("gap").as_string()),
         std::string(status.at("state_hash").as_string()),
         status.at("leads").as_bool(),
         status.at("term").to_number<std::uint64_t>(),
--- a/testsuite/harness/control_group.hpp
+++ b/testsuite/harness/control_group.hpp
@@ -17,6 +17,10 @@
 struct control_status
 {
     std::uint64_t system_end = 0;
+    std::uint64_t operators_end = 0;
+    std::uint64_t snapshot_end = 0;
+    bool ready = false;
+    std::string gap;
     std::string state_hash;
     bool leads = false;
     std::uint64_t term = 0;
--- a/testsuite/standins/platform/main.cpp
+++ b/testsuite/standins/platform/main.cpp
@@ -1,15 +1,20 @@
 // Takes the platform's place in tests: the log service and the host list.
-// Faults are set by POST /fault?mode=MODE[&ms=N][&stream=NAME&before=OFFSET]:
+// GET /fault tells how many appends are held. Faults are set by POST
+// /fault?mode=MODE[&ms=N][&stream=NAME&before=OFFSET]:
 //   none           works
 //   down           refuses every log call with 503
 //   cut            closes log connections without an answer, nothing done
 //   slow           answers log calls after `ms`
 //   lose-answers   carries out appends but closes the connection
+//   hold           keeps the first append with a record of the writer
+//                  `writer=INCARNATION` under a term until `release`
+//   release        carries out what is held
 //   trim           drops records of a stream below an offset, once
 
 #include "log.pb.h"
 #include "stream_store.hpp"
 #include <dandeliontack/program.hpp>
+#include <dandeliontack/record_codec.hpp>
 #include <dandeliontack/settings.hpp>
 
 #include <absl/flags/flag.h>
@@ -17,6 +22,7 @@
 #include <boost/beast/http.hpp>
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <map>
 
@@ -36,6 +42,7 @@
 
 constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t largest_read = 1024;
+constexpr auto hold_check = std::chrono::milliseconds(2);
 
 std::uint64_t number(std::string_view target, std::string_view name)
 {
@@ -77,6 +84,8 @@
             co_return list_hosts();
         if (path.starts_with("/hosts/"))
             co_return change_host(path.substr(7), request);
+        if (path == "/fault" && request.method() == http::verb::get)
+            co_return plain(http::status::ok, std::to_string(held_));
         if (path == "/fault")
             co_return set_fault(target);
         co_return plain(http::status::not_found);
@@ -88,6 +97,8 @@
     asio::awaitable<http_response>
     read(stream_store& stream, std::string target);
     http_response append(stream_store& stream, const std::string& body);
+    bool must_hold(const std::string& body) const;
+    asio::awaitable<void> hold();
     http_response set_fault(const std::string& target);
     http_response list_hosts() const;
     http_response
@@ -99,6 +110,8 @@
     stream_store system_;
     std::string mode_ = "none";
     std::chrono::milliseconds delay_{};
+    std::string held_writer_;
+    unsigned held_ = 0;
     std::map<std::string, json::object> hosts_;
 };
 
@@ -116,12 +129,38 @@
     }
     if (request.method() == http::verb::get)
         co_return co_await read(stream, std::string(request.target()));
+    if (must_hold(request.body()))
+        co_await hold();
     auto response = append(stream, request.body());
     if (mode_ == "lose-answers")
         throw no_answer();
     co_return response;
 }
 
+bool platform::must_hold(const std::string& body) const
+{
+    wire::log_append_request request;
+    if (held_writer_.empty() || !request.ParseFromString(body))
+        return false;
+    return std::ranges::any_of(
+        request.records(), [&](const std::string& record) {
+            const auto origin =
+                decode_record(log_stream::system, 0, record).origin;
+            return origin.term != 0 && to_string(origin.writer) == held_writer_;
+        });
+}
+
+asio::awaitable<void> platform::hold()
+{
+    ++held_;
+    while (!held_writer_.empty())
+    {
+        asio::steady_timer timer(executor_, hold_check);
+        co_await timer.async_wait(no_throw);
+    }
+    --held_;
+}
+
 asio::awaitable<http_response>
 platform::read(stream_store& stream, std::string target)
 {
@@ -163,6 +202,11 @@
         stream.trim(number(target, "before"));
         return plain(http::status::ok);
     }
+    if (mode == "hold" || mode == "release")
+    {
+        held_writer_ = query_value(target, "writer");
+        return plain(http::status::ok);
+    }
     mode_ = mode;
     delay_ = std::chrono::milliseconds(number(target, "ms"));
     return plain(http::status::ok);
