--- a/testsuite/harness/control_group.cpp
+++ b/testsuite/harness/control_group.cpp
@@ -8,11 +8,6 @@
 namespace dandeliontack::harness
 {
 
-const std::string fast_leadership = "[leadership]\nheartbeat = 50ms\n"
-                                    "lease = 300ms\ntakeover = 400ms\n"
-                                    "takeover_step = 50ms\n"
-                                    "member_timeout = 1s\n";
-
 namespace
 {
 
--- a/testsuite/harness/control_group.hpp
+++ b/testsuite/harness/control_group.hpp
@@ -11,7 +11,11 @@
 {
 
 /// Settings under which a leader is replaced within about half a second.
-extern const std::string fast_leadership;
+inline const std::string fast_leadership = "[leadership]\nheartbeat = 50ms\n"
+                                           "lease = 300ms\n"
+                                           "takeover = 400ms\n"
+                                           "takeover_step = 50ms\n"
+                                           "member_timeout = 1s\n";
 
 /// Where a control process stands, as its status page tells.
 struct control_status
