Refuse for pools that want it while the state is not confirmed

Cause: staleness_bound and when_stale were carried to the entry processes and not applied. Change: the control process tells when it last knew that the log had nothing more, by the monotonic clock that it shares with its host's entry process; the entry refuses as not-run past the pool's bound where the pool says so.

--- a/src/include/dandeliontack/control_client.hpp
+++ b/src/include/dandeliontack/control_client.hpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -19,11 +20,15 @@
 public:
     using table_handler = std::function<void(routing_table)>;
     using link_handler = std::function<void(bool connected)>;
+    /// Gets the time at which the state was last known to be current.
+    using confirmation_handler =
+        std::function<void(std::chrono::steady_clock::time_point)>;
 
-    /// Both handlers run on `executor`.
+    /// All handlers run on `executor`.
     control_client(
         boost::asio::any_io_executor executor, const endpoint& control,
-        std::string node, table_handler on_table, link_handler on_link);
+        std::string node, table_handler on_table, link_handler on_link,
+        confirmation_handler on_confirmation = {});
     ~control_client();
     control_client(const control_client&) = delete;
     control_client& operator=(const control_client&) = delete;
--- a/src/include/dandeliontack/control_node.hpp
+++ b/src/include/dandeliontack/control_node.hpp
@@ -129,6 +129,7 @@
     void join_if_missing();
     void propose_membership();
     void publish_routing();
+    void confirm_fresh(std::chrono::steady_clock::time_point when);
     std::chrono::milliseconds ordering_delay() const;
 
     boost::asio::any_io_executor executor_;
--- a/src/include/dandeliontack/control_server.hpp
+++ b/src/include/dandeliontack/control_server.hpp
@@ -4,6 +4,7 @@
 #include <dandeliontack/metrics.hpp>
 #include <dandeliontack/routing.hpp>
 
+#include <chrono>
 #include <memory>
 
 namespace dandeliontack
@@ -28,6 +29,10 @@
     /// gets the newest.
     void publish(const routing_table& table);
 
+    /// Tells all subscribers when the state was last confirmed to be current,
+    /// as a time of the host's monotonic clock.
+    void confirm(std::chrono::steady_clock::time_point when);
+
     /// Ends all streams and stops serving.
     void stop();
 
--- a/src/include/dandeliontack/entry_service.hpp
+++ b/src/include/dandeliontack/entry_service.hpp
@@ -31,6 +31,13 @@
     /// Takes a newer routing table. One that is older than the present one is
     /// ignored.
     void set_table(routing_table table);
+    /// Takes note of when the table was last confirmed to be current. Where
+    /// that is longer ago than a pool's bound, a pool that says `refuse` gets
+    /// no requests.
+    void set_confirmed(std::chrono::steady_clock::time_point when)
+    {
+        confirmed_ = when;
+    }
     const routing_table& table() const
     {
         return table_;
@@ -58,6 +65,7 @@
     part_log out_;
     routing_table table_;
     bool has_table_ = false;
+    std::chrono::steady_clock::time_point confirmed_;
     upstream_pool upstreams_;
     std::string request_prefix_;
     std::uint64_t last_request_ = 0;
--- a/src/libcontrol/control_node.cpp
+++ b/src/libcontrol/control_node.cpp
@@ -162,11 +162,15 @@
     std::chrono::milliseconds wait{0};
     while (gap_.empty())
     {
+        const auto asked = std::chrono::steady_clock::now();
         const auto batch =
             co_await read_log(stream, order_.next_offset(stream), wait);
         if (!batch)
             continue;
         take_batch(stream, *batch);
+        if (stream == log_stream::system &&
+            order_.next_offset(stream) >= batch->end)
+            confirm_fresh(asked);
         wait = settings_.log.poll;
     }
 }
@@ -290,6 +294,14 @@
     }
 }
 
+// The log had nothing more when it was asked. That counts for the state only
+// where the operator records that are in order are applied as well.
+void control_node::confirm_fresh(std::chrono::steady_clock::time_point when)
+{
+    if (gap_.empty() && order_.ordered_end() <= state_.order.operators_end)
+        server_.confirm(when);
+}
+
 // The leader writes the state to the log well before the log drops the records
 // that the last snapshot goes on from.
 void control_node::write_snapshot_if_due()
--- a/src/libentry/entry_service.cpp
+++ b/src/libentry/entry_service.cpp
@@ -133,6 +133,13 @@
             "no service of that name and schema version is in force");
     // The table may change while the request is under way.
     const route to = found->second;
+    if (to.when_stale == stale_policy::refuse &&
+        std::chrono::steady_clock::now() - confirmed_ > to.staleness_bound)
+        co_return refuse(
+            http::status::service_unavailable, outcome::not_run,
+            "state not confirmed",
+            "the configuration could not be confirmed to be current for "
+            "longer than the pool's staleness_bound");
     co_return co_await forward(to, std::move(request), target->path);
 }
 
--- a/src/libpeer/control_client.cpp
+++ b/src/libpeer/control_client.cpp
@@ -30,11 +30,13 @@
 
     core(
         asio::any_io_executor run_on, const endpoint& control,
-        std::string node_name, table_handler table, link_handler link)
+        std::string node_name, table_handler table, link_handler link,
+        confirmation_handler confirmation)
         : executor(std::move(run_on)),
           node(std::move(node_name)),
           on_table(std::move(table)),
           on_link(std::move(link)),
+          on_confirmation(std::move(confirmation)),
           timer(executor),
           stub(wire::control::NewStub(grpc::CreateChannel(
               to_string(control), grpc::InsecureChannelCredentials())))
@@ -43,11 +45,13 @@
     void subscribe();
     void subscribe_later();
     void stream_ended();
+    void take(const wire::routing_table& message);
 
     asio::any_io_executor executor;
     std::string node;
     table_handler on_table;
     link_handler on_link;
+    confirmation_handler on_confirmation;
     asio::steady_timer timer;
     std::unique_ptr<wire::control::Stub> stub;
     std::chrono::milliseconds backoff = shortest_backoff;
@@ -85,13 +89,9 @@
     {
         if (!ok)
             return;
-        asio::post(
-            owner_->executor,
-            [owner = owner_, table = from_wire(table_)]() mutable {
-                owner->backoff = shortest_backoff;
-                owner->on_link(true);
-                owner->on_table(std::move(table));
-            });
+        asio::post(owner_->executor, [owner = owner_, message = table_]() {
+            owner->take(message);
+        });
         StartRead(&table_);
     }
 
@@ -114,6 +114,17 @@
     wire::routing_table table_;
 };
 
+void control_client::core::take(const wire::routing_table& message)
+{
+    backoff = shortest_backoff;
+    on_link(true);
+    if (!message.confirmation_only())
+        on_table(from_wire(message));
+    else if (on_confirmation)
+        on_confirmation(std::chrono::steady_clock::time_point(
+            std::chrono::milliseconds(message.confirmed_ms())));
+}
+
 void control_client::core::subscribe()
 {
     const std::scoped_lock lock(mutex);
@@ -143,10 +154,11 @@
 
 control_client::control_client(
     asio::any_io_executor executor, const endpoint& control, std::string node,
-    table_handler on_table, link_handler on_link)
+    table_handler on_table, link_handler on_link,
+    confirmation_handler on_confirmation)
     : core_(std::make_shared<core>(
           std::move(executor), control, std::move(node), std::move(on_table),
-          std::move(on_link)))
+          std::move(on_link), std::move(on_confirmation)))
 {}
 
 control_client::~control_client()
--- a/src/libpeer/control_server.cpp
+++ b/src/libpeer/control_server.cpp
@@ -27,6 +27,8 @@
     std::mutex mutex;
     shared_table newest;
     std::uint64_t version = 0;
+    shared_table confirmation;
+    std::uint64_t confirmations = 0;
     std::set<subscriber*> subscribers;
 };
 
@@ -46,12 +48,18 @@
     // hub's mutex must be held.
     void write_newest()
     {
-        if (writing_ || finished_ || !hub_.newest || sent_ == hub_.version)
+        if (writing_ || finished_)
             return;
-        writing_ = true;
-        sent_ = hub_.version;
-        in_transfer_ = hub_.newest;
-        StartWrite(in_transfer_.get());
+        if (hub_.newest && sent_ != hub_.version)
+        {
+            sent_ = hub_.version;
+            write(hub_.newest);
+        }
+        else if (hub_.confirmation && confirmed_ != hub_.confirmations)
+        {
+            confirmed_ = hub_.confirmations;
+            write(hub_.confirmation);
+        }
     }
 
     void OnWriteDone(bool ok) override
@@ -81,6 +89,13 @@
     }
 
 private:
+    void write(shared_table message)
+    {
+        writing_ = true;
+        in_transfer_ = std::move(message);
+        StartWrite(in_transfer_.get());
+    }
+
     void finish()
     {
         if (!std::exchange(finished_, true))
@@ -91,6 +106,7 @@
     gauge& open_;
     shared_table in_transfer_;
     std::uint64_t sent_ = 0;
+    std::uint64_t confirmed_ = 0;
     bool writing_ = false;
     bool finished_ = false;
 };
@@ -158,6 +174,21 @@
         open->write_newest();
 }
 
+void control_server::confirm(std::chrono::steady_clock::time_point when)
+{
+    auto message = std::make_shared<wire::routing_table>();
+    message->set_confirmation_only(true);
+    message->set_confirmed_ms(
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            when.time_since_epoch())
+            .count());
+    const std::scoped_lock lock(core_->shared.mutex);
+    core_->shared.confirmation = std::move(message);
+    ++core_->shared.confirmations;
+    for (auto* open : core_->shared.subscribers)
+        open->write_newest();
+}
+
 void control_server::stop()
 {
     if (!core_->server)
--- a/src/tack-entry/main.cpp
+++ b/src/tack-entry/main.cpp
@@ -78,7 +78,8 @@
     control_client control(
         executor, settings.control.address, settings.node.name,
         [&](routing_table table) { service.set_table(std::move(table)); },
-        [&](bool connected) { linked.set(connected ? 1 : 0); });
+        [&](bool connected) { linked.set(connected ? 1 : 0); },
+        [&](auto when) { service.set_confirmed(when); });
 
     announce("callers", callers.listen(settings.callers.listen));
     announce("admin", admin.listen(settings.admin.listen));
