Follow peers while the log can't be read

Cause: a node cut off from the log stood still, and its entry process could not know the state's age. Change: peers are asked over gRPC for the records behind the own offsets and for the age of their confirmation; the stand-in has a second address that can be cut off alone.

--- a/src/include/dandeliontack/control_node.hpp
+++ b/src/include/dandeliontack/control_node.hpp
@@ -8,6 +8,7 @@
 #include <dandeliontack/log_client.hpp>
 #include <dandeliontack/log_order.hpp>
 #include <dandeliontack/metrics.hpp>
+#include <dandeliontack/peer_client.hpp>
 #include <dandeliontack/proposer.hpp>
 #include <dandeliontack/reducer.hpp>
 
@@ -128,6 +129,11 @@
     boost::asio::awaitable<void> keep_membership();
     void join_if_missing();
     void propose_membership();
+    boost::asio::awaitable<void> relay_from_peers();
+    const member* next_peer();
+    void take_relayed(const relayed_records& got);
+    void take_record(
+        log_stream stream, std::uint64_t offset, const std::string& record);
     void publish_routing();
     void confirm_fresh(std::chrono::steady_clock::time_point when);
     std::chrono::milliseconds ordering_delay() const;
@@ -150,6 +156,9 @@
     std::deque<record_key> outcome_age_;
     std::vector<applied_handler> observers_;
     endpoint peer_address_;
+    peer_client peers_;
+    incarnation last_asked_;
+    std::chrono::steady_clock::time_point log_confirmed_;
     std::chrono::steady_clock::time_point snapshot_proposed_;
     std::uint64_t snapshot_proposed_end_ = 0;
     bool caught_up_ = false;
--- a/src/include/dandeliontack/control_server.hpp
+++ b/src/include/dandeliontack/control_server.hpp
@@ -2,6 +2,7 @@
 
 #include <dandeliontack/endpoint.hpp>
 #include <dandeliontack/metrics.hpp>
+#include <dandeliontack/relay_buffer.hpp>
 #include <dandeliontack/routing.hpp>
 
 #include <chrono>
@@ -33,6 +34,9 @@
     /// as a time of the host's monotonic clock.
     void confirm(std::chrono::steady_clock::time_point when);
 
+    /// The records that peers may ask this process for.
+    relay_buffer& relay();
+
     /// Ends all streams and stops serving.
     void stop();
 
--- a/src/libcontrol/control_node.cpp
+++ b/src/libcontrol/control_node.cpp
@@ -61,7 +61,8 @@
       proposals_(
           executor_, log, log_stream::system, make_incarnation(), metrics),
       leadership_(proposals_.writer(), settings_.leadership),
-      unordered_(executor_)
+      unordered_(executor_),
+      peers_(executor_)
 {}
 
 void control_node::start(const endpoint& peer_address)
@@ -72,6 +73,7 @@
     asio::co_spawn(executor_, poll_hosts(), asio::detached);
     asio::co_spawn(executor_, order_operators(), asio::detached);
     asio::co_spawn(executor_, keep_membership(), asio::detached);
+    asio::co_spawn(executor_, relay_from_peers(), asio::detached);
     asio::co_spawn(executor_, proposals_.run(), asio::detached);
 }
 
@@ -170,7 +172,10 @@
         take_batch(stream, *batch);
         if (stream == log_stream::system &&
             order_.next_offset(stream) >= batch->end)
+        {
+            log_confirmed_ = asked;
             confirm_fresh(asked);
+        }
         wait = settings_.log.poll;
     }
 }
@@ -185,7 +190,7 @@
     }
     auto offset = batch.first_offset;
     for (const auto& record : batch.records)
-        order_.push(decode_record(stream, offset++, record));
+        take_record(stream, offset++, record);
     apply_ready();
     if (stream == log_stream::system && order_.next_offset(stream) >= batch.end)
     {
@@ -299,7 +304,76 @@
 void control_node::confirm_fresh(std::chrono::steady_clock::time_point when)
 {
     if (gap_.empty() && order_.ordered_end() <= state_.order.operators_end)
+    {
         server_.confirm(when);
+        server_.relay().confirm(when);
+    }
+}
+
+void control_node::take_record(
+    log_stream stream, std::uint64_t offset, const std::string& record)
+{
+    if (order_.push(decode_record(stream, offset, record)))
+        server_.relay().keep(stream, offset, record);
+}
+
+// The member behind the one that was asked last, around the list; null where
+// this node is alone.
+const member* control_node::next_peer()
+{
+    const auto& nodes = state_.membership.nodes;
+    auto next = nodes.upper_bound(last_asked_);
+    for (std::size_t tried = 0; tried < nodes.size(); ++tried, ++next)
+    {
+        if (next == nodes.end())
+            next = nodes.begin();
+        if (next->first == self())
+            continue;
+        last_asked_ = next->first;
+        return &next->second;
+    }
+    return nullptr;
+}
+
+void control_node::take_relayed(const relayed_records& got)
+{
+    if (!gap_.empty() || stopping_)
+        return;
+    const auto system_from = order_.next_offset(log_stream::system);
+    const auto operators_from = order_.next_offset(log_stream::operators);
+    // A reply that comes late begins at offsets that were passed meanwhile.
+    const bool current =
+        got.system_from == system_from && got.operators_from == operators_from;
+    if (!current)
+        return;
+    auto offset = system_from;
+    for (const auto& record : got.system)
+        take_record(log_stream::system, offset++, record);
+    offset = operators_from;
+    for (const auto& record : got.operators)
+        take_record(log_stream::operators, offset++, record);
+    apply_ready();
+    metrics_.get_counter("tack_records_relayed_total")
+        .add(got.system.size() + got.operators.size());
+    if (order_.next_offset(log_stream::system) >= got.system_end)
+        confirm_fresh(got.confirmed);
+}
+
+// While the log does not answer, peers may still read it.
+asio::awaitable<void> control_node::relay_from_peers()
+{
+    const auto interval = settings_.leadership.heartbeat;
+    while (!stopping_)
+    {
+        co_await pause_for(executor_, interval / 2);
+        const auto silent = std::chrono::steady_clock::now() - log_confirmed_;
+        const auto* peer = silent > 2 * interval ? next_peer() : nullptr;
+        if (peer && caught_up_)
+            peers_.ask(
+                peer->peer_address, order_.next_offset(log_stream::system),
+                order_.next_offset(log_stream::operators), interval,
+                [this](const relayed_records& got) { take_relayed(got); });
+    }
 }
 
 // The leader writes the state to the log well before the log drops the records
--- a/src/libpeer/control_server.cpp
+++ b/src/libpeer/control_server.cpp
@@ -1,4 +1,5 @@
 #include "control.grpc.pb.h"
+#include "peer.grpc.pb.h"
 #include "routing_codec.hpp"
 #include <dandeliontack/control_server.hpp>
 
@@ -17,6 +18,9 @@
 
 constexpr auto shutdown_patience = std::chrono::milliseconds(500);
 
+// The most records of one stream in a reply to a peer.
+constexpr std::size_t largest_relay = 256;
+
 using shared_table = std::shared_ptr<const wire::routing_table>;
 
 class subscriber;
@@ -130,14 +134,49 @@
     gauge& open_;
 };
 
+class peer_service final : public wire::peer::CallbackService
+{
+public:
+    explicit peer_service(const relay_buffer& records) : records_(records) {}
+
+    grpc::ServerUnaryReactor* relay(
+        grpc::CallbackServerContext* context,
+        const wire::relay_request* request, wire::relay_reply* reply) override
+    {
+        // The age is taken first, so that it holds for all that follows.
+        const auto age =
+            std::chrono::steady_clock::now() - records_.confirmed();
+        reply->set_confirmed_age_ms(static_cast<std::uint64_t>(
+            std::chrono::ceil<std::chrono::milliseconds>(age).count()));
+        reply->set_system_end(records_.end(log_stream::system));
+        for (auto& record : records_.read(
+                 log_stream::system, request->system_from(), largest_relay))
+            reply->add_system(std::move(record));
+        for (auto& record : records_.read(
+                 log_stream::operators, request->operators_from(),
+                 largest_relay))
+            reply->add_operators(std::move(record));
+        auto* reactor = context->DefaultReactor();
+        reactor->Finish(grpc::Status::OK);
+        return reactor;
+    }
+
+private:
+    const relay_buffer& records_;
+};
+
 } // namespace
 
 struct control_server::core
 {
-    explicit core(metric_registry& metrics) : service(shared, metrics) {}
+    explicit core(metric_registry& metrics)
+        : service(shared, metrics), peers(records)
+    {}
 
     hub shared;
+    relay_buffer records;
     control_service service;
+    peer_service peers;
     std::unique_ptr<grpc::Server> server;
 };
 
@@ -158,6 +197,7 @@
         to_string(where), grpc::InsecureServerCredentials(), &port);
     builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
     builder.RegisterService(&core_->service);
+    builder.RegisterService(&core_->peers);
     core_->server = builder.BuildAndStart();
     if (!core_->server || port == 0)
         throw std::runtime_error("can't listen on " + to_string(where));
@@ -189,6 +229,11 @@
         open->write_newest();
 }
 
+relay_buffer& control_server::relay()
+{
+    return core_->records;
+}
+
 void control_server::stop()
 {
     if (!core_->server)
--- a/src/proto/regenerate.sh
+++ b/src/proto/regenerate.sh
@@ -10,7 +10,7 @@
 fi
 plugin=$(command -v grpc_cpp_plugin)
 protoc -I. --cpp_out="$out" ./*.proto
-protoc -I. --grpc_out="$out" --plugin=protoc-gen-grpc="$plugin" control.proto
+protoc -I. --grpc_out="$out" --plugin=protoc-gen-grpc="$plugin" control.proto peer.proto
 if [[ "${1:-}" == --check ]]; then
     diff -r --exclude=CMakeLists.txt "$out" ../generated
     echo "generated code is current"
--- a/testsuite/harness/cluster.cpp
+++ b/testsuite/harness/cluster.cpp
@@ -115,6 +115,8 @@
           folder.path() / "platform.log")
 {
     platform_address = platform_.address_of("platform");
+    second_address = platform_.address_of("second");
+    control_platform = platform_address;
 }
 
 void cluster::add_worker(
@@ -152,7 +154,7 @@
 control_process&
 cluster::add_control(const std::string& name, const std::string& extra)
 {
-    const auto platform = to_string(platform_address);
+    const auto platform = to_string(control_platform);
     const auto settings = folder.write(
         name + ".ini", node_section(name) + "[log]\naddress = " + platform +
                            "\n[hosts]\naddress = " + platform +
--- a/testsuite/harness/cluster.hpp
+++ b/testsuite/harness/cluster.hpp
@@ -108,6 +108,10 @@
     std::map<std::string, child_process> workers;
     std::map<std::string, endpoint> worker_addresses;
     endpoint platform_address;
+    /// The platform's second address, which can be cut off alone.
+    endpoint second_address;
+    /// Where control processes reach the platform.
+    endpoint control_platform;
     temporary_folder folder;
 
 private:
--- a/testsuite/standins/platform/main.cpp
+++ b/testsuite/standins/platform/main.cpp
@@ -9,6 +9,8 @@
 //   hold           keeps the first append with a record of the writer
 //                  `writer=INCARNATION` under a term until `release`
 //   release        carries out what is held
+//   cut-second     closes connections to the second address
+//   mend-second    serves there again
 //   trim           drops records of a stream below an offset, once
 
 #include "log.pb.h"
@@ -91,6 +93,17 @@
         co_return plain(http::status::not_found);
     }
 
+    // The same service at an address of its own, which can be cut off.
+    asio::awaitable<http_response> handle_second(http_request request)
+    {
+        if (second_cut_)
+            throw no_answer();
+        auto response = co_await handle(std::move(request));
+        if (second_cut_)
+            throw no_answer();
+        co_return response;
+    }
+
 private:
     asio::awaitable<http_response>
     log_call(stream_store& stream, http_request request);
@@ -110,6 +123,7 @@
     stream_store system_;
     std::string mode_ = "none";
     std::chrono::milliseconds delay_{};
+    bool second_cut_ = false;
     std::string held_writer_;
     unsigned held_ = 0;
     std::map<std::string, json::object> hosts_;
@@ -207,6 +221,11 @@
         held_writer_ = query_value(target, "writer");
         return plain(http::status::ok);
     }
+    if (mode == "cut-second" || mode == "mend-second")
+    {
+        second_cut_ = mode == "cut-second";
+        return plain(http::status::ok);
+    }
     mode_ = mode;
     delay_ = std::chrono::milliseconds(number(target, "ms"));
     return plain(http::status::ok);
@@ -256,6 +275,11 @@
         });
     const auto where = parse_endpoint(absl::GetFlag(FLAGS_listen));
     announce("platform", server.listen(where.value()));
+    http_server second(
+        context.get_executor(), limits, metrics, [&](http_request request) {
+            return service.handle_second(std::move(request));
+        });
+    announce("second", second.listen({where.value().address, 0}));
     asio::co_spawn(context, wait_for_stop_signal(), [&](std::exception_ptr) {
         context.stop();
     });
