End calls to peers before their executor goes

Cause: a call that ended while the process stopped would post to an executor that was gone. Change: the client cancels its calls and waits for them.

--- a/src/libpeer/peer_client.cpp
+++ b/src/libpeer/peer_client.cpp
@@ -4,7 +4,10 @@
 #include <boost/asio/post.hpp>
 #include <grpcpp/grpcpp.h>
 
+#include <condition_variable>
 #include <map>
+#include <mutex>
+#include <set>
 #include <utility>
 
 namespace dandeliontack
@@ -46,6 +49,22 @@
     asio::any_io_executor executor;
     std::map<endpoint, std::unique_ptr<wire::peer::Stub>> stubs;
 
+    // Guards the calls under way, which gRPC's threads end.
+    std::mutex mutex;
+    std::condition_variable idle;
+    std::set<std::shared_ptr<call>> calls;
+
+    void
+    finish(const std::shared_ptr<call>& done, bool ok, const handler& on_reply)
+    {
+        if (ok)
+            asio::post(
+                executor, [done, on_reply] { on_reply(interpret(*done)); });
+        const std::scoped_lock lock(mutex);
+        calls.erase(done);
+        idle.notify_all();
+    }
+
     wire::peer::Stub& stub_of(const endpoint& peer)
     {
         auto& stub = stubs[peer];
@@ -57,10 +76,19 @@
 };
 
 peer_client::peer_client(asio::any_io_executor executor)
-    : core_(std::make_unique<core>(core{std::move(executor), {}}))
-{}
+    : core_(std::make_unique<core>())
+{
+    core_->executor = std::move(executor);
+}
 
-peer_client::~peer_client() = default;
+// A call that ended later would post to an executor that may be gone.
+peer_client::~peer_client()
+{
+    std::unique_lock lock(core_->mutex);
+    for (const auto& open : core_->calls)
+        open->context.TryCancel();
+    core_->idle.wait(lock, [&] { return core_->calls.empty(); });
+}
 
 void peer_client::ask(
     const endpoint& peer, std::uint64_t system_from,
@@ -71,13 +99,15 @@
     now->context.set_deadline(std::chrono::system_clock::now() + timeout);
     now->request.set_system_from(system_from);
     now->request.set_operators_from(operators_from);
+    {
+        const std::scoped_lock lock(core_->mutex);
+        core_->calls.insert(now);
+    }
     core_->stub_of(peer).async()->relay(
         &now->context, &now->request, &now->reply,
-        [now, executor = core_->executor,
+        [now, owner = core_.get(),
          on_reply = std::move(on_reply)](const grpc::Status& status) {
-            if (status.ok())
-                asio::post(
-                    executor, [now, on_reply] { on_reply(interpret(*now)); });
+            owner->finish(now, status.ok(), on_reply);
         });
 }
 
