--- a/src/libdecide/reduce_membership.cpp
+++ b/src/libdecide/reduce_membership.cpp
@@ -34,11 +34,11 @@
     const auto known = s.nodes.find(e.node);
     if (known == s.nodes.end())
         return;
-    const bool by_itself = origin.writer == e.node;
-    // Without a term it isn't the leader's record; with one, the fence has
-    // checked it already.
-    const bool by_leader = origin.term != 0;
-    if (!by_itself && !(by_leader && known->second.heard_at == e.heard_at))
+    // A record without a term isn't the leader's; the fence has checked any
+    // other.
+    const bool by_leader =
+        origin.term != 0 && known->second.heard_at == e.heard_at;
+    if (origin.writer != e.node && !by_leader)
         return;
     s.nodes.erase(known);
     if (s.term.leader == e.node)
