--- a/src/include/dandeliontack/routing.hpp
+++ b/src/include/dandeliontack/routing.hpp
@@ -68,7 +68,7 @@
 };
 
 /// Joins the state with the host list: a service's upstreams are the hosts of
-/// its pool that are listed as live.
+/// its pool that are serving in the state and listed as live.
 routing_table
 make_routing_table(const state& s, const std::vector<listed_host>& hosts);
 
--- a/src/libdecide/config_pool.cpp
+++ b/src/libdecide/config_pool.cpp
@@ -46,6 +46,13 @@
     h.add(config.budget_hosts);
     h.add(config.staleness_bound);
     h.add(config.when_stale);
+    h.add(config.budget_share);
+    h.add_range(config.budget_windows);
+    h.add(config.reserve_hosts);
+    h.add(config.reserve_rack);
+    h.add(config.spare);
+    h.add(config.drain_time);
+    h.add(config.borrow_time);
 }
 
 } // namespace dandeliontack
--- a/src/libdecide/domains.hpp
+++ b/src/libdecide/domains.hpp
@@ -29,6 +29,13 @@
 void apply(const reduce_context& context, const fleet_event& e);
 void apply(const reduce_context& context, const job_event& e);
 
+// What a published value changes besides its being in force.
+void adopt(const reduce_context& context, const pool_config& config);
+void adopt(const reduce_context& context, const wave_config& config);
+template <class Config>
+void adopt(const reduce_context&, const Config&)
+{}
+
 // Feeds a part of the state to the hash; in the file of its domain.
 void feed(hasher& h, const order_state& s);
 void feed(hasher& h, const config_state& s);
--- a/src/libdecide/reduce_config.cpp
+++ b/src/libdecide/reduce_config.cpp
@@ -53,6 +53,7 @@
     map.insert_or_assign(
         key,
         in_force<Config>{e.config, revision + 1, context.cause.origin.offset});
+    adopt(context, e.config);
     context.todo.emplace_back(config_accepted{subject, revision + 1});
     context.todo.emplace_back(routing_changed{});
 }
--- a/src/libdecide/routing.cpp
+++ b/src/libdecide/routing.cpp
@@ -20,12 +20,14 @@
     return index;
 }
 
-std::vector<upstream>
-upstreams_of(const pool_config& pool, const host_index& live)
+std::vector<upstream> upstreams_of(
+    const fleet_state& fleet, const std::string& pool, const host_index& live)
 {
     std::vector<upstream> found;
-    for (const auto& name : pool.hosts)
+    for (const auto& [name, record] : fleet.hosts)
     {
+        if (record.pool != pool || record.phase != host_phase::serving)
+            continue;
         const auto host = live.find(name);
         if (host != live.end())
             found.push_back(
@@ -50,9 +52,10 @@
             continue;
         const auto& config = pool->second.config;
         table.routes.emplace(
-            key, route{
-                     service.config, service.revision, config.staleness_bound,
-                     config.when_stale, upstreams_of(config, live)});
+            key,
+            route{
+                service.config, service.revision, config.staleness_bound,
+                config.when_stale, upstreams_of(s.fleet, config.name, live)});
     }
     return table;
 }
