Carry out host commands and prove a wave and a move with whole processes

Cause: effects for hosts reached nobody.

Change: effect_runner sends what the state wants of each host while its node leads, with (term, offset) as fencing token, and every node records that it applied a departure. The platform's stand-in takes the commands, fences them and keeps how many hosts were live after each.

Without the budget check fleet_wave fails: 2 hosts live where 3 are promised.

--- a/src/tack-control/main.cpp
+++ b/src/tack-control/main.cpp
@@ -1,5 +1,7 @@
 #include <dandeliontack/capacity_duty.hpp>
 #include <dandeliontack/control_node.hpp>
+#include <dandeliontack/effect_runner.hpp>
+#include <dandeliontack/http_platform_commands.hpp>
 #include <dandeliontack/program.hpp>
 
 #include <absl/flags/flag.h>
@@ -18,6 +20,7 @@
 namespace asio = boost::asio;
 
 constexpr auto planning_interval = std::chrono::milliseconds(200);
+constexpr auto effects_interval = std::chrono::milliseconds(50);
 constexpr auto stop_patience = std::chrono::seconds(2);
 
 asio::awaitable<void> run_until_stopped(
@@ -45,6 +48,9 @@
     control_server server(metrics);
     control_node node(executor, settings, *log, *hosts, server, metrics);
     capacity_duty capacity(executor, node, planning_interval);
+    const auto platform = make_http_platform_commands(
+        executor, settings.hosts.address, settings.hosts.timeout);
+    effect_runner runner(executor, node, *platform, effects_interval);
     http_server admin(
         executor, {}, metrics,
         admin_pages(
@@ -55,6 +61,7 @@
     announce("admin", admin.listen(settings.admin.listen));
     node.start(peer_address);
     asio::co_spawn(executor, capacity.run(), asio::detached);
+    asio::co_spawn(executor, runner.run(), asio::detached);
     out.info("Started ", settings.node.name, ".");
     asio::co_spawn(
         executor, run_until_stopped(node, admin, server),
--- a/testsuite/standins/platform/main.cpp
+++ b/testsuite/standins/platform/main.cpp
@@ -5,8 +5,10 @@
 //   cut            closes log connections without an answer, nothing done
 //   slow           answers log calls after `ms`
 //   lose-answers   carries out appends but closes the connection
+//   (list and commands work on)
 //   trim           drops records of a stream below an offset, once
 
+#include "host_store.hpp"
 #include "log.pb.h"
 #include "stream_store.hpp"
 #include <dandeliontack/program.hpp>
@@ -21,6 +23,9 @@
 #include <map>
 
 ABSL_FLAG(std::string, listen, "127.0.0.1:0", "Where to serve.");
+ABSL_FLAG(
+    absl::Duration, reboot_time, absl::Milliseconds(200),
+    "How long a host is gone that was told to reboot.");
 ABSL_FLAG(
     absl::Duration, list_lag, absl::ZeroDuration(),
     "How late the host list shows a change.");
@@ -62,7 +67,10 @@
         : executor_(executor),
           lag_(lag),
           operators_(executor),
-          system_(executor)
+          system_(executor),
+          commands_(
+              executor, hosts_,
+              absl::ToChronoMilliseconds(absl::GetFlag(FLAGS_reboot_time)))
     {}
 
     asio::awaitable<http_response> handle(http_request request)
@@ -75,6 +83,12 @@
             co_return co_await log_call(system_, std::move(request));
         if (path == "/hosts")
             co_return list_hosts();
+        if (path == "/commands")
+            co_return make_response(
+                http::status::ok, "application/json",
+                json::serialize(commands_.history()));
+        if (path.starts_with("/hosts/") && path.ends_with("/commands"))
+            co_return commands_.take(path, request.body());
         if (path.starts_with("/hosts/"))
             co_return change_host(path.substr(7), request);
         if (path == "/fault")
@@ -100,6 +114,7 @@
     std::string mode_ = "none";
     std::chrono::milliseconds delay_{};
     std::map<std::string, json::object> hosts_;
+    standins::host_commands commands_;
 };
 
 asio::awaitable<http_response>
