--- /dev/null
+++ b/src/libdecide/job_hosts.cpp
@@ -0,0 +1,131 @@
+#include "job_hosts.hpp"
+
+#include <algorithm>
+#include <iterator>
+
+namespace dandeliontack
+{
+
+namespace
+{
+
+bool is_live(const state& s, const std::string& host)
+{
+    const auto found = s.fleet.hosts.find(host);
+    return found != s.fleet.hosts.end() &&
+           found->second.listed == listing::live;
+}
+
+job_size
+value_of(const std::map<std::string, job_size>& sums, const std::string& key)
+{
+    const auto found = sums.find(key);
+    return found == sums.end() ? job_size{} : found->second;
+}
+
+} // namespace
+
+std::vector<std::string> hosts_for_jobs(const state& s, const std::string& pool)
+{
+    std::vector<std::string> hosts;
+    const auto found = s.config.pools.find(pool);
+    if (found != s.config.pools.end())
+        std::ranges::copy_if(
+            found->second.config.hosts, std::back_inserter(hosts),
+            [&](const auto& host) {
+                return is_live(s, host) && !is_suspected(s, host);
+            });
+    return hosts;
+}
+
+bool takes_jobs(
+    const state& s, const std::string& pool, const std::string& host)
+{
+    const auto hosts = hosts_for_jobs(s, pool);
+    return std::ranges::find(hosts, host) != hosts.end();
+}
+
+const pool_config* pool_of_host(const state& s, const std::string& host)
+{
+    const auto found = std::ranges::find_if(s.config.pools, [&](auto& item) {
+        const auto& hosts = item.second.config.hosts;
+        return std::ranges::find(hosts, host) != hosts.end();
+    });
+    return found == s.config.pools.end() ? nullptr : &found->second.config;
+}
+
+bool may_suspect_one(const state& s, const pool_config& pool)
+{
+    return hosts_for_jobs(s, pool.name).size() > pool.budget_hosts;
+}
+
+job_size capacity_of(const host_record& host)
+{
+    return {host.processors, host.memory_mb, host.accelerators};
+}
+
+job_size free_room(const state& s, const std::string& host)
+{
+    const auto found = s.fleet.hosts.find(host);
+    if (found == s.fleet.hosts.end())
+        return {};
+    return remaining(
+        capacity_of(found->second), value_of(s.jobs.held_on_host, host));
+}
+
+job_size quota_of(const state& s, const std::string& team)
+{
+    const auto found = s.config.teams.find(team);
+    if (found == s.config.teams.end())
+        return {};
+    const auto& config = found->second.config;
+    return {
+        config.quota_processors, config.quota_memory_mb,
+        config.quota_accelerators};
+}
+
+job_size held_by(const state& s, const std::string& team)
+{
+    return value_of(s.jobs.held_by_team, team);
+}
+
+bool could_fit_pool(
+    const state& s, const std::string& pool, const job_size& size)
+{
+    const auto found = s.config.pools.find(pool);
+    if (found == s.config.pools.end())
+        return false;
+    return std::ranges::any_of(
+        found->second.config.hosts, [&](const auto& name) {
+            const auto host = s.fleet.hosts.find(name);
+            return host == s.fleet.hosts.end() ||
+                   fits(size, capacity_of(host->second));
+        });
+}
+
+bool is_suspected(const state& s, const std::string& host)
+{
+    const auto found = s.jobs.failures.find(host);
+    return found != s.jobs.failures.end() && found->second.suspected;
+}
+
+std::size_t failures_on(const state& s, const std::string& host)
+{
+    const auto found = s.jobs.failures.find(host);
+    return found == s.jobs.failures.end() ? 0 : found->second.jobs.size();
+}
+
+bool fails_everywhere(
+    const state& s, const std::string& pool, const job_record& job)
+{
+    const auto known = s.config.pools.find(pool);
+    const auto hosts =
+        known == s.config.pools.end() ? 1 : known->second.config.hosts.size();
+    return job.failures >= failures_to_blame &&
+           job.failed_on.size() >= std::min(failures_to_blame, hosts) &&
+           !std::ranges::all_of(job.failed_on, [&](const auto& host) {
+               return is_suspected(s, host);
+           });
+}
+
+} // namespace dandeliontack
