--- a/src/libdecide/config_job.cpp
+++ b/src/libdecide/config_job.cpp
@@ -15,6 +15,14 @@
         return "there is no team " + config.team;
     if (!s.config.pools.contains(config.pool))
         return "there is no pool " + config.pool;
+    const auto known = s.config.jobs.find(config.name);
+    if (known == s.config.jobs.end() || config.cancelled)
+        return {};
+    const auto job = s.jobs.jobs.find(config.name);
+    const bool runs = job != s.jobs.jobs.end() && holds_host(job->second.phase);
+    const auto& old = known->second.config;
+    if (runs && (old.team != config.team || old.pool != config.pool))
+        return "its team and pool can't change while it runs";
     return {};
 }
 
--- a/src/libdecide/config_team.cpp
+++ b/src/libdecide/config_team.cpp
@@ -1,6 +1,8 @@
 #include "certify.hpp"
 #include "domains.hpp"
 
+#include <algorithm>
+
 namespace dandeliontack
 {
 
@@ -9,8 +11,18 @@
     return "team " + config.name;
 }
 
-std::string certify(const state& /*s*/, const team_config& /*config*/)
+std::string certify(const state& s, const team_config& config)
 {
+    const job_size quota{
+        config.quota_processors, config.quota_memory_mb,
+        config.quota_accelerators};
+    const auto larger = std::ranges::find_if(s.jobs.jobs, [&](auto& item) {
+        const auto& job = item.second;
+        return holds_host(job.phase) && job.team == config.name &&
+               !fits(job.held, quota);
+    });
+    if (larger != s.jobs.jobs.end())
+        return "the quota is below the size of running job " + larger->first;
     return {};
 }
 
--- a/src/libplatform/config_job.cpp
+++ b/src/libplatform/config_job.cpp
@@ -14,6 +14,12 @@
     check_name(subject, "team", config.team, found);
     check_name(subject, "pool", config.pool, found);
     check_name(subject, "kind", config.kind, found);
+    if (config.processors == 0)
+        found.push_back({"", 0, subject, "processors must not be zero"});
+    if (config.memory_mb == 0)
+        found.push_back({"", 0, subject, "memory_mb must not be zero"});
+    if (config.run_time.count() <= 0)
+        found.push_back({"", 0, subject, "run_time must be above zero"});
     if (config.priority > job_class::deferrable)
         found.push_back({"", 0, subject, "priority is not a known class"});
     return found;
--- a/src/libplatform/config_team.cpp
+++ b/src/libplatform/config_team.cpp
@@ -9,7 +9,12 @@
 findings check(const team_config& config)
 {
     findings found;
-    check_name(subject_of(config), "name", config.name, found);
+    const auto subject = subject_of(config);
+    check_name(subject, "name", config.name, found);
+    if (config.quota_processors == 0)
+        found.push_back({"", 0, subject, "quota_processors must not be zero"});
+    if (config.quota_memory_mb == 0)
+        found.push_back({"", 0, subject, "quota_memory_mb must not be zero"});
     return found;
 }
 
