Report failing jobs where few hosts take jobs

Change: a job that failed six times and on all hosts that take jobs of its pool is reported too. The case is kept as a test.

--- a/src/libdecide/job_hosts.cpp
+++ b/src/libdecide/job_hosts.cpp
@@ -118,13 +118,16 @@
 bool fails_everywhere(
     const state& s, const std::string& pool, const job_record& job)
 {
-    const auto known = s.config.pools.find(pool);
-    const auto hosts =
-        known == s.config.pools.end() ? 1 : known->second.config.hosts.size();
-    return job.failures >= failures_to_blame &&
-           job.failed_on.size() >= std::min(failures_to_blame, hosts) &&
-           !std::ranges::all_of(job.failed_on, [&](const auto& host) {
-               return is_suspected(s, host);
+    const auto suspected = [&](const auto& host) {
+        return is_suspected(s, host);
+    };
+    if (std::ranges::all_of(job.failed_on, suspected))
+        return false;
+    if (job.failed_on.size() >= failures_to_blame)
+        return true;
+    return job.failures >= failures_to_blame_on_few_hosts &&
+           std::ranges::all_of(hosts_for_jobs(s, pool), [&](const auto& host) {
+               return job.failed_on.contains(host);
            });
 }
 
--- a/src/libdecide/job_hosts.hpp
+++ b/src/libdecide/job_hosts.hpp
@@ -12,6 +12,8 @@
 /// How many different jobs must fail on a host, and on how many different
 /// hosts a job must fail, before either is held responsible.
 constexpr std::size_t failures_to_blame = 3;
+/// How often a job must fail where fewer hosts than that take jobs.
+constexpr std::uint64_t failures_to_blame_on_few_hosts = 6;
 
 /// The hosts of a pool that may get new jobs: live and not suspected.
 std::vector<std::string>
@@ -44,8 +46,9 @@
 /// How many different jobs failed on the host since one finished there.
 std::size_t failures_on(const state& s, const std::string& host);
 
-/// Whether a job failed often enough, on enough hosts of its pool, not all of
-/// them suspected, to be held responsible itself.
+/// Whether a job is to be held responsible for its failures: it failed on
+/// several hosts, or again and again on all that take jobs of its pool, and
+/// not only on suspected ones.
 bool fails_everywhere(
     const state& s, const std::string& pool, const job_record& job);
 
--- a/src/libdecide/jobs_property_test.cpp
+++ b/src/libdecide/jobs_property_test.cpp
@@ -16,7 +16,9 @@
 
 std::uint64_t below(std::uint64_t end)
 {
-    return *rc::gen::inRange<std::uint64_t>(0, end);
+    // Alike at every size, so that short runs meet all faults too.
+    return *rc::gen::resize(
+        rc::kNominalSize, rc::gen::inRange<std::uint64_t>(0, end));
 }
 
 std::string job_name(std::uint64_t number)
@@ -24,9 +26,9 @@
     return "j" + std::to_string(number);
 }
 
-std::string any_job()
+std::string any_job(const driver& d)
 {
-    return job_name(below(24));
+    return job_name(below(d.s.config.jobs.size() + 1));
 }
 
 std::string any_host()
@@ -60,7 +62,7 @@
 
 void change_cancellation(driver& d)
 {
-    const auto name = any_job();
+    const auto name = any_job(d);
     if (d.s.config.jobs.contains(name))
         d.publish(name, below(2) == 0);
 }
@@ -84,7 +86,7 @@
 // The lease is often the present one, so that the record may hold.
 job_event any_record(const driver& d)
 {
-    const auto job = any_job();
+    const auto job = any_job(d);
     const auto known = d.s.jobs.jobs.find(job);
     auto lease = below(50);
     if (known != d.s.jobs.jobs.end() && below(2) == 0)
@@ -214,7 +216,7 @@
 {
     auto d = any_fleet();
     std::vector<event_body> saved;
-    const auto steps = below(60);
+    const auto steps = below(120);
     for (std::uint64_t i = 0; i < steps; ++i)
     {
         const auto before = d.s;
--- a/src/libdecide/jobs_test.cpp
+++ b/src/libdecide/jobs_test.cpp
@@ -75,6 +75,77 @@
     EXPECT_EQ(d.s.jobs, before);
 }
 
+TEST(jobs, a_placement_is_void_where_it_does_not_hold)
+{
+    auto d = make_driver(1);
+    add_team(d, "small", {8, 1000, 0});
+    add_job(d, make_job("a"));
+    add_job(d, make_job("b"));
+    add_job(d, make_job("c", 1, job_class::normal, "small"));
+    const auto place = [&](const std::string& job, std::uint64_t processors,
+                           const std::string& host = "p-0") {
+        return rejections(
+            d.append(job_event{job_placed{job, host, {processors, 100, 0}}}));
+    };
+    EXPECT_EQ(place("nobody", 1), 1U);
+    EXPECT_EQ(place("a", 1, "elsewhere"), 1U);
+    EXPECT_EQ(place("a", 0), 1U);
+    EXPECT_EQ(place("a", 17), 1U);
+    EXPECT_EQ(place("c", 9), 1U);
+    EXPECT_EQ(place("a", 9), 0U);
+    // Another leader's placement of the same job, and one without room now.
+    EXPECT_EQ(place("a", 1), 1U);
+    EXPECT_EQ(place("b", 8), 1U);
+    d.publish("b", true);
+    EXPECT_EQ(place("b", 1), 1U);
+    const auto lease = d.s.jobs.jobs.at("a").lease;
+    d.append(job_event{job_started{"a", lease}});
+    const auto resize = [&](std::uint64_t processors) {
+        return rejections(
+            d.append(job_event{job_resized{"a", lease, {processors, 100, 0}}}));
+    };
+    EXPECT_EQ(resize(17), 1U);
+    EXPECT_EQ(resize(16), 0U);
+}
+
+TEST(jobs, a_suspicion_is_void_where_it_does_not_hold)
+{
+    auto d = make_driver(2, 1);
+    const auto fail = [&](const std::string& job, const std::string& host) {
+        d.append(job_event{job_placed{job, host, {1, 100, 0}}});
+        d.append(job_event{job_failed{job, d.s.jobs.jobs.at(job).lease}});
+    };
+    for (const auto* job : {"a", "b", "c"})
+        add_job(d, make_job(job));
+    const auto suspect = [&](const std::string& host) {
+        return rejections(d.append(job_event{host_suspected{host}}));
+    };
+    fail("a", "p-0");
+    fail("b", "p-0");
+    EXPECT_EQ(suspect("p-0"), 1U);
+    fail("c", "p-0");
+    fail("a", "p-1");
+    EXPECT_EQ(suspect("p-0"), 0U);
+    EXPECT_EQ(suspect("p-0"), 1U);
+    fail("b", "p-1");
+    fail("c", "p-1");
+    // The budget keeps the last host.
+    EXPECT_EQ(suspect("p-1"), 1U);
+}
+
+TEST(jobs, the_hash_covers_leases_and_estimates)
+{
+    auto d = make_driver(1);
+    add_job(d, make_job("a"));
+    d.step(milliseconds(200));
+    auto other = d.s;
+    ++other.jobs.jobs.at("a").lease;
+    EXPECT_NE(hash_of(other), hash_of(d.s));
+    other = d.s;
+    other.jobs.kinds["kind"].peaks.push_back({1, 1, 1});
+    EXPECT_NE(hash_of(other), hash_of(d.s));
+}
+
 TEST(jobs, a_host_that_is_gone_ends_the_lease_and_only_then)
 {
     auto d = make_driver(2);
@@ -165,7 +236,9 @@
     for (int i = 0; i < 4; ++i)
         add_job(d, make_job("first" + std::to_string(i), 4), seconds(2 + i));
     d.step(milliseconds(200));
-    add_job(d, make_job("large", 16));
+    auto large = make_job("large", 16);
+    large.kind = "large";
+    add_job(d, large);
     for (int i = 0; i < 200 && !d.started.contains("large"); ++i)
     {
         if (i % 2 == 0)
@@ -263,6 +336,20 @@
     }));
 }
 
+// Found by the property test: with two of four hosts closed, a job that fails
+// everywhere never met a third and went on for ever.
+TEST(jobs, a_failing_job_is_reported_where_few_hosts_take_jobs)
+{
+    auto d = make_driver(4);
+    for (const auto* host : {"p-0", "p-1"})
+        d.append(fleet_event{
+            host_observed{host, listing::leaving, "dc", "rack", 16, 16000, 2}});
+    d.truth["bad"] = {{1, 1, 0}, seconds(1), true};
+    add_job(d, make_job("bad"));
+    EXPECT_TRUE(run_until_settled(d, 100));
+    EXPECT_EQ(phase_of(d.s, "bad"), job_phase::unrunnable);
+}
+
 TEST(jobs, a_host_on_which_different_jobs_fail_is_suspected_within_budget)
 {
     auto d = make_driver(3, 2);
