Bound reports a step and keep idle accelerators

Cause: thousands of jobs that can't run made as many proposals in one step, and a kind whose accelerators were idle when usage was taken would lose them. Change: 128 reports a step; at least one accelerator where one is declared. Host questions of the jobs stand in job_hosts.cpp alone.

--- a/src/libdecide/job_estimates.cpp
+++ b/src/libdecide/job_estimates.cpp
@@ -45,8 +45,14 @@
     const auto kind = s.jobs.kinds.find(config.kind);
     if (kind == s.jobs.kinds.end())
         return declared;
-    const auto learned = estimate(kind->second);
-    return learned && could_place(s, config, *learned) ? *learned : declared;
+    auto learned = estimate(kind->second);
+    if (!learned)
+        return declared;
+    // An accelerator that was idle when usage was taken is needed all the same.
+    learned->accelerators = std::max(
+        learned->accelerators,
+        std::min<std::uint64_t>(declared.accelerators, 1));
+    return could_place(s, config, *learned) ? *learned : declared;
 }
 
 } // namespace
--- a/src/libdecide/job_hosts.cpp
+++ b/src/libdecide/job_hosts.cpp
@@ -45,6 +45,23 @@
     return std::ranges::find(hosts, host) != hosts.end();
 }
 
+bool keeps_jobs(
+    const state& s, const std::string& pool, const std::string& host)
+{
+    const auto found = s.config.pools.find(pool);
+    if (found == s.config.pools.end() || !is_live(s, host))
+        return false;
+    const auto& hosts = found->second.config.hosts;
+    return std::ranges::find(hosts, host) != hosts.end();
+}
+
+bool is_gone(const state& s, const std::string& host)
+{
+    const auto found = s.fleet.hosts.find(host);
+    return found == s.fleet.hosts.end() ||
+           found->second.listed == listing::gone;
+}
+
 const pool_config* pool_of_host(const state& s, const std::string& host)
 {
     const auto found = std::ranges::find_if(s.config.pools, [&](auto& item) {
--- a/src/libdecide/job_hosts.hpp
+++ b/src/libdecide/job_hosts.hpp
@@ -23,6 +23,13 @@
 bool takes_jobs(
     const state& s, const std::string& pool, const std::string& host);
 
+/// Whether a job of the pool may stay on the host: live and still in the pool.
+bool keeps_jobs(
+    const state& s, const std::string& pool, const std::string& host);
+
+/// Whether the platform's list has dropped the host.
+bool is_gone(const state& s, const std::string& host);
+
 /// The pool that a host is in, or null.
 const pool_config* pool_of_host(const state& s, const std::string& host);
 
--- a/src/libdecide/jobs_test.cpp
+++ b/src/libdecide/jobs_test.cpp
@@ -288,6 +288,21 @@
     EXPECT_EQ(estimated_size(d.s, make_job("b", 12)), (job_size{5, 900, 0}));
 }
 
+TEST(jobs, an_accelerator_that_was_idle_is_still_asked_for)
+{
+    auto d = make_driver(2);
+    auto config = make_job("b");
+    config.accelerators = 1;
+    for (int i = 0; i < 4; ++i)
+    {
+        const auto name = "a" + std::to_string(i);
+        d.truth[name] = {{1, 100, 0}, seconds(2)};
+        add_job(d, make_job(name));
+    }
+    ASSERT_TRUE(run_until_settled(d, 100));
+    EXPECT_EQ(estimated_size(d.s, config).accelerators, 1U);
+}
+
 TEST(jobs, over_its_size_a_job_is_throttled_checkpointed_and_stopped)
 {
     auto d = make_driver(1);
@@ -377,6 +392,10 @@
     d.step(milliseconds(200));
     EXPECT_EQ(d.last_proposals, 128U);
     EXPECT_TRUE(run_until_settled(d, 10));
+    for (int i = 0; i < 400; ++i)
+        add_job(d, make_job("huge" + std::to_string(i), 17));
+    d.step(milliseconds(200));
+    EXPECT_EQ(d.last_proposals, 128U);
 }
 
 TEST(jobs, findings_on_teams_and_jobs_that_run)
--- a/src/libdecide/plan_job_running.cpp
+++ b/src/libdecide/plan_job_running.cpp
@@ -22,17 +22,6 @@
 // How old a reported usage may be.
 constexpr seconds usage_lag(2);
 
-// Whether the host is still one that the job may stay on.
-bool may_stay(const job_round& round, const held_job& job)
-{
-    const auto& host = round.s.fleet.hosts.at(job.record->host);
-    const auto pool = round.s.config.pools.find(job.config->pool);
-    if (host.listed != listing::live || pool == round.s.config.pools.end())
-        return false;
-    const auto& hosts = pool->second.config.hosts;
-    return std::ranges::find(hosts, job.record->host) != hosts.end();
-}
-
 // Lets a job hold what it uses, if its host and quota have room for that.
 bool resize(job_round& round, const held_job& job)
 {
@@ -78,7 +67,8 @@
         return;
     if (job.config->cancelled)
         return round.act(job, job_action::stop);
-    if (phase != job_phase::checkpointing && !may_stay(round, job))
+    if (phase != job_phase::checkpointing &&
+        !keeps_jobs(round.s, job.config->pool, job.record->host))
         return round.act(job, job_action::checkpoint);
     const auto restraint = next_restraint(round, *job.record);
     if (!restraint ||
@@ -87,13 +77,6 @@
     round.act(job, *restraint);
 }
 
-bool is_gone(const job_round& round, const std::string& host)
-{
-    const auto known = round.s.fleet.hosts.find(host);
-    return known == round.s.fleet.hosts.end() ||
-           known->second.listed == listing::gone;
-}
-
 } // namespace
 
 void plan_running_jobs(job_round& round)
@@ -101,7 +84,7 @@
     const auto begin = round.proposals.size();
     for (const auto& [name, slot] : round.slots)
     {
-        const bool gone = is_gone(round, name);
+        const bool gone = is_gone(round.s, name);
         for (const auto& job : slot.jobs)
         {
             if (round.proposals.size() - begin >= actions_per_round)
--- a/src/libdecide/plan_job_waiting.cpp
+++ b/src/libdecide/plan_job_waiting.cpp
@@ -12,6 +12,7 @@
 {
 
 constexpr std::size_t placements_per_round = 512;
+constexpr std::size_t reports_per_round = 128;
 // A job goes before all others but urgent ones once operators published this
 // many records after it.
 constexpr std::uint64_t records_to_age = 4096;
@@ -262,10 +263,18 @@
     std::map<std::string, std::vector<waiting_job>> by_team;
 };
 
-// Reports a job that can never be placed; else returns what is to be placed.
-std::optional<waiting_job>
-examine(job_round& round, const in_force<job_config>& known, job_phase phase)
+// Reports a job that can never be placed, or that now can, while `reports`
+// lasts; else returns what is to be placed.
+std::optional<waiting_job> examine(
+    job_round& round, const in_force<job_config>& known, job_phase phase,
+    std::size_t& reports)
 {
+    const auto report = [&](job_event e) {
+        if (reports == 0)
+            return;
+        --reports;
+        round.propose(std::move(e));
+    };
     const auto refusal = refusal_of(round.s, known.config);
     const auto& name = known.config.name;
     const auto record = round.s.jobs.jobs.find(name);
@@ -274,12 +283,12 @@
         const bool fails =
             record->second.reason == unrunnable_reason::fails_on_hosts;
         if (!refusal && !fails)
-            round.propose(job_reopened{name});
+            report(job_reopened{name});
         return std::nullopt;
     }
     if (refusal)
     {
-        round.propose(job_unrunnable{name, *refusal});
+        report(job_unrunnable{name, *refusal});
         return std::nullopt;
     }
     return waiting_job{
@@ -292,12 +301,13 @@
 {
     waiting_jobs result;
     const auto end = round.s.order.operators_end;
+    auto reports = reports_per_round;
     for (const auto& [name, known] : round.s.config.jobs)
     {
         const auto phase = phase_of(round.s, name);
         if (phase != job_phase::waiting && phase != job_phase::unrunnable)
             continue;
-        const auto job = examine(round, known, phase);
+        const auto job = examine(round, known, phase, reports);
         if (!job)
             continue;
         const bool first = !round.strategy.ordered ||
--- a/src/libdecide/plan_jobs.cpp
+++ b/src/libdecide/plan_jobs.cpp
@@ -48,11 +48,9 @@
     std::set<std::string> pools;
     for (const auto& [host, failures] : round.s.jobs.failures)
     {
-        const auto known = round.s.fleet.hosts.find(host);
         if (failures.suspected)
         {
-            if (known == round.s.fleet.hosts.end() ||
-                known->second.listed == listing::gone)
+            if (is_gone(round.s, host))
                 round.propose(host_cleared{host});
             continue;
         }
--- a/src/libdecide/reduce_job_failures.cpp
+++ b/src/libdecide/reduce_job_failures.cpp
@@ -96,10 +96,7 @@
 void apply_one(const reduce_context& context, const host_cleared& e)
 {
     auto& s = context.current;
-    const auto host = s.fleet.hosts.find(e.host);
-    const bool gone =
-        host == s.fleet.hosts.end() || host->second.listed == listing::gone;
-    if (!is_suspected(s, e.host) || !gone)
+    if (!is_suspected(s, e.host) || !is_gone(s, e.host))
         return context.reject(
             "host " + e.host, "it is not a suspected host that is gone");
     s.jobs.failures.erase(e.host);
--- a/src/libdecide/reduce_jobs.cpp
+++ b/src/libdecide/reduce_jobs.cpp
@@ -204,9 +204,7 @@
     auto* job = find_run(context, e);
     if (!job)
         return;
-    const auto& hosts = context.current.fleet.hosts;
-    const auto host = hosts.find(job->host);
-    if (host != hosts.end() && host->second.listed != listing::gone)
+    if (!is_gone(context.current, job->host))
         return context.reject("job " + e.job, "its host is not gone");
     release(context.current.jobs, *job, job_phase::waiting);
 }
