Show that the checks of jobs fail on wrong variants

Cause: five wrong variants passed all tests. Change: tests for forgiven jobs, changed jobs, leaving hosts, jobs that never start and reports beyond all bounds.

--- a/src/libdecide/job_estimates.cpp
+++ b/src/libdecide/job_estimates.cpp
@@ -71,9 +71,10 @@
     job_size result;
     for (const auto member : job_size_members)
     {
-        std::vector<std::uint64_t> values;
-        for (const auto& peak : kind.peaks)
-            values.push_back(peak.*member);
+        std::vector<std::uint64_t> values(kind.peaks.size());
+        std::ranges::transform(
+            kind.peaks, values.begin(),
+            [&](const auto& peak) { return peak.*member; });
         result.*member = quantile(std::move(values));
     }
     return larger_of(with_margin(result), {1, 1, 0});
--- a/src/libdecide/jobs_test.cpp
+++ b/src/libdecide/jobs_test.cpp
@@ -47,6 +47,12 @@
     return find_effect<record_rejected>(todo) ? 1 : 0;
 }
 
+void place_and_fail(driver& d, const std::string& job, const std::string& host)
+{
+    d.append(job_event{job_placed{job, host, {1, 100, 0}}});
+    d.append(job_event{job_failed{job, d.s.jobs.jobs.at(job).lease}});
+}
+
 TEST(jobs, an_accepted_job_waits_runs_and_finishes)
 {
     auto d = make_driver(1);
@@ -112,8 +118,7 @@
 {
     auto d = make_driver(2, 1);
     const auto fail = [&](const std::string& job, const std::string& host) {
-        d.append(job_event{job_placed{job, host, {1, 100, 0}}});
-        d.append(job_event{job_failed{job, d.s.jobs.jobs.at(job).lease}});
+        place_and_fail(d, job, host);
     };
     for (const auto* job : {"a", "b", "c"})
         add_job(d, make_job(job));
@@ -380,6 +385,80 @@
     }));
 }
 
+TEST(jobs, a_job_that_failed_on_suspected_hosts_only_waits_again)
+{
+    auto d = make_driver(4);
+    const std::vector<std::string> hosts{"p-0", "p-1", "p-2"};
+    add_job(d, make_job("a"));
+    for (const auto& host : hosts)
+        place_and_fail(d, "a", host);
+    EXPECT_EQ(phase_of(d.s, "a"), job_phase::unrunnable);
+    for (const auto& host : hosts)
+    {
+        for (const auto* suffix : {"x", "y", "z"})
+        {
+            add_job(d, make_job(host + suffix));
+            place_and_fail(d, host + suffix, host);
+        }
+        d.append(job_event{host_suspected{host}});
+    }
+    EXPECT_EQ(phase_of(d.s, "a"), job_phase::waiting);
+}
+
+TEST(jobs, a_reported_job_that_is_published_anew_waits_again)
+{
+    auto d = make_driver(3);
+    auto config = add_job(d, make_job("a"));
+    for (const auto* host : {"p-0", "p-1", "p-2"})
+        place_and_fail(d, "a", host);
+    EXPECT_EQ(phase_of(d.s, "a"), job_phase::unrunnable);
+    d.publish(job_published{"driver", 1, config});
+    EXPECT_EQ(phase_of(d.s, "a"), job_phase::waiting);
+    d.step(milliseconds(200));
+    EXPECT_EQ(phase_of(d.s, "a"), job_phase::placed);
+    EXPECT_TRUE(d.s.jobs.jobs.at("a").failed_on.empty());
+}
+
+TEST(jobs, jobs_leave_a_leaving_host_by_checkpoint)
+{
+    auto d = make_driver(2);
+    add_job(d, make_job("a"), std::chrono::hours(1));
+    d.step(milliseconds(200));
+    d.step(milliseconds(200));
+    const auto host = d.s.jobs.jobs.at("a").host;
+    d.append(fleet_event{
+        host_observed{host, listing::leaving, "dc", "rack", 16, 16000, 2}});
+    d.step(milliseconds(200));
+    EXPECT_EQ(phase_of(d.s, "a"), job_phase::checkpointing);
+    for (int i = 0; i < 10; ++i)
+        d.step(milliseconds(200));
+    EXPECT_EQ(phase_of(d.s, "a"), job_phase::running);
+    EXPECT_NE(d.s.jobs.jobs.at("a").host, host);
+}
+
+TEST(jobs, a_job_that_never_starts_is_stopped)
+{
+    auto d = make_driver(1);
+    add_job(d, make_job("a"));
+    d.step(milliseconds(200));
+    d.now += milliseconds(10001);
+    for (const auto& proposal : d.plan())
+        d.append(proposal);
+    EXPECT_EQ(phase_of(d.s, "a"), job_phase::stopping);
+}
+
+TEST(jobs, a_report_beyond_all_bounds_overflows_nothing)
+{
+    auto d = make_driver(1);
+    const auto config = add_job(d, make_job("a"));
+    d.step(milliseconds(200));
+    const auto most = ~std::uint64_t{0};
+    d.append(job_event{
+        job_reported{"a", d.s.jobs.jobs.at("a").lease, {most, most, most}}});
+    EXPECT_FALSE(fits(estimated_size(d.s, config), host_size));
+    EXPECT_LT(d.s.jobs.jobs.at("a").usage.memory_mb, most);
+}
+
 TEST(jobs, a_wave_of_cancellations_is_bounded_work_a_step)
 {
     auto d = make_driver(30);
