--- a/src/libdecide/jobs_property_test.cpp
+++ b/src/libdecide/jobs_property_test.cpp
@@ -243,4 +243,35 @@
     RC_ASSERT(hash_of(replica) == hash_of(d.s));
 }
 
+RC_GTEST_PROP(jobs, urgent_work_starts_in_time_on_any_full_fleet, ())
+{
+    constexpr milliseconds bound(2600);
+    driver d;
+    add_pool(d, "p", 1 + below(5), {16, 16000, 2});
+    add_team(d, "t", {1000, 1000000, 100});
+    const auto add = [&](const std::string& name, job_class priority) {
+        job_config config;
+        config.name = name;
+        config.team = "t";
+        config.pool = "p";
+        config.kind = name;
+        config.priority = priority;
+        config.processors = 1 + below(16);
+        config.memory_mb = 1 + below(16000);
+        config.accelerators = below(3);
+        add_job(d, config, std::chrono::hours(1));
+    };
+    for (int i = 0; i < 20; ++i)
+        add(job_name(i),
+            below(2) == 0 ? job_class::normal : job_class::deferrable);
+    const auto steps = below(10);
+    for (std::uint64_t i = 0; i < steps; ++i)
+        d.step(milliseconds(200));
+    const auto accepted = d.now;
+    add("now", job_class::urgent);
+    while (d.now - accepted < bound)
+        d.step(milliseconds(200));
+    RC_ASSERT(d.started.contains("now"));
+}
+
 } // namespace
