--- a/testsuite/harness/cluster.cpp
+++ b/testsuite/harness/cluster.cpp
@@ -154,12 +154,14 @@
 {
     const auto platform = to_string(platform_address);
     const auto settings = folder.write(
-        name + ".ini", node_section(name) + "[log]\naddress = " + platform +
-                           "\n[hosts]\naddress = " + platform +
-                           "\ninterval = 50ms\n"
-                           "[grpc]\nlisten = 127.0.0.1:0\n"
-                           "[admin]\nlisten = 127.0.0.1:0\n" +
-                           extra);
+        name + ".ini",
+        node_section(name) + "[log]\naddress = " + platform +
+            "\n[hosts]\naddress = " + platform +
+            "\ninterval = " + std::to_string(host_list_interval.count()) +
+            "ms\n"
+            "[grpc]\nlisten = 127.0.0.1:0\n"
+            "[admin]\nlisten = 127.0.0.1:0\n" +
+            extra);
     child_process process(
         "src/tack-control/tack-control", {"--settings=" + settings},
         folder.path() / (name + ".log"));
--- a/testsuite/harness/cluster.hpp
+++ b/testsuite/harness/cluster.hpp
@@ -108,6 +108,9 @@
     std::map<std::string, child_process> workers;
     std::map<std::string, endpoint> worker_addresses;
     endpoint platform_address;
+    /// How often control processes fetch the host list.
+    std::chrono::milliseconds host_list_interval =
+        std::chrono::milliseconds(50);
     temporary_folder folder;
 
 private:
