--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 JOBS ?= $(shell nproc)
 BUILD = build/$(PRESET)
 
-.PHONY: all build deps test demo bench format check-format lint generated check-generated clean
+.PHONY: all build deps test demo bench capacity proofs format check-format lint generated check-generated clean
 
 all: build
 
@@ -28,6 +28,14 @@
 bench: build
 	testsuite/run-benches.sh $(BUILD)
 
+# Measures and puts the figures into docs/CAPACITY.md.
+capacity: build
+	testsuite/capacity/update-page.sh $(BUILD)
+
+# Checks that the tests which docs/PROOFS.md names exist.
+proofs: build
+	testsuite/check-proofs.sh $(BUILD)
+
 format:
 	src/cmake/format.sh
 
