--- a/src/include/dandeliontack/report.hpp
+++ b/src/include/dandeliontack/report.hpp
@@ -70,7 +70,7 @@
     std::optional<double> long_rate;
 };
 
-/// The burn rate over one step of time, for drawing.
+/// The short burn rate as it stood at a time, for drawing.
 struct burn_point
 {
     std::chrono::sys_time<std::chrono::milliseconds> time;
--- a/src/libreport/report.cpp
+++ b/src/libreport/report.cpp
@@ -136,28 +136,21 @@
     mark_old_versions(out, status);
 }
 
+// The short burn rate as it stood at evenly spaced times.
 std::vector<burn_point> history_of(
     const report& r, const std::vector<request_step>& steps,
     const std::string& pool)
 {
-    const auto span = r.until - r.from;
-    std::vector<request_counts> buckets(history_steps);
-    for (const auto& step : steps)
-    {
-        if (step.label.pool != pool || step.before_samples || span.count() == 0)
-            continue;
-        const auto place =
-            (step.time - r.from) * history_steps / (span.count() + 1);
-        buckets.at(static_cast<std::size_t>(place.count())) += step.counts;
-    }
     std::vector<burn_point> points;
-    for (int i = 0; i < history_steps; ++i)
+    for (int i = 1; i <= history_steps; ++i)
     {
-        const auto& counts = buckets.at(static_cast<std::size_t>(i));
-        if (counts.total() > 0)
-            points.push_back(
-                {r.from + span * (i + 1) / history_steps,
-                 burn_rate(counts, r.settings.objective)});
+        const auto time = r.from + (r.until - r.from) * i / history_steps;
+        const auto level =
+            burn_of(steps, r.settings, time, [&](const auto& step) {
+                return step.label.pool == pool && step.time <= time;
+            });
+        if (level.short_rate)
+            points.push_back({time, *level.short_rate});
     }
     return points;
 }
--- a/src/libreport/report_html.cpp
+++ b/src/libreport/report_html.cpp
@@ -40,6 +40,7 @@
 .alarm{color:#a30000;font-weight:600}svg{max-width:100%;height:auto}
 .legend span{margin-right:1.2rem}.swatch{display:inline-block;width:1.4rem;
 height:.35rem;vertical-align:middle;margin-right:.4rem}
+.dashed{height:0;border-top:2px dashed #a30000}
 </style></head><body>
 )";
 
@@ -124,6 +125,19 @@
         format_rate(level.long_rate)};
 }
 
+// The next of 2, 4, 8, 20, 40, 80 and so on, so that four lines of the plot
+// stand at round values.
+double round_up(double value)
+{
+    double unit = 1;
+    while (value > 8 * unit)
+        unit *= 10;
+    for (const double step : {2.0, 4.0})
+        if (value <= step * unit)
+            return step * unit;
+    return 8 * unit;
+}
+
 // Maps times and burn rates to places in the plot.
 class plot_scale
 {
@@ -134,7 +148,7 @@
         for (const auto& pool : r.pools)
             for (const auto& point : pool.history)
                 highest_ = std::max(highest_, point.rate);
-        highest_ *= 1.1;
+        highest_ = round_up(highest_);
     }
 
     double x(std::chrono::sys_time<std::chrono::milliseconds> time) const
@@ -175,8 +189,6 @@
     out << "<line x1=\"" << plot_left << "\" x2=\"" << plot_width << "\" y1=\""
         << scale.y(1) << "\" y2=\"" << scale.y(1)
         << "\" stroke=\"#a30000\" stroke-dasharray=\"6 4\"/>"
-        << "<text x=\"" << plot_width - 4 << "\" y=\"" << scale.y(1) - 5
-        << "\" text-anchor=\"end\" fill=\"#a30000\">uses just the budget</text>"
         << "<text x=\"" << plot_left << "\" y=\"" << plot_height - 6 << "\">"
         << format_time(r.from) << "</text><text x=\"" << plot_width << "\" y=\""
         << plot_height - 6 << "\" text-anchor=\"end\">" << format_time(r.until)
@@ -187,10 +199,14 @@
     std::ostream& out, const plot_scale& scale, const pool_level& pool,
     const char* colour)
 {
-    out << "<polyline fill=\"none\" stroke-width=\"2.5\" stroke=\"" << colour
-        << "\" points=\"";
+    out << "<path fill=\"none\" stroke-width=\"2.5\" stroke=\"" << colour
+        << "\" d=\"";
+    char step = 'M';
     for (const auto& point : pool.history)
-        out << scale.x(point.time) << "," << scale.y(point.rate) << " ";
+    {
+        out << step << scale.x(point.time) << " " << scale.y(point.rate) << " ";
+        step = 'L';
+    }
     out << "\"/>\n";
     for (const auto& point : pool.history)
         out << "<circle r=\"3\" fill=\"" << colour << "\" cx=\""
@@ -202,7 +218,7 @@
 
 void burn_plot(std::ostream& out, const report& r)
 {
-    out << "<h2>Burn rate of each pool</h2>\n";
+    out << "<h2>Burn rate of each pool, short window</h2>\n";
     const plot_scale scale(r);
     out << "<svg role=\"img\" viewBox=\"0 0 " << plot_width << " "
         << plot_height << "\" font-size=\"12\" fill=\"#333\" "
@@ -216,7 +232,8 @@
         out << "<span><i class=\"swatch\" style=\"background:"
             << palette.at(i % palette.size()) << "\"></i>"
             << escape(r.pools[i].pool) << "</span>";
-    out << "</p>\n";
+    out << "<span><i class=\"swatch dashed\"></i>1x uses just the budget</span>"
+           "</p>\n";
 }
 
 const std::vector<std::string>& burn_columns()
--- a/testsuite/newcomer_walk/newcomer_walk_test.cpp
+++ b/testsuite/newcomer_walk/newcomer_walk_test.cpp
@@ -20,9 +20,10 @@
 namespace json = boost::json;
 
 // The page's blocks that are led by a line `FILE:`, by that name.
-std::map<std::string, std::string> files_of_page()
+std::map<std::string, std::string>
+files_of_page(const std::string& name_of_page)
 {
-    std::ifstream page(TACK_SOURCE_DIR "/docs/operators/first-steps.md");
+    std::ifstream page(TACK_SOURCE_DIR "/docs/operators/" + name_of_page);
     std::map<std::string, std::string> files;
     std::string name;
     for (std::string line; std::getline(page, line);)
@@ -46,7 +47,7 @@
             system.add_worker(name);
         control = &system.add_control("control-1");
         entry = &system.add_entry("entry-1", control->grpc);
-        for (const auto& [name, text] : files_of_page())
+        for (const auto& [name, text] : files_of_page("first-steps.md"))
             files[name] = system.folder.write(name, text);
     }
 
@@ -118,6 +119,22 @@
     EXPECT_EQ(after.at("pools").as_array()[0].at("buffer_hosts"), 1);
 }
 
+TEST_F(newcomer_walk, the_settings_that_installing_shows_are_good)
+{
+    const auto pages = files_of_page("installing.md");
+    for (const std::string program : {"control", "entry"})
+    {
+        const auto settings = system.folder.write(
+            "shown-" + program + ".ini", pages.at(program + ".ini"));
+        const auto result = run_program(
+            "src/tack-" + program + "/tack-" + program,
+            {"--settings=" + settings, "--check"},
+            system.folder.path() / "check.log");
+        EXPECT_EQ(result.exit_code, 0) << result.errors;
+        EXPECT_EQ(result.errors, "");
+    }
+}
+
 TEST_F(newcomer_walk, a_watch_that_can_not_end_names_who_lacks_the_record)
 {
     const auto watched = tackctl(
