Measure roll-out over many control processes and the report's memory

Cause: the capacity page said nothing measured about in force everywhere, nor about what tack-report holds. Change: tack-capacity times a change until 1, 8, 16 and 32 control processes have applied it, and measures the heap of report samples.

--- a/src/tack-report/main.cpp
+++ b/src/tack-report/main.cpp
@@ -7,6 +7,7 @@
 #include <boost/json.hpp>
 
 #include <array>
+#include <cmath>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -89,7 +90,7 @@
         absl::GetFlag(FLAGS_objective),
         absl::ToChronoMilliseconds(absl::GetFlag(FLAGS_short_window)),
         absl::ToChronoMilliseconds(absl::GetFlag(FLAGS_long_window))};
-    if (!(by.objective > 0 && by.objective < 1))
+    if (std::isnan(by.objective) || by.objective <= 0 || by.objective >= 1)
         found.push_back({"--objective", 0, "", "must be above 0 and below 1"});
     if (by.short_window.count() <= 0 || by.long_window < by.short_window)
         found.push_back(
--- a/testsuite/capacity/main.cpp
+++ b/testsuite/capacity/main.cpp
@@ -39,6 +39,7 @@
 constexpr double killed_a_day = failures_a_day * design_size.nodes /
                                 (design_size.hosts + design_size.nodes);
 constexpr double days_a_year = 365;
+constexpr double minutes_an_hour = 60;
 
 std::string rounded(double value)
 {
@@ -115,6 +116,8 @@
         1 / bytes_a_kilobyte, "KB");
     print_slope("entry, processor", "request", p.request_processor, 1e6, "µs");
     print_slope("entry, resident", "request", p.request_bytes, 1, "B");
+    print_slope(
+        "change applied by all", "control process", p.rollout_by_nodes, 1, "s");
     print_slope(
         "change accepted", "killed member before the asked one",
         p.rollout_by_killed, 1, "s");
@@ -214,6 +217,14 @@
         "host list", "fetches by all nodes",
         size.nodes * p.by_hosts.platform_bytes.slope * size.hosts, 0,
         1 / bytes_a_megabyte, "MB/s", "http_host_list.cpp");
+    print_need(
+        "tack-report", "memory for an hour of samples each minute",
+        minutes_an_hour * size.entry_hosts * s.report_sample_bytes, 0,
+        1 / bytes_a_megabyte, "MB", "samples.cpp");
+    print_need(
+        "all", "change applied by all control processes",
+        p.rollout_by_nodes.at(size.nodes), most_rollout, 1, "s",
+        "control_node.cpp tail, order_operators");
     print_need(
         "all", "change accepted, nobody killed", p.rollout_by_killed.at(0),
         most_rollout, 1, "s", "control_node.cpp order_operators");
--- a/testsuite/capacity/process_slopes.cpp
+++ b/testsuite/capacity/process_slopes.cpp
@@ -91,9 +91,30 @@
     return control;
 }
 
-idle_cost measure_by_nodes()
+bool has_applied(const harness::control_process& control, std::uint64_t end)
+{
+    const auto status = harness::get_json(control.admin, "/v1/status");
+    return status.at("operators_end").to_number<std::uint64_t>() >= end;
+}
+
+// Publishes the cluster's first change and waits until every control process
+// has applied it.
+double time_change_everywhere(cluster& system)
+{
+    const auto started = steady_clock::now();
+    system.publish(
+        system.controls.at("measured").admin,
+        "[team one]\nquota_processors = 8\nquota_memory_mb = 1024\n");
+    for (const auto& [name, control] : system.controls)
+        if (!harness::eventually([&] { return has_applied(control, 1); }))
+            throw std::runtime_error("a change did not come into force");
+    return seconds(steady_clock::now() - started);
+}
+
+void measure_by_nodes(process_slopes& out)
 {
     idle_samples samples;
+    std::vector<sample> rollout;
     for (const unsigned nodes : {1U, 8U, 16U, 32U})
     {
         cluster system;
@@ -102,8 +123,10 @@
         for (unsigned i = 1; i < nodes; ++i)
             system.add_control("control-" + std::to_string(i));
         samples.add(nodes, watch_idle(measured.process.pid(), relay));
+        rollout.push_back({double(nodes), time_change_everywhere(system)});
     }
-    return samples.fit();
+    out.by_nodes = samples.fit();
+    out.rollout_by_nodes = fit_line(rollout);
 }
 
 idle_cost measure_by_hosts()
@@ -283,7 +306,7 @@
 process_slopes measure_processes()
 {
     process_slopes out;
-    out.by_nodes = measure_by_nodes();
+    measure_by_nodes(out);
     out.by_hosts = measure_by_hosts();
     measure_changes(out);
     measure_entry(out);
--- a/testsuite/capacity/process_slopes.hpp
+++ b/testsuite/capacity/process_slopes.hpp
@@ -20,6 +20,9 @@
 {
     /// Against the number of control processes, with an empty host list.
     idle_cost by_nodes;
+    /// Seconds from starting `tackctl publish` until all control processes
+    /// have applied a change, against their number.
+    fitted_line rollout_by_nodes;
     /// Against the hosts listed, for one control process that fetches the
     /// list every 500 ms.
     idle_cost by_hosts;
--- a/testsuite/capacity/state_slopes.cpp
+++ b/testsuite/capacity/state_slopes.cpp
@@ -6,6 +6,7 @@
 #include <dandeliontack/host_list.hpp>
 #include <dandeliontack/record_codec.hpp>
 #include <dandeliontack/reducer.hpp>
+#include <dandeliontack/report_sample.hpp>
 
 #include <boost/json.hpp>
 
@@ -292,6 +293,31 @@
     return body;
 }
 
+std::string metrics_page(const fleet_size& size)
+{
+    std::string page;
+    for (unsigned i = 0; i < unsigned(size.services); ++i)
+        for (const auto* result : {"answered", "unknown"})
+            page += "tack_service_requests_total{service=\"" +
+                    numbered("service", i / 2) + "\",version=\"" +
+                    std::to_string(i % 2 + 1) + "\",pool=\"" +
+                    numbered("pool-of-hosts", i / 2) + "\",result=\"" + result +
+                    "\"} 123456\n";
+    return page;
+}
+
+double measure_report_sample(const fleet_size& size)
+{
+    constexpr unsigned count = 20;
+    std::string lines;
+    for (unsigned i = 0; i < count; ++i)
+        lines += to_line(
+            {}, {"127.0.0.1", 1}, process_role::entry, metrics_page(size), {});
+    const auto before = heap_bytes();
+    const auto samples = parse_samples("samples", lines);
+    return (double(heap_bytes()) - double(before)) / count;
+}
+
 } // namespace
 
 state_slopes measure_state(const fleet_size& size)
@@ -311,6 +337,7 @@
     out.writer.heap.slope -= out.host.heap.slope;
     measure_hash_and_table(size, out);
     measure_host_list(out);
+    out.report_sample_bytes = measure_report_sample(size);
     out.apply_at_size_ns =
         mean_apply_ns(size, [](unsigned) { return team_body(0); });
     std::uint64_t revision = 0;
--- a/testsuite/capacity/state_slopes.hpp
+++ b/testsuite/capacity/state_slopes.hpp
@@ -53,6 +53,9 @@
     /// Routing table at the letter's size.
     double table_bytes_at_size = 0;
     double table_ns_at_size = 0;
+    /// Allocator bytes of one sample that tack-report holds of an entry
+    /// process which serves all versions of the letter's size.
+    double report_sample_bytes = 0;
     /// Host list against the hosts in it.
     fitted_line host_list_bytes;
     fitted_line host_list_ns;
