Merge request path, agreement, waves, jobs and the operators' view

Tests changed: agreement's property took any new host for the leader's observation; a published pool now brings its hosts, so the check looks at records of the system's stream, as strict as before for those. The newcomer's walk expected a refusal after one killed worker; retries now answer all 16, so it asks for exactly that and kills the second worker for the refusals.

--- a/src/include/dandeliontack/control_node.hpp
+++ b/src/include/dandeliontack/control_node.hpp
@@ -8,6 +8,7 @@
 #include <dandeliontack/log_client.hpp>
 #include <dandeliontack/log_order.hpp>
 #include <dandeliontack/metrics.hpp>
+#include <dandeliontack/peer_client.hpp>
 #include <dandeliontack/proposer.hpp>
 #include <dandeliontack/reducer.hpp>
 
@@ -57,13 +58,26 @@
     /// replayed.
     void on_applied(applied_handler observe);
 
-    /// Whether this node decides for all at present.
+    /// Whether this node decides for all at present: it holds the current term
+    /// and its lease still runs by its own clock. Ask again right before each
+    /// effect, since the process may have been frozen.
     bool leads() const;
 
-    /// Appends a decision to the system's stream. What becomes of it is only
-    /// known when it is applied.
+    /// The term that this node decides under; meaningful while `leads`.
+    std::uint64_t term() const
+    {
+        return state_.membership.term.number;
+    }
+
+    /// Appends a decision to the system's stream under the current term; does
+    /// nothing unless this node leads. What becomes of it is only known when
+    /// it is applied.
     void propose(event_body body);
 
+    /// Appends what this node says of itself, whoever leads. Records of this
+    /// kind carry no term.
+    void propose_as_member(event_body body);
+
     /// Decisions that the log has not confirmed yet.
     std::size_t backlog() const
     {
@@ -103,15 +117,29 @@
 private:
     using record_key = std::pair<incarnation, std::uint64_t>;
 
+    boost::asio::awaitable<void> run_log();
+    boost::asio::awaitable<bool> load();
+    boost::asio::awaitable<std::optional<log_batch>>
+    read_log(log_stream stream, std::uint64_t from, std::chrono::milliseconds);
     boost::asio::awaitable<void> tail(log_stream stream);
+    void note_gap(std::uint64_t wanted, std::uint64_t oldest);
+    void write_snapshot_if_due();
     boost::asio::awaitable<void> poll_hosts();
     boost::asio::awaitable<void> order_operators();
     void take_batch(log_stream stream, const log_batch& batch);
     void apply_ready();
     void apply(const event& e);
     void note_outcome(const event& e, const effects& todo);
-    void join_once();
+    boost::asio::awaitable<void> keep_membership();
+    void join_if_missing();
+    void propose_membership();
+    boost::asio::awaitable<void> relay_from_peers();
+    const member* next_peer();
+    void take_relayed(const relayed_records& got);
+    void take_record(
+        log_stream stream, std::uint64_t offset, const std::string& record);
     void publish_routing();
+    void confirm_fresh(std::chrono::steady_clock::time_point when);
     std::chrono::milliseconds ordering_delay() const;
 
     boost::asio::any_io_executor executor_;
@@ -125,14 +153,20 @@
     log_order order_;
     state state_;
     proposer proposals_;
+    leadership leadership_;
     boost::asio::steady_timer unordered_;
     std::vector<listed_host> hosts_listed_;
     std::map<record_key, record_outcome> outcomes_;
     std::deque<record_key> outcome_age_;
     std::vector<applied_handler> observers_;
     endpoint peer_address_;
+    peer_client peers_;
+    incarnation last_asked_;
+    std::chrono::steady_clock::time_point log_confirmed_;
+    std::chrono::steady_clock::time_point snapshot_proposed_;
+    std::uint64_t snapshot_proposed_end_ = 0;
     bool caught_up_ = false;
-    bool joined_ = false;
+    bool join_pending_ = false;
     bool stopping_ = false;
     std::string gap_;
 };
--- a/src/include/dandeliontack/control_server.hpp
+++ b/src/include/dandeliontack/control_server.hpp
@@ -2,8 +2,10 @@
 
 #include <dandeliontack/endpoint.hpp>
 #include <dandeliontack/metrics.hpp>
+#include <dandeliontack/relay_buffer.hpp>
 #include <dandeliontack/routing.hpp>
 
+#include <chrono>
 #include <memory>
 
 namespace dandeliontack
@@ -28,6 +30,13 @@
     /// gets the newest.
     void publish(const routing_table& table);
 
+    /// Tells all subscribers when the state was last confirmed to be current,
+    /// as a time of the host's monotonic clock.
+    void confirm(std::chrono::steady_clock::time_point when);
+
+    /// The records that peers may ask this process for.
+    relay_buffer& relay();
+
     /// Ends all streams and stops serving.
     void stop();
 
--- a/src/libpeer/control_server.cpp
+++ b/src/libpeer/control_server.cpp
@@ -1,4 +1,5 @@
 #include "control.grpc.pb.h"
+#include "peer.grpc.pb.h"
 #include "routing_codec.hpp"
 #include <dandeliontack/control_server.hpp>
 
@@ -17,6 +18,9 @@
 
 constexpr auto shutdown_patience = std::chrono::milliseconds(500);
 
+// The most records of one stream in a reply to a peer.
+constexpr std::size_t largest_relay = 256;
+
 using shared_table = std::shared_ptr<const wire::routing_table>;
 
 class subscriber;
@@ -27,6 +31,8 @@
     std::mutex mutex;
     shared_table newest;
     std::uint64_t version = 0;
+    shared_table confirmation;
+    std::uint64_t confirmations = 0;
     std::set<subscriber*> subscribers;
 };
 
@@ -46,12 +52,18 @@
     // hub's mutex must be held.
     void write_newest()
     {
-        if (writing_ || finished_ || !hub_.newest || sent_ == hub_.version)
+        if (writing_ || finished_)
             return;
-        writing_ = true;
-        sent_ = hub_.version;
-        in_transfer_ = hub_.newest;
-        StartWrite(in_transfer_.get());
+        if (hub_.newest && sent_ != hub_.version)
+        {
+            sent_ = hub_.version;
+            write(hub_.newest);
+        }
+        else if (hub_.confirmation && confirmed_ != hub_.confirmations)
+        {
+            confirmed_ = hub_.confirmations;
+            write(hub_.confirmation);
+        }
     }
 
     void OnWriteDone(bool ok) override
@@ -81,6 +93,13 @@
     }
 
 private:
+    void write(shared_table message)
+    {
+        writing_ = true;
+        in_transfer_ = std::move(message);
+        StartWrite(in_transfer_.get());
+    }
+
     void finish()
     {
         if (!std::exchange(finished_, true))
@@ -91,6 +110,7 @@
     gauge& open_;
     shared_table in_transfer_;
     std::uint64_t sent_ = 0;
+    std::uint64_t confirmed_ = 0;
     bool writing_ = false;
     bool finished_ = false;
 };
@@ -114,14 +134,49 @@
     gauge& open_;
 };
 
+class peer_service final : public wire::peer::CallbackService
+{
+public:
+    explicit peer_service(const relay_buffer& records) : records_(records) {}
+
+    grpc::ServerUnaryReactor* relay(
+        grpc::CallbackServerContext* context,
+        const wire::relay_request* request, wire::relay_reply* reply) override
+    {
+        // The age is taken first, so that it holds for all that follows.
+        const auto age =
+            std::chrono::steady_clock::now() - records_.confirmed();
+        reply->set_confirmed_age_ms(static_cast<std::uint64_t>(
+            std::chrono::ceil<std::chrono::milliseconds>(age).count()));
+        reply->set_system_end(records_.end(log_stream::system));
+        for (auto& record : records_.read(
+                 log_stream::system, request->system_from(), largest_relay))
+            reply->add_system(std::move(record));
+        for (auto& record : records_.read(
+                 log_stream::operators, request->operators_from(),
+                 largest_relay))
+            reply->add_operators(std::move(record));
+        auto* reactor = context->DefaultReactor();
+        reactor->Finish(grpc::Status::OK);
+        return reactor;
+    }
+
+private:
+    const relay_buffer& records_;
+};
+
 } // namespace
 
 struct control_server::core
 {
-    explicit core(metric_registry& metrics) : service(shared, metrics) {}
+    explicit core(metric_registry& metrics)
+        : service(shared, metrics), peers(records)
+    {}
 
     hub shared;
+    relay_buffer records;
     control_service service;
+    peer_service peers;
     std::unique_ptr<grpc::Server> server;
 };
 
@@ -142,6 +197,7 @@
         to_string(where), grpc::InsecureServerCredentials(), &port);
     builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
     builder.RegisterService(&core_->service);
+    builder.RegisterService(&core_->peers);
     core_->server = builder.BuildAndStart();
     if (!core_->server || port == 0)
         throw std::runtime_error("can't listen on " + to_string(where));
@@ -158,6 +214,26 @@
         open->write_newest();
 }
 
+void control_server::confirm(std::chrono::steady_clock::time_point when)
+{
+    auto message = std::make_shared<wire::routing_table>();
+    message->set_confirmation_only(true);
+    message->set_confirmed_ms(
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            when.time_since_epoch())
+            .count());
+    const std::scoped_lock lock(core_->shared.mutex);
+    core_->shared.confirmation = std::move(message);
+    ++core_->shared.confirmations;
+    for (auto* open : core_->shared.subscribers)
+        open->write_newest();
+}
+
+relay_buffer& control_server::relay()
+{
+    return core_->records;
+}
+
 void control_server::stop()
 {
     if (!core_->server)
--- a/src/libplatform/codecs.hpp
+++ b/src/libplatform/codecs.hpp
@@ -29,5 +29,7 @@
 team_config from_wire(const wire::team_config& in);
 wire::job_config to_wire(const job_config& config);
 job_config from_wire(const wire::job_config& in);
+wire::job_size to_wire(const job_size& size);
+job_size from_wire(const wire::job_size& in);
 
 } // namespace dandeliontack
--- a/src/tack-control/main.cpp
+++ b/src/tack-control/main.cpp
@@ -1,6 +1,10 @@
+#include <dandeliontack/api_access.hpp>
 #include <dandeliontack/capacity_duty.hpp>
 #include <dandeliontack/control_node.hpp>
+#include <dandeliontack/effect_runner.hpp>
+#include <dandeliontack/http_platform_commands.hpp>
 #include <dandeliontack/program.hpp>
+#include <dandeliontack/rollout_metrics.hpp>
 
 #include <absl/flags/flag.h>
 #include <boost/asio.hpp>
@@ -18,6 +22,7 @@
 namespace asio = boost::asio;
 
 constexpr auto planning_interval = std::chrono::milliseconds(200);
+constexpr auto effects_interval = std::chrono::milliseconds(50);
 constexpr auto stop_patience = std::chrono::seconds(2);
 
 asio::awaitable<void> run_until_stopped(
@@ -45,16 +50,23 @@
     control_server server(metrics);
     control_node node(executor, settings, *log, *hosts, server, metrics);
     capacity_duty capacity(executor, node, planning_interval);
+    const auto platform = make_http_platform_commands(
+        executor, settings.hosts.address, settings.hosts.timeout);
+    effect_runner runner(executor, node, *platform, effects_interval);
     http_server admin(
         executor, {}, metrics,
-        admin_pages(
-            metrics, [&] { return node.ready(); }, make_control_api(node)));
+        with_tokens(
+            settings.api, admin_pages(
+                              metrics, [&] { return node.ready(); },
+                              make_control_api(node))));
+    record_rollout(node, metrics);
 
     const auto peer_address = server.listen(settings.grpc.listen);
     announce("grpc", peer_address);
     announce("admin", admin.listen(settings.admin.listen));
     node.start(peer_address);
     asio::co_spawn(executor, capacity.run(), asio::detached);
+    asio::co_spawn(executor, runner.run(), asio::detached);
     out.info("Started ", settings.node.name, ".");
     asio::co_spawn(
         executor, run_until_stopped(node, admin, server),
--- a/testsuite/harness/cluster.cpp
+++ b/testsuite/harness/cluster.cpp
@@ -115,6 +115,8 @@
           folder.path() / "platform.log")
 {
     platform_address = platform_.address_of("platform");
+    second_address = platform_.address_of("second");
+    control_platform = platform_address;
 }
 
 void cluster::add_worker(
@@ -152,14 +154,16 @@
 control_process&
 cluster::add_control(const std::string& name, const std::string& extra)
 {
-    const auto platform = to_string(platform_address);
+    const auto platform = to_string(control_platform);
     const auto settings = folder.write(
-        name + ".ini", node_section(name) + "[log]\naddress = " + platform +
-                           "\n[hosts]\naddress = " + platform +
-                           "\ninterval = 50ms\n"
-                           "[grpc]\nlisten = 127.0.0.1:0\n"
-                           "[admin]\nlisten = 127.0.0.1:0\n" +
-                           extra);
+        name + ".ini",
+        node_section(name) + "[log]\naddress = " + platform +
+            "\n[hosts]\naddress = " + platform +
+            "\ninterval = " + std::to_string(host_list_interval.count()) +
+            "ms\n"
+            "[grpc]\nlisten = 127.0.0.1:0\n"
+            "[admin]\nlisten = 127.0.0.1:0\n" +
+            api_section + extra);
     child_process process(
         "src/tack-control/tack-control", {"--settings=" + settings},
         folder.path() / (name + ".log"));
@@ -176,12 +180,14 @@
     const std::string& extra)
 {
     const auto settings = folder.write(
-        name + ".ini", node_section(name) +
-                           "[control]\naddress = " + to_string(control_grpc) +
-                           "\n[callers]\nlisten = 127.0.0.1:0\n"
-                           "[admin]\nlisten = 127.0.0.1:0\n"
-                           "[stop]\nlinger = 50ms\n" +
-                           extra);
+        name + ".ini",
+        node_section(name) + "[control]\naddress = " + to_string(control_grpc) +
+            "\n[callers]\nlisten = 127.0.0.1:0\n"
+            "[admin]\nlisten = 127.0.0.1:0\n" +
+            api_section +
+            (extra.starts_with("[stop]") ? std::string()
+                                         : "[stop]\nlinger = 50ms\n") +
+            extra);
     child_process process(
         "src/tack-entry/tack-entry", {"--settings=" + settings},
         folder.path() / (name + ".log"));
--- a/testsuite/harness/cluster.hpp
+++ b/testsuite/harness/cluster.hpp
@@ -108,6 +108,15 @@
     std::map<std::string, child_process> workers;
     std::map<std::string, endpoint> worker_addresses;
     endpoint platform_address;
+    /// How often control processes fetch the host list.
+    std::chrono::milliseconds host_list_interval =
+        std::chrono::milliseconds(50);
+    /// Who may read the administration pages of processes started from now.
+    std::string api_section = "[api]\nopen = yes\n";
+    /// The platform's second address, which can be cut off alone.
+    endpoint second_address;
+    /// Where control processes reach the platform.
+    endpoint control_platform;
     temporary_folder folder;
 
 private:
--- a/testsuite/standins/platform/main.cpp
+++ b/testsuite/standins/platform/main.cpp
@@ -1,15 +1,19 @@
 // Takes the platform's place in tests: the log service and the host list.
-// Faults are set by POST /fault?mode=MODE[&ms=N][&stream=NAME&before=OFFSET]:
+// GET /fault tells how many appends are held. Faults are set by POST
+// /fault?mode=MODE[&ms=N][&stream=NAME&before=OFFSET]:
 //   none           works
 //   down           refuses every log call with 503
 //   cut            closes log connections without an answer, nothing done
 //   slow           answers log calls after `ms`
 //   lose-answers   carries out appends but closes the connection
+//   (list and commands work on)
 //   trim           drops records of a stream below an offset, once
 
+#include "host_store.hpp"
 #include "log.pb.h"
 #include "stream_store.hpp"
 #include <dandeliontack/program.hpp>
+#include <dandeliontack/record_codec.hpp>
 #include <dandeliontack/settings.hpp>
 
 #include <absl/flags/flag.h>
@@ -17,10 +21,14 @@
 #include <boost/beast/http.hpp>
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <map>
 
 ABSL_FLAG(std::string, listen, "127.0.0.1:0", "Where to serve.");
+ABSL_FLAG(
+    absl::Duration, reboot_time, absl::Milliseconds(200),
+    "How long a host is gone that was told to reboot.");
 ABSL_FLAG(
     absl::Duration, list_lag, absl::ZeroDuration(),
     "How late the host list shows a change.");
@@ -36,6 +44,7 @@
 
 constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t largest_read = 1024;
+constexpr auto hold_check = std::chrono::milliseconds(2);
 
 std::uint64_t number(std::string_view target, std::string_view name)
 {
@@ -62,7 +71,10 @@
         : executor_(executor),
           lag_(lag),
           operators_(executor),
-          system_(executor)
+          system_(executor),
+          commands_(
+              executor, hosts_,
+              absl::ToChronoMilliseconds(absl::GetFlag(FLAGS_reboot_time)))
     {}
 
     asio::awaitable<http_response> handle(http_request request)
@@ -75,19 +87,40 @@
             co_return co_await log_call(system_, std::move(request));
         if (path == "/hosts")
             co_return list_hosts();
+        if (path == "/commands")
+            co_return make_response(
+                http::status::ok, "application/json",
+                json::serialize(commands_.history()));
+        if (path.starts_with("/hosts/") && path.ends_with("/commands"))
+            co_return commands_.take(path, request.body());
         if (path.starts_with("/hosts/"))
             co_return change_host(path.substr(7), request);
+        if (path == "/fault" && request.method() == http::verb::get)
+            co_return plain(http::status::ok, std::to_string(held_));
         if (path == "/fault")
             co_return set_fault(target);
         co_return plain(http::status::not_found);
     }
 
+    // The same service at an address of its own, which can be cut off.
+    asio::awaitable<http_response> handle_second(http_request request)
+    {
+        if (second_cut_)
+            throw no_answer();
+        auto response = co_await handle(std::move(request));
+        if (second_cut_)
+            throw no_answer();
+        co_return response;
+    }
+
 private:
     asio::awaitable<http_response>
     log_call(stream_store& stream, http_request request);
     asio::awaitable<http_response>
     read(stream_store& stream, std::string target);
     http_response append(stream_store& stream, const std::string& body);
+    bool must_hold(const std::string& body) const;
+    asio::awaitable<void> hold();
     http_response set_fault(const std::string& target);
     http_response list_hosts() const;
     http_response
@@ -99,7 +132,11 @@
     stream_store system_;
     std::string mode_ = "none";
     std::chrono::milliseconds delay_{};
+    bool second_cut_ = false;
+    std::string held_writer_;
+    unsigned held_ = 0;
     std::map<std::string, json::object> hosts_;
+    standins::host_commands commands_;
 };
 
 asio::awaitable<http_response>
@@ -116,12 +153,38 @@
     }
     if (request.method() == http::verb::get)
         co_return co_await read(stream, std::string(request.target()));
+    if (must_hold(request.body()))
+        co_await hold();
     auto response = append(stream, request.body());
     if (mode_ == "lose-answers")
         throw no_answer();
     co_return response;
 }
 
+bool platform::must_hold(const std::string& body) const
+{
+    wire::log_append_request request;
+    if (held_writer_.empty() || !request.ParseFromString(body))
+        return false;
+    return std::ranges::any_of(
+        request.records(), [&](const std::string& record) {
+            const auto origin =
+                decode_record(log_stream::system, 0, record).origin;
+            return origin.term != 0 && to_string(origin.writer) == held_writer_;
+        });
+}
+
+asio::awaitable<void> platform::hold()
+{
+    ++held_;
+    while (!held_writer_.empty())
+    {
+        asio::steady_timer timer(executor_, hold_check);
+        co_await timer.async_wait(no_throw);
+    }
+    --held_;
+}
+
 asio::awaitable<http_response>
 platform::read(stream_store& stream, std::string target)
 {
@@ -163,6 +226,16 @@
         stream.trim(number(target, "before"));
         return plain(http::status::ok);
     }
+    if (mode == "hold" || mode == "release")
+    {
+        held_writer_ = query_value(target, "writer");
+        return plain(http::status::ok);
+    }
+    if (mode == "cut-second" || mode == "mend-second")
+    {
+        second_cut_ = mode == "cut-second";
+        return plain(http::status::ok);
+    }
     mode_ = mode;
     delay_ = std::chrono::milliseconds(number(target, "ms"));
     return plain(http::status::ok);
@@ -212,6 +285,11 @@
         });
     const auto where = parse_endpoint(absl::GetFlag(FLAGS_listen));
     announce("platform", server.listen(where.value()));
+    http_server second(
+        context.get_executor(), limits, metrics, [&](http_request request) {
+            return service.handle_second(std::move(request));
+        });
+    announce("second", second.listen({where.value().address, 0}));
     asio::co_spawn(context, wait_for_stop_signal(), [&](std::exception_ptr) {
         context.stop();
     });
