Void decisions without a term, and forget writers many at once

Change: records of hosts and jobs need the leader's term, but for a node's own acknowledgement of departures; writers are forgotten 256 at once.

--- a/src/libdecide/domains.hpp
+++ b/src/libdecide/domains.hpp
@@ -29,8 +29,9 @@
 void apply(const reduce_context& context, const fleet_event& e);
 void apply(const reduce_context& context, const job_event& e);
 
-/// Whether a record was written under a term that its writer does not hold.
-bool is_fenced(const membership_state& s, const event_origin& origin);
+/// Whether a record is void because its writer does not hold the term that it
+/// was written under, or because it is a leader's decision without a term.
+bool is_fenced(const membership_state& s, const event& e);
 
 // What a published value changes besides its being in force.
 void adopt(const reduce_context& context, const pool_config& config);
--- a/src/libdecide/reduce_membership.cpp
+++ b/src/libdecide/reduce_membership.cpp
@@ -71,6 +71,14 @@
     context.todo.emplace_back(leader_changed{e.term, origin.writer});
 }
 
+// Whether only the leader may write such a record.
+bool is_decision(const event_body& body)
+{
+    if (const auto* fleet = std::get_if<fleet_event>(&body))
+        return !std::holds_alternative<departures_applied>(*fleet);
+    return std::holds_alternative<job_event>(body);
+}
+
 } // namespace
 
 void apply(const reduce_context& context, const membership_event& e)
@@ -78,10 +86,12 @@
     std::visit([&](const auto& one) { apply_one(context, one); }, e);
 }
 
-bool is_fenced(const membership_state& s, const event_origin& origin)
+bool is_fenced(const membership_state& s, const event& e)
 {
-    return origin.term != 0 &&
-           (origin.term != s.term.number || origin.writer != s.term.leader);
+    const auto& origin = e.origin;
+    if (origin.term == 0)
+        return is_decision(e.body);
+    return origin.term != s.term.number || origin.writer != s.term.leader;
 }
 
 void feed(hasher& h, const membership_state& s)
--- a/src/libdecide/reducer.cpp
+++ b/src/libdecide/reducer.cpp
@@ -2,6 +2,7 @@
 #include <dandeliontack/reducer.hpp>
 
 #include <algorithm>
+#include <vector>
 
 namespace dandeliontack
 {
@@ -12,6 +13,7 @@
 constexpr std::size_t kept_rejections = 64;
 // A resend comes within seconds; this many writers cover hours.
 constexpr std::size_t kept_writers = 4096;
+constexpr std::size_t forgotten_at_once = 256;
 
 std::string_view stream_name(log_stream stream)
 {
@@ -25,11 +27,19 @@
     end = origin.offset + 1;
 }
 
-void forget_oldest_writer(order_state& order)
+// Looks at every writer, so it forgets many at once.
+void forget_oldest_writers(order_state& order)
 {
-    const auto oldest = std::ranges::min_element(
-        order.writers, {}, [](const auto& item) { return item.second.seen; });
-    order.writers.erase(oldest);
+    std::vector<std::uint64_t> ages;
+    ages.reserve(order.writers.size());
+    for (const auto& [writer, mark] : order.writers)
+        ages.push_back(mark.seen);
+    const auto last_forgotten =
+        ages.begin() + static_cast<std::ptrdiff_t>(forgotten_at_once) - 1;
+    std::ranges::nth_element(ages, last_forgotten);
+    std::erase_if(order.writers, [&](const auto& item) {
+        return item.second.seen <= *last_forgotten;
+    });
 }
 
 // Notes the record's sequence; returns whether it is a second copy.
@@ -41,8 +51,8 @@
     mark.seen = order.records;
     if (!seen)
         mark.sequence = origin.sequence;
-    if (order.writers.size() > kept_writers)
-        forget_oldest_writer(order);
+    if (order.writers.size() >= kept_writers + forgotten_at_once)
+        forget_oldest_writers(order);
     return seen;
 }
 
@@ -87,7 +97,7 @@
         return result;
     }
     auto& membership = result.next.membership;
-    if (is_fenced(membership, e.origin))
+    if (is_fenced(membership, e))
     {
         ++membership.fenced;
         result.todo.emplace_back(
--- a/src/libdecide/reducer_test.cpp
+++ b/src/libdecide/reducer_test.cpp
@@ -65,6 +65,31 @@
         "force\n");
 }
 
+TEST(reducer, a_decision_without_a_term_is_void)
+{
+    const auto observed = make_event(
+        log_stream::system, 0, 7, 1, fleet_event{host_observed{.host = "h1"}});
+    const auto result = reduce({}, observed);
+    EXPECT_TRUE(result.next.fleet.hosts.empty());
+    EXPECT_TRUE(find_effect<record_fenced>(result.todo));
+}
+
+TEST(reducer, of_many_writers_the_oldest_are_forgotten)
+{
+    constexpr std::uint64_t writers = 5000;
+    state s;
+    for (std::uint64_t i = 0; i < writers; ++i)
+        s = reduce(
+                std::move(s), make_event(
+                                  log_stream::system, i, i + 1, 1,
+                                  order_event{operators_ordered{}}))
+                .next;
+    EXPECT_GE(s.order.writers.size(), 4096U);
+    EXPECT_LT(s.order.writers.size(), 4352U);
+    EXPECT_FALSE(s.order.writers.contains({1, 1}));
+    EXPECT_TRUE(s.order.writers.contains({1, writers}));
+}
+
 TEST(reducer, a_host_belongs_to_one_pool)
 {
     const auto s = apply_all(
