Let entry processes follow offsets that bring no new table

Cause: an entry process knew only the offset of its last table. Heartbeats and the like move the log on without a table, so a caller with the offset of one entry process could be refused by another for good, and tackctl watch saw entry processes lag (seen by hand: 7 where control had 17). Change: the confirmation carries how far the control process has applied; the entry takes the higher of both and never goes back. A control process sends no table before it has caught up, since such a table stands for an old state.

--- a/src/include/dandeliontack/control_client.hpp
+++ b/src/include/dandeliontack/control_client.hpp
@@ -20,9 +20,10 @@
 public:
     using table_handler = std::function<void(routing_table)>;
     using link_handler = std::function<void(bool connected)>;
-    /// Gets the time at which the state was last known to be current.
-    using confirmation_handler =
-        std::function<void(std::chrono::steady_clock::time_point)>;
+    /// Gets the time at which the state was last known to be current, and the
+    /// position that the last table still stands for.
+    using confirmation_handler = std::function<void(
+        std::chrono::steady_clock::time_point, const applied_position&)>;
 
     /// All handlers run on `executor`.
     control_client(
--- a/src/include/dandeliontack/control_server.hpp
+++ b/src/include/dandeliontack/control_server.hpp
@@ -31,8 +31,11 @@
     void publish(const routing_table& table);
 
     /// Tells all subscribers when the state was last confirmed to be current,
-    /// as a time of the host's monotonic clock.
-    void confirm(std::chrono::steady_clock::time_point when);
+    /// as a time of the host's monotonic clock, and how far it is applied. The
+    /// newest table must stand for that position.
+    void confirm(
+        std::chrono::steady_clock::time_point when,
+        const applied_position& applied);
 
     /// The records that peers may ask this process for.
     relay_buffer& relay();
--- a/src/include/dandeliontack/entry_service.hpp
+++ b/src/include/dandeliontack/entry_service.hpp
@@ -37,10 +37,15 @@
     void set_table(routing_table table);
     /// Takes note of when the table was last confirmed to be current. Where
     /// that is longer ago than a pool's bound, a pool that says `refuse` gets
-    /// no requests.
-    void set_confirmed(std::chrono::steady_clock::time_point when)
+    /// no requests. `applied` is what the table stands for by now.
+    void set_confirmed(
+        std::chrono::steady_clock::time_point when,
+        const applied_position& applied);
+    /// How far the streams are applied in what this process routes by. It
+    /// never goes back.
+    const applied_position& applied() const
     {
-        confirmed_ = when;
+        return applied_;
     }
     const routing_table& table() const
     {
@@ -82,6 +87,7 @@
         bool worth_retry = false;
     };
 
+    void advance_to(const applied_position& position);
     boost::asio::awaitable<http_response> answer(http_request request);
     // Whether the pool refuses requests since the table may be out of date.
     bool is_stale(const route& to) const;
@@ -108,6 +114,7 @@
     part_log out_;
     routing_table table_;
     bool has_table_ = false;
+    applied_position applied_;
     std::chrono::steady_clock::time_point confirmed_;
     upstream_pool upstreams_;
     admission admission_;
--- a/src/include/dandeliontack/routing.hpp
+++ b/src/include/dandeliontack/routing.hpp
@@ -55,6 +55,16 @@
     bool operator==(const route&) const = default;
 };
 
+/// How far a node has applied the two streams: the offsets behind the last
+/// records applied.
+struct applied_position
+{
+    std::uint64_t system_end = 0;
+    std::uint64_t operators_end = 0;
+
+    auto operator<=>(const applied_position&) const = default;
+};
+
 /// Everything that an entry process needs to route.
 struct routing_table
 {
--- a/src/libcontrol/control_node.cpp
+++ b/src/libcontrol/control_node.cpp
@@ -305,7 +305,8 @@
 {
     if (gap_.empty() && order_.ordered_end() <= state_.order.operators_end)
     {
-        server_.confirm(when);
+        server_.confirm(
+            when, {state_.order.system_end, state_.order.operators_end});
         server_.relay().confirm(when);
     }
 }
@@ -397,8 +398,11 @@
     metrics_.get_counter("tack_snapshots_written_total").add();
 }
 
+// A state that is still behind the log is nothing to route by.
 void control_node::publish_routing()
 {
+    if (!caught_up_)
+        return;
     server_.publish(make_routing_table(state_, hosts_listed_));
 }
 
--- a/src/libentry/entry_service.cpp
+++ b/src/libentry/entry_service.cpp
@@ -4,6 +4,7 @@
 #include <boost/beast/http.hpp>
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <sstream>
 #include <utility>
 
@@ -95,22 +96,34 @@
 
 void entry_service::set_table(routing_table table)
 {
-    const auto position = [](const routing_table& t) {
-        return std::pair(t.system_end, t.operators_end);
-    };
-    if (has_table_ && position(table) < position(table_))
+    const applied_position position{table.system_end, table.operators_end};
+    if (has_table_ && position < applied_)
     {
         metrics_.get_counter("tack_routing_older_ignored_total").add();
         return;
     }
     table_ = std::move(table);
     has_table_ = true;
-    metrics_.get_gauge("tack_routing_system_end")
-        .set(static_cast<std::int64_t>(table_.system_end));
+    advance_to(position);
     admission_.dispatch();
     out_.info("Routes by offset ", table_.system_end, ".");
 }
 
+void entry_service::set_confirmed(
+    std::chrono::steady_clock::time_point when, const applied_position& applied)
+{
+    confirmed_ = when;
+    if (has_table_)
+        advance_to(applied);
+}
+
+void entry_service::advance_to(const applied_position& position)
+{
+    applied_ = std::max(applied_, position);
+    metrics_.get_gauge("tack_routing_system_end")
+        .set(static_cast<std::int64_t>(applied_.system_end));
+}
+
 http_response entry_service::not_run(
     http::status status, std::string_view title, std::string_view detail)
 {
@@ -184,7 +197,7 @@
                 http::status::service_unavailable, "no routing state",
                 "this process has not got its state yet"),
             run_end::not_run};
-    if (table_.system_end < c.options.least_offset)
+    if (applied_.system_end < c.options.least_offset)
         co_return served{too_old(), run_end::not_run};
     const auto found = table_.routes.find(c.service);
     if (found == table_.routes.end())
@@ -210,7 +223,7 @@
 
 asio::awaitable<served> entry_service::serve_routed(call c)
 {
-    const auto offset = table_.system_end;
+    const auto offset = applied_.system_end;
     strip_connection_fields(c.request);
     retries_.count_request();
     auto last = co_await try_once(c);
@@ -340,8 +353,8 @@
     }
     const json::object body{
         {"has_table", service.has_table()},
-        {"system_end", service.table().system_end},
-        {"operators_end", service.table().operators_end},
+        {"system_end", service.applied().system_end},
+        {"operators_end", service.applied().operators_end},
         {"routes", routes}};
     return make_response(
         http::status::ok, "application/json", json::serialize(body) + "\n");
--- a/src/libpeer/control_client.cpp
+++ b/src/libpeer/control_client.cpp
@@ -121,8 +121,10 @@
     if (!message.confirmation_only())
         on_table(from_wire(message));
     else if (on_confirmation)
-        on_confirmation(std::chrono::steady_clock::time_point(
-            std::chrono::milliseconds(message.confirmed_ms())));
+        on_confirmation(
+            std::chrono::steady_clock::time_point(
+                std::chrono::milliseconds(message.confirmed_ms())),
+            {message.system_end(), message.operators_end()});
 }
 
 void control_client::core::subscribe()
--- a/src/libpeer/control_server.cpp
+++ b/src/libpeer/control_server.cpp
@@ -214,10 +214,13 @@
         open->write_newest();
 }
 
-void control_server::confirm(std::chrono::steady_clock::time_point when)
+void control_server::confirm(
+    std::chrono::steady_clock::time_point when, const applied_position& applied)
 {
     auto message = std::make_shared<wire::routing_table>();
     message->set_confirmation_only(true);
+    message->set_system_end(applied.system_end);
+    message->set_operators_end(applied.operators_end);
     message->set_confirmed_ms(
         std::chrono::duration_cast<std::chrono::milliseconds>(
             when.time_since_epoch())
--- a/src/tack-entry/main.cpp
+++ b/src/tack-entry/main.cpp
@@ -86,7 +86,9 @@
         executor, settings.control.address, settings.node.name,
         [&](routing_table table) { service.set_table(std::move(table)); },
         [&](bool connected) { linked.set(connected ? 1 : 0); },
-        [&](auto when) { service.set_confirmed(when); });
+        [&](auto when, const applied_position& applied) {
+            service.set_confirmed(when, applied);
+        });
 
     const auto serving = callers.listen(settings.callers.listen);
     service.set_address(settings.tickets.advertise.value_or(serving));
--- a/testsuite/bad_input/bad_input_test.cpp
+++ b/testsuite/bad_input/bad_input_test.cpp
@@ -17,19 +17,6 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 
-// Sends raw bytes and returns everything until the connection is closed.
-std::string send_raw(const endpoint& to, const std::string& bytes)
-{
-    asio::io_context context;
-    asio::ip::tcp::socket socket(context);
-    socket.connect({asio::ip::make_address(to.address), to.port});
-    boost::system::error_code ignored;
-    asio::write(socket, asio::buffer(bytes), ignored);
-    std::string answer;
-    asio::read(socket, asio::dynamic_buffer(answer), ignored);
-    return answer;
-}
-
 struct bad_input : testing::Test
 {
     bad_input()
--- a/testsuite/harness/cluster.cpp
+++ b/testsuite/harness/cluster.cpp
@@ -73,6 +73,18 @@
     return json::parse(get(to, target).body()).as_object();
 }
 
+std::string send_raw(const endpoint& to, const std::string& bytes)
+{
+    asio::io_context context;
+    asio::ip::tcp::socket socket(context);
+    socket.connect({asio::ip::make_address(to.address), to.port});
+    boost::system::error_code ignored;
+    asio::write(socket, asio::buffer(bytes), ignored);
+    std::string answer;
+    asio::read(socket, asio::dynamic_buffer(answer), ignored);
+    return answer;
+}
+
 bool eventually(
     const std::function<bool()>& condition, std::chrono::milliseconds limit)
 {
--- a/testsuite/harness/cluster.hpp
+++ b/testsuite/harness/cluster.hpp
@@ -23,6 +23,10 @@
 post(const endpoint& to, const std::string& target, std::string body = {});
 boost::json::object get_json(const endpoint& to, const std::string& target);
 
+/// Sends raw bytes on a connection of its own and returns everything until
+/// the other side closes it.
+std::string send_raw(const endpoint& to, const std::string& bytes);
+
 /// Polls a condition until it holds; false if it does not within the limit.
 bool eventually(
     const std::function<bool()>& condition,
--- a/testsuite/request_wholeness/request_wholeness_test.cpp
+++ b/testsuite/request_wholeness/request_wholeness_test.cpp
@@ -18,24 +18,13 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 
-std::string send_raw(const endpoint& to, const std::string& bytes)
-{
-    asio::io_context context;
-    asio::ip::tcp::socket socket(context);
-    socket.connect({asio::ip::make_address(to.address), to.port});
-    boost::system::error_code ignored;
-    asio::write(socket, asio::buffer(bytes), ignored);
-    std::string answer;
-    asio::read(socket, asio::dynamic_buffer(answer), ignored);
-    return answer;
-}
-
 struct request_wholeness : testing::Test
 {
     request_wholeness()
     {
         system.add_worker("w1");
-        const auto& control = system.add_control("control-1");
+        const auto& control =
+            system.add_control("control-1", "[leadership]\nheartbeat = 50ms\n");
         system.add_entry(
             "entry-1", control.grpc,
             "[upstreams]\nbody_bytes = 65536\nretries = 0\n");
@@ -55,6 +44,14 @@
         post(system.worker_addresses.at("w1"), "/fault?" + fault);
     }
 
+    http_response asking_for(const std::string& least_offset)
+    {
+        http_request request{http::verb::get, "/services/citations/a", 11};
+        request.set(http::field::host, "a");
+        request.set("tack-offset", least_offset);
+        return call(entry().callers, std::move(request));
+    }
+
     http_response ask(const std::string& path)
     {
         return get(entry().callers, "/services/citations" + path);
@@ -191,12 +188,6 @@
     const auto now = ask("/a");
     const std::string offset(now["tack-offset"]);
     ASSERT_FALSE(offset.empty());
-    const auto asking_for = [&](const std::string& least) {
-        http_request request{http::verb::get, "/services/citations/a", 11};
-        request.set(http::field::host, "a");
-        request.set("tack-offset", least);
-        return call(entry().callers, std::move(request));
-    };
     EXPECT_EQ(asking_for(offset).result(), http::status::ok);
     const auto refused = asking_for("999999999");
     EXPECT_EQ(refused.result(), http::status::service_unavailable);
@@ -204,6 +195,24 @@
         refused.body().find("\"outcome\":\"not-run\""), std::string::npos);
 }
 
+// Records that leave the routing as it is move the offset on as well.
+TEST_F(request_wholeness, an_offset_without_a_new_table_is_reached)
+{
+    const auto& control = system.controls.at("control-1");
+    const auto applied = [&] {
+        return get_json(control.admin, "/v1/status")
+            .at("system_end")
+            .to_number<std::uint64_t>();
+    };
+    // Behind so many heartbeats no other record is under way any more.
+    constexpr std::uint64_t heartbeats = 20;
+    const auto before = applied();
+    ASSERT_TRUE(eventually([&] { return applied() > before + heartbeats; }));
+    const auto least = std::to_string(applied());
+    EXPECT_TRUE(eventually(
+        [&] { return asking_for(least).result() == http::status::ok; }));
+}
+
 TEST_F(request_wholeness, fields_of_one_connection_are_not_forwarded)
 {
     const auto answer = send_raw(
