Split budget windows off and hold awaited results in variables

Cause: fleet_budget.cpp parsed windows and certified claims in 408 lines; and g++ 12 miscompiled a co_await in a condition in the control process.

--- a/src/include/dandeliontack/fleet_budget.hpp
+++ b/src/include/dandeliontack/fleet_budget.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <dandeliontack/budget_window.hpp>
 #include <dandeliontack/fleet_effects.hpp>
 #include <dandeliontack/state.hpp>
 
@@ -8,35 +9,11 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace dandeliontack
 {
 
-using event_time = std::chrono::sys_time<std::chrono::milliseconds>;
-
-/// A time of day, on some days or on all, with a larger budget. In UTC.
-struct budget_window
-{
-    std::chrono::minutes from{};
-    /// At or before `from` it means the next day.
-    std::chrono::minutes until{};
-    std::optional<std::chrono::sys_days> first_day;
-    std::optional<std::chrono::sys_days> last_day;
-    std::uint64_t amount = 0;
-    /// Whether the amount is a share in percent.
-    bool is_share = false;
-};
-
-/// Reads `[YYYY-MM-DD/YYYY-MM-DD ]HH:MM-HH:MM=AMOUNT[%]`; the days are those
-/// on which the window begins. Nothing where the text is not of that form.
-std::optional<budget_window> parse_budget_window(std::string_view text);
-
-/// The most hosts that the pool promises at any moment from `from` to `until`.
-std::uint64_t
-promised_hosts(const pool_config& pool, event_time from, event_time until);
-
 /// How long a disruption of a host of this pool may take, by which time the
 /// pool may promise more. A moved host is away for the day.
 std::chrono::milliseconds disruption_bound(
--- a/src/libplatform/proposer.cpp
+++ b/src/libplatform/proposer.cpp
@@ -94,7 +94,8 @@
         }
         if (batch == 0)
             batch = std::min(queue_.size(), largest_batch);
-        if (co_await append_batch(batch))
+        const bool confirmed = co_await append_batch(batch);
+        if (confirmed)
         {
             batch = 0;
             backoff = shortest_backoff;
--- a/src/libutil/http_server.cpp
+++ b/src/libutil/http_server.cpp
@@ -189,9 +189,9 @@
 {
     const auto self = shared_from_this();
     const auto place = sessions.insert(sessions.end(), s);
-    while (co_await serve_one(*s))
-    {
-    }
+    bool open = true;
+    while (open)
+        open = co_await serve_one(*s);
     co_await finish(*s);
     s->stream.close();
     sessions.erase(place);
@@ -259,7 +259,8 @@
 // Serves one request and says whether the connection can carry another.
 asio::awaitable<bool> http_server::core::serve_one(session& s)
 {
-    if (!co_await first_bytes(s))
+    const bool arrived = co_await first_bytes(s);
+    if (!arrived)
         co_return false;
     s.busy = true;
     request_parser parser;
--- a/src/tackctl/publication.cpp
+++ b/src/tackctl/publication.cpp
@@ -101,7 +101,8 @@
 
 asio::awaitable<int> publication::run_to_outcome()
 {
-    if (!co_await append())
+    const bool confirmed = co_await append();
+    if (!confirmed)
     {
         const auto unknown =
             metrics_.get_counter("tack_log_appends_unknown_total").value();
--- a/testsuite/agreement_takeover/agreement_takeover_test.cpp
+++ b/testsuite/agreement_takeover/agreement_takeover_test.cpp
@@ -47,8 +47,11 @@
     EXPECT_TRUE(eventually([&] { return status_of(control).nodes == 2; }));
     system.publish(control.admin, "[pool registry]\nhosts = w2\n");
     for (const auto& [name, each] : system.controls)
-        if (name != *first)
-            EXPECT_TRUE(pool_in_force(each, "registry", 2)) << name;
+    {
+        if (name == *first)
+            continue;
+        EXPECT_TRUE(pool_in_force(each, "registry", 2)) << name;
+    }
     EXPECT_TRUE(states_agree(system, gone));
 }
 
