--- a/src/libdecide/routing.cpp
+++ b/src/libdecide/routing.cpp
@@ -1,7 +1,8 @@
 #include <dandeliontack/routing.hpp>
 
-#include <algorithm>
-#include <iterator>
+#include <map>
+#include <string_view>
+#include <vector>
 
 namespace dandeliontack
 {
@@ -9,7 +10,8 @@
 namespace
 {
 
-using host_index = std::map<std::string, const listed_host*>;
+using host_index = std::map<std::string_view, const listed_host*>;
+using pool_upstreams = std::map<std::string_view, std::vector<upstream>>;
 
 host_index index_live(const std::vector<listed_host>& hosts)
 {
@@ -20,21 +22,21 @@
     return index;
 }
 
-std::vector<upstream> upstreams_of(
-    const fleet_state& fleet, const std::string& pool, const host_index& live)
+// The upstreams of every pool, in the order of their names.
+pool_upstreams group_by_pool(const fleet_state& fleet, const host_index& live)
 {
-    std::vector<upstream> found;
+    pool_upstreams grouped;
     for (const auto& [name, record] : fleet.hosts)
     {
-        if (record.pool != pool || record.phase != host_phase::serving)
-            continue;
         const auto host = live.find(name);
-        if (host != live.end())
-            found.push_back(
-                {name, host->second->address, host->second->data_centre,
-                 host->second->slots, host->second->connections});
+        if (record.phase != host_phase::serving || host == live.end())
+            continue;
+        const auto& listed = *host->second;
+        grouped[record.pool].push_back(
+            {name, listed.address, listed.data_centre, listed.slots,
+             listed.connections});
     }
-    return found;
+    return grouped;
 }
 
 } // namespace
@@ -44,18 +46,20 @@
 {
     routing_table table{
         s.order.system_end, s.order.operators_end, hash_of(s), {}};
-    const auto live = index_live(hosts);
+    const auto upstreams = group_by_pool(s.fleet, index_live(hosts));
     for (const auto& [key, service] : s.config.services)
     {
         const auto pool = s.config.pools.find(service.config.pool);
         if (pool == s.config.pools.end())
             continue;
         const auto& config = pool->second.config;
+        const auto found = upstreams.find(config.name);
         table.routes.emplace(
-            key,
-            route{
-                service.config, service.revision, config.staleness_bound,
-                config.when_stale, upstreams_of(s.fleet, config.name, live)});
+            key, route{
+                     service.config, service.revision, config.staleness_bound,
+                     config.when_stale,
+                     found == upstreams.end() ? std::vector<upstream>()
+                                              : found->second});
     }
     return table;
 }
