Plan only where something has changed

Cause: a plan without proposals was made again every 200 ms, and heartbeats counted as change: up to 24 ms a round at the size to design for (benches of the planners), so up to 12 % of a core on an idle leader. Change: records of membership and order don't count; hosts, jobs and configuration do, and a second of idling, since some steps wait for time.

--- a/src/include/dandeliontack/capacity_duty.hpp
+++ b/src/include/dandeliontack/capacity_duty.hpp
@@ -6,12 +6,14 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <chrono>
+#include <vector>
 
 namespace dandeliontack
 {
 
 /// Proposes what the planners decide for pools, waves, moves and jobs while
-/// its node leads. Plans anew only when its last proposals were applied.
+/// its node leads. Plans when hosts, jobs or configuration have changed, and
+/// now and then besides, since some steps wait for time to pass.
 class capacity_duty
 {
 public:
@@ -24,13 +26,16 @@
     boost::asio::awaitable<void> run();
 
 private:
+    bool is_due() const;
     void plan_once();
 
     boost::asio::any_io_executor executor_;
     control_node& node_;
     std::chrono::milliseconds interval_;
-    /// The end of the system's stream when the last plan was made.
-    std::uint64_t planned_at_ = 0;
+    /// Whether a record came that planning may depend on.
+    bool changed_ = true;
+    std::vector<listed_host> planned_hosts_;
+    std::chrono::steady_clock::time_point planned_;
 };
 
 } // namespace dandeliontack
--- a/src/libcontrol/capacity_duty.cpp
+++ b/src/libcontrol/capacity_duty.cpp
@@ -21,25 +21,45 @@
         std::chrono::system_clock::now());
 }
 
+// The longest time without a plan: some steps wait for time to pass.
+constexpr auto longest_idle = std::chrono::seconds(1);
+
+// Heartbeats and the like change nothing that is planned by.
+bool planning_depends_on(const event& e)
+{
+    return !std::holds_alternative<membership_event>(e.body) &&
+           !std::holds_alternative<order_event>(e.body);
+}
+
 } // namespace
 
 capacity_duty::capacity_duty(
     asio::any_io_executor executor, control_node& node,
     std::chrono::milliseconds interval)
     : executor_(std::move(executor)), node_(node), interval_(interval)
-{}
+{
+    node.on_applied([this](const event& e, const effects&) {
+        changed_ = changed_ || planning_depends_on(e);
+    });
+}
+
+bool capacity_duty::is_due() const
+{
+    return changed_ || node_.hosts() != planned_hosts_ ||
+           std::chrono::steady_clock::now() - planned_ >= longest_idle;
+}
 
 void capacity_duty::plan_once()
 {
-    const auto end = node_.current().order.system_end;
-    if (!node_.leads() || node_.backlog() != 0 || end == planned_at_)
+    if (!node_.leads() || node_.backlog() != 0 || !is_due())
         return;
-    const planning_input input{now(), node_.hosts()};
+    changed_ = false;
+    planned_hosts_ = node_.hosts();
+    planned_ = std::chrono::steady_clock::now();
+    const planning_input input{now(), planned_hosts_};
     auto proposals = plan_fleet(node_.current(), input);
     std::ranges::move(
         plan_jobs(node_.current(), input), std::back_inserter(proposals));
-    // Without proposals the plan may change with the clock or the host list.
-    planned_at_ = proposals.empty() ? 0 : end;
     for (auto& body : proposals)
         node_.propose(std::move(body));
 }
