--- a/src/include/dandeliontack/control_node.hpp
+++ b/src/include/dandeliontack/control_node.hpp
@@ -117,6 +117,7 @@
 private:
     using record_key = std::pair<incarnation, std::uint64_t>;
 
+    static leadership::instant monotonic_now();
     boost::asio::awaitable<void> run_log();
     boost::asio::awaitable<bool> load();
     boost::asio::awaitable<std::optional<log_batch>>
--- a/src/include/dandeliontack/event.hpp
+++ b/src/include/dandeliontack/event.hpp
@@ -49,4 +49,12 @@
     event_body body;
 };
 
+/// Whether a record only keeps the system's own books, on its members and on
+/// the order of the streams: nothing is routed or planned by it.
+inline bool is_bookkeeping(const event& e)
+{
+    return std::holds_alternative<membership_event>(e.body) ||
+           std::holds_alternative<order_event>(e.body);
+}
+
 } // namespace dandeliontack
--- a/src/libcontrol/capacity_duty.cpp
+++ b/src/libcontrol/capacity_duty.cpp
@@ -24,13 +24,6 @@
 // The longest time without a plan: some steps wait for time to pass.
 constexpr auto longest_idle = std::chrono::seconds(1);
 
-// Heartbeats and the like change nothing that is planned by.
-bool planning_depends_on(const event& e)
-{
-    return !std::holds_alternative<membership_event>(e.body) &&
-           !std::holds_alternative<order_event>(e.body);
-}
-
 } // namespace
 
 capacity_duty::capacity_duty(
@@ -39,7 +32,7 @@
     : executor_(std::move(executor)), node_(node), interval_(interval)
 {
     node.on_applied([this](const event& e, const effects&) {
-        changed_ = changed_ || planning_depends_on(e);
+        changed_ = changed_ || !is_bookkeeping(e);
     });
 }
 
--- a/src/libcontrol/control_node.cpp
+++ b/src/libcontrol/control_node.cpp
@@ -1,12 +1,10 @@
 #include <dandeliontack/control_node.hpp>
+#include <dandeliontack/pause.hpp>
 #include <dandeliontack/record_codec.hpp>
-#include <dandeliontack/snapshot.hpp>
 #include <dandeliontack/snapshot_loader.hpp>
 
 #include <boost/asio.hpp>
 
-#include <algorithm>
-#include <iterator>
 #include <utility>
 
 namespace dandeliontack
@@ -17,34 +15,8 @@
 namespace
 {
 
-constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
 constexpr auto read_retry = std::chrono::milliseconds(100);
 constexpr std::size_t kept_outcomes = 4096;
-// Each member waits this much longer than the one before it, so that as a
-// rule only the first puts operator records in order.
-constexpr auto ordering_step = std::chrono::milliseconds(100);
-
-constexpr int checks_per_heartbeat = 5;
-
-leadership::instant monotonic_now()
-{
-    return std::chrono::duration_cast<leadership::instant>(
-        std::chrono::steady_clock::now().time_since_epoch());
-}
-
-// Heartbeats and the like change nothing that requests are routed by.
-bool may_change_routing(const event& e)
-{
-    return !std::holds_alternative<membership_event>(e.body) &&
-           !std::holds_alternative<order_event>(e.body);
-}
-
-asio::awaitable<void>
-pause_for(asio::any_io_executor executor, std::chrono::milliseconds duration)
-{
-    asio::steady_timer timer(executor, duration);
-    co_await timer.async_wait(no_throw);
-}
 
 } // namespace
 
@@ -212,7 +184,7 @@
     while (auto e = order_.pop())
     {
         apply(*e);
-        changed = changed || may_change_routing(*e);
+        changed = changed || !is_bookkeeping(*e);
     }
     metrics_.get_gauge("tack_applied_system_end")
         .set(static_cast<std::int64_t>(state_.order.system_end));
@@ -256,61 +228,6 @@
     }
 }
 
-void control_node::join_if_missing()
-{
-    const bool member = state_.membership.nodes.contains(self());
-    if (member || stopping_ || join_pending_)
-    {
-        join_pending_ = join_pending_ && !member;
-        return;
-    }
-    join_pending_ = true;
-    proposals_.propose(membership_event{node_joined{
-        settings_.node.name, settings_.node.data_centre, peer_address_}});
-}
-
-void control_node::propose_membership()
-{
-    const auto now = monotonic_now();
-    for (auto& body : leadership_.due(state_, now))
-    {
-        // Only the removal of another member needs the leader's term.
-        const bool needs_term = std::holds_alternative<node_left>(body);
-        const auto sequence = proposals_.propose(body, needs_term ? term() : 0);
-        leadership_.proposed(body, sequence, now);
-    }
-}
-
-asio::awaitable<void> control_node::keep_membership()
-{
-    const auto pause = std::max(
-        std::chrono::milliseconds(1),
-        settings_.leadership.heartbeat / checks_per_heartbeat);
-    while (!stopping_)
-    {
-        if (ready())
-        {
-            join_if_missing();
-            propose_membership();
-            write_snapshot_if_due();
-        }
-        metrics_.get_gauge("tack_leads").set(leads() ? 1 : 0);
-        co_await pause_for(executor_, pause);
-    }
-}
-
-// The log had nothing more when it was asked. That counts for the state only
-// where the operator records that are in order are applied as well.
-void control_node::confirm_fresh(std::chrono::steady_clock::time_point when)
-{
-    if (gap_.empty() && order_.ordered_end() <= state_.order.operators_end)
-    {
-        server_.confirm(
-            when, {state_.order.system_end, state_.order.operators_end});
-        server_.relay().confirm(when);
-    }
-}
-
 void control_node::take_record(
     log_stream stream, std::uint64_t offset, const std::string& record)
 {
@@ -318,86 +235,6 @@
         server_.relay().keep(stream, offset, record);
 }
 
-// The member behind the one that was asked last, around the list; null where
-// this node is alone.
-const member* control_node::next_peer()
-{
-    const auto& nodes = state_.membership.nodes;
-    auto next = nodes.upper_bound(last_asked_);
-    for (std::size_t tried = 0; tried < nodes.size(); ++tried, ++next)
-    {
-        if (next == nodes.end())
-            next = nodes.begin();
-        if (next->first == self())
-            continue;
-        last_asked_ = next->first;
-        return &next->second;
-    }
-    return nullptr;
-}
-
-void control_node::take_relayed(const relayed_records& got)
-{
-    if (!gap_.empty() || stopping_)
-        return;
-    const auto system_from = order_.next_offset(log_stream::system);
-    const auto operators_from = order_.next_offset(log_stream::operators);
-    // A reply that comes late begins at offsets that were passed meanwhile.
-    const bool current =
-        got.system_from == system_from && got.operators_from == operators_from;
-    if (!current)
-        return;
-    auto offset = system_from;
-    for (const auto& record : got.system)
-        take_record(log_stream::system, offset++, record);
-    offset = operators_from;
-    for (const auto& record : got.operators)
-        take_record(log_stream::operators, offset++, record);
-    apply_ready();
-    metrics_.get_counter("tack_records_relayed_total")
-        .add(got.system.size() + got.operators.size());
-    if (order_.next_offset(log_stream::system) >= got.system_end)
-        confirm_fresh(got.confirmed);
-}
-
-// While the log does not answer, peers may still read it.
-asio::awaitable<void> control_node::relay_from_peers()
-{
-    const auto interval = settings_.leadership.heartbeat;
-    while (!stopping_)
-    {
-        co_await pause_for(executor_, interval / 2);
-        const auto silent = std::chrono::steady_clock::now() - log_confirmed_;
-        const auto* peer = silent > 2 * interval ? next_peer() : nullptr;
-        if (peer && caught_up_)
-            peers_.ask(
-                peer->peer_address, order_.next_offset(log_stream::system),
-                order_.next_offset(log_stream::operators), interval,
-                [this](const relayed_records& got) { take_relayed(got); });
-    }
-}
-
-// The leader writes the state to the log well before the log drops the records
-// that the last snapshot goes on from.
-void control_node::write_snapshot_if_due()
-{
-    const auto now = std::chrono::steady_clock::now();
-    const auto& order = state_.order;
-    const auto newest = std::max(order.snapshot_end, snapshot_proposed_end_);
-    const bool due = order.system_end >= newest + settings_.snapshots.records ||
-                     now - snapshot_proposed_ >= settings_.snapshots.interval;
-    // Between a mark and the records that it puts in order the two ends don't
-    // say where to go on.
-    const bool between = order_.ordered_end() > order.operators_end;
-    if (!due || between || proposals_.backlog() != 0 || !leads())
-        return;
-    snapshot_proposed_ = now;
-    snapshot_proposed_end_ = order.system_end;
-    for (auto& chunk : make_snapshot(state_))
-        propose(order_event{std::move(chunk)});
-    metrics_.get_counter("tack_snapshots_written_total").add();
-}
-
 // A state that is still behind the log is nothing to route by.
 void control_node::publish_routing()
 {
@@ -432,56 +269,11 @@
     }
 }
 
-bool control_node::leads() const
-{
-    return ready() && leadership_.holds(state_, monotonic_now());
-}
-
-void control_node::propose(event_body body)
-{
-    if (!leads())
-    {
-        metrics_.get_counter("tack_proposals_without_lease_total").add();
-        return;
-    }
-    proposals_.propose(std::move(body), term());
-}
-
-void control_node::propose_as_member(event_body body)
-{
-    proposals_.propose(std::move(body));
-}
-
 void control_node::on_applied(applied_handler observe)
 {
     observers_.push_back(std::move(observe));
 }
 
-std::chrono::milliseconds control_node::ordering_delay() const
-{
-    return leadership_.rank(state_) * ordering_step;
-}
-
-asio::awaitable<void> control_node::order_operators()
-{
-    std::uint64_t proposed_end = 0;
-    while (!stopping_)
-    {
-        const auto read_end = order_.next_offset(log_stream::operators);
-        const auto ordered = std::max(order_.ordered_end(), proposed_end);
-        if (!caught_up_ || read_end <= ordered)
-        {
-            unordered_.expires_at(asio::steady_timer::time_point::max());
-            co_await unordered_.async_wait(no_throw);
-            continue;
-        }
-        co_await pause_for(executor_, ordering_delay());
-        proposed_end = order_.next_offset(log_stream::operators);
-        if (proposed_end > order_.ordered_end())
-            proposals_.propose(order_event{operators_ordered{proposed_end}});
-    }
-}
-
 std::optional<record_outcome> control_node::outcome_of(
     const incarnation& writer, std::uint64_t sequence) const
 {
@@ -491,4 +283,4 @@
     return found->second;
 }
 
-} // namespace dandeliontack
+} // namespace dandeliontack
--- a/src/tackctl/publication.cpp
+++ b/src/tackctl/publication.cpp
@@ -1,6 +1,7 @@
 #include "publication.hpp"
 
 #include <dandeliontack/http_get.hpp>
+#include <dandeliontack/pause.hpp>
 #include <dandeliontack/program.hpp>
 
 #include <boost/asio.hpp>
@@ -20,15 +21,8 @@
 namespace
 {
 
-constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
 constexpr auto poll_interval = std::chrono::milliseconds(20);
 
-asio::awaitable<void> pause(asio::any_io_executor executor)
-{
-    asio::steady_timer timer(executor, poll_interval);
-    co_await timer.async_wait(no_throw);
-}
-
 // The revision in force, 0 for a value that is not.
 std::uint64_t revision_of(const config_event& e, const json::object& status)
 {
@@ -121,7 +115,7 @@
 asio::awaitable<bool> publication::append()
 {
     while (proposals_.backlog() != 0 && !timed_out())
-        co_await pause(executor_);
+        co_await pause_for(executor_, poll_interval);
     proposals_.stop();
     co_return proposals_.backlog() == 0;
 }
@@ -141,7 +135,7 @@
             report(e, state, *answer);
             co_return state == "accepted" ? exit_ok : exit_rejected;
         }
-        co_await pause(executor_);
+        co_await pause_for(executor_, poll_interval);
     } while (!timed_out());
     std::cerr << subject_of(e) << ": published, outcome not known in time\n";
     co_return exit_timed_out;
--- a/testsuite/capacity/main.cpp
+++ b/testsuite/capacity/main.cpp
@@ -226,12 +226,12 @@
         "control_node.cpp tail, order_operators");
     print_need(
         "all", "change accepted, nobody killed", p.rollout_by_killed.at(0),
-        most_rollout, 1, "s", "control_node.cpp order_operators");
+        most_rollout, 1, "s", "control_duties.cpp order_operators");
     print_need(
         "all",
         "change accepted right after a data centre fails, asked node last",
         p.rollout_by_killed.at(killed_at_once), most_rollout, 1, "s",
-        "control_node.cpp ordering_delay");
+        "control_duties.cpp ordering_delay");
 }
 
 int run()
