Wait by pause_for in the server and the proposer

Cause: both wrote again the timer and wait that pause.hpp offers, and the server's wait after a failed accept was a bare number. Change: they call pause_for; the number is named.

--- a/src/libplatform/proposer.cpp
+++ b/src/libplatform/proposer.cpp
@@ -1,3 +1,4 @@
+#include <dandeliontack/pause.hpp>
 #include <dandeliontack/proposer.hpp>
 #include <dandeliontack/record_codec.hpp>
 
@@ -101,8 +102,7 @@
             backoff = shortest_backoff;
             continue;
         }
-        asio::steady_timer pause(wake_.get_executor(), backoff);
-        co_await pause.async_wait(no_throw);
+        co_await pause_for(wake_.get_executor(), backoff);
         backoff =
             std::min(backoff * 2, std::chrono::milliseconds(longest_backoff));
     }
--- a/src/libutil/http_server.cpp
+++ b/src/libutil/http_server.cpp
@@ -2,6 +2,7 @@
 #include <dandeliontack/http_header_scan.hpp>
 #include <dandeliontack/http_server.hpp>
 #include <dandeliontack/log.hpp>
+#include <dandeliontack/pause.hpp>
 
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
@@ -24,6 +25,7 @@
 {
 
 constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
+constexpr auto accept_retry = std::chrono::milliseconds(50);
 constexpr auto drain_poll_interval = std::chrono::milliseconds(5);
 constexpr std::size_t read_bytes = 4096;
 // What is read and dropped after a refusal, so that the sender sees it.
@@ -177,8 +179,7 @@
         if (ec)
         {
             // Out of descriptors or the like: wait rather than spin.
-            asio::steady_timer pause(executor, std::chrono::milliseconds(50));
-            co_await pause.async_wait(no_throw);
+            co_await pause_for(executor, accept_retry);
             continue;
         }
         start(std::move(socket));
@@ -389,8 +390,7 @@
         for (const auto& s : held->sessions)
             if (!s->busy)
                 s->stream.cancel();
-        asio::steady_timer pause(held->executor, drain_poll_interval);
-        co_await pause.async_wait(no_throw);
+        co_await pause_for(held->executor, drain_poll_interval);
     }
 }
 
