--- /dev/null
+++ b/src/include/dandeliontack/caller_front.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <dandeliontack/http.hpp>
+#include <dandeliontack/node_context.hpp>
+#include <dandeliontack/queue_table.hpp>
+#include <dandeliontack/shard_router.hpp>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <memory>
+
+namespace dandeliontack
+{
+
+/// Answers callers: takes submissions, tells their state, cancels them, and
+/// counts what waits in a queue.
+class caller_front
+{
+public:
+    caller_front(node_context& context, shard_router& router);
+
+    /// Takes a newer configuration into force; an older one is ignored.
+    void set_table(std::shared_ptr<const queue_table> table);
+    const queue_table* table() const;
+
+    boost::asio::awaitable<http_response> handle(http_request request);
+
+private:
+    struct subject
+    {
+        queue_entry queue;
+        shard_id shard = 0;
+        /// What the path says behind the queue's prefix.
+        std::string rest;
+        std::chrono::milliseconds patience{0};
+    };
+
+    boost::asio::awaitable<http_response>
+    submit(const http_request& request, const subject& what);
+    boost::asio::awaitable<http_response> state(const subject& what);
+    boost::asio::awaitable<http_response> cancel(const subject& what);
+    boost::asio::awaitable<http_response> pending(const subject& what);
+    http_response unserved(const shard_answer& answer, const subject& what);
+
+    node_context& context_;
+    shard_router& router_;
+    std::shared_ptr<const queue_table> table_;
+};
+
+} // namespace dandeliontack
--- /dev/null
+++ b/src/include/dandeliontack/fleet_duty.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <dandeliontack/machine_list.hpp>
+#include <dandeliontack/shard_router.hpp>
+#include <dandeliontack/store_client.hpp>
+#include <dandeliontack/upkeep_plan.hpp>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace dandeliontack
+{
+
+/// The duty that orders about machines: upkeep in waves. One node holds it at
+/// a time, under an epoch that is the fencing token of its orders.
+class fleet_duty : public std::enable_shared_from_this<fleet_duty>
+{
+public:
+    fleet_duty(
+        node_context& context, store_client& store, shard_router& router);
+
+    boost::asio::awaitable<bool> take_over(std::uint64_t last);
+    boost::asio::awaitable<void> hand_over();
+
+    /// A wave that the operator asks for.
+    void request(wave_request wave);
+
+    bool is_lost() const;
+
+private:
+    boost::asio::awaitable<void> run();
+    boost::asio::awaitable<void> renew();
+    boost::asio::awaitable<bool> load();
+    boost::asio::awaitable<bool> announce(bool released);
+    boost::asio::awaitable<bool> list_machines();
+    boost::asio::awaitable<void> advance(std::string wave);
+    boost::asio::awaitable<bool> save(std::string wave);
+    boost::asio::awaitable<void> report(std::string wave, bool completed);
+    boost::asio::awaitable<void>
+    order_upkeep(std::string wave, listed_machine machine);
+    boost::asio::awaitable<void> empty_host(listed_machine machine);
+    bool has_right() const;
+    void lose(std::string_view reason);
+
+    struct wave_state
+    {
+        wave_request request;
+        wave_progress_view progress;
+        bool known = false;
+        bool completed = false;
+        bool reported = false;
+        std::set<std::string> ordering;
+    };
+
+    node_context& context_;
+    store_client& store_;
+    shard_router& router_;
+    fenced_writer writer_;
+    fenced_writer registry_writer_;
+    std::map<std::string, wave_state> waves_;
+    std::vector<listed_machine> machines_;
+    std::map<std::string, bool> empty_;
+    std::set<std::string> emptying_;
+    /// Appends go one after the other.
+    bool appending_ = false;
+    wake_signal append_ended_;
+    bool lost_ = false;
+};
+
+} // namespace dandeliontack
--- /dev/null
+++ b/src/include/dandeliontack/http_pool.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <dandeliontack/http_connection.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <map>
+
+namespace dandeliontack
+{
+
+/// Keeps connections to peers open between requests. After a request that
+/// was not answered in time, all idle connections to that peer are closed:
+/// they may have gone silent too.
+class http_pool
+{
+public:
+    struct limits
+    {
+        std::size_t idle_per_peer = 8;
+        std::chrono::milliseconds longest_idle{10'000};
+    };
+
+    http_pool(boost::asio::any_io_executor executor, limits bounds);
+
+    /// Sends one request and reads the whole response.
+    boost::asio::awaitable<exchange_result> exchange(
+        endpoint peer, http_request request, std::chrono::milliseconds timeout);
+
+    /// Closes the idle connections to a peer.
+    void forget(const endpoint& peer);
+    std::uint64_t opened() const;
+
+private:
+    struct idle_connection
+    {
+        http_connection connection;
+        std::chrono::steady_clock::time_point since;
+    };
+
+    boost::asio::any_io_executor executor_;
+    limits limits_;
+    std::map<endpoint, std::deque<idle_connection>> idle_;
+    std::uint64_t opened_ = 0;
+};
+
+} // namespace dandeliontack
--- /dev/null
+++ b/src/include/dandeliontack/node_context.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <dandeliontack/event_log.hpp>
+#include <dandeliontack/http_pool.hpp>
+#include <dandeliontack/incarnation.hpp>
+#include <dandeliontack/metrics.hpp>
+#include <dandeliontack/tack_node_settings.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+
+namespace dandeliontack
+{
+
+/// What all parts of a node share; owned by the node, which outlives them.
+struct node_context
+{
+    boost::asio::any_io_executor executor;
+    const tack_node_settings& settings;
+    event_log& log;
+    metric_registry& metrics;
+    /// Connections to hosts, to peers and to the platform.
+    http_pool& connections;
+    incarnation life;
+};
+
+} // namespace dandeliontack
--- /dev/null
+++ b/src/include/dandeliontack/pool_events.hpp
@@ -0,0 +1,228 @@
+#pragma once
+
+#include <dandeliontack/boot_clock.hpp>
+#include <dandeliontack/host_lease.hpp>
+#include <dandeliontack/submission.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace dandeliontack
+{
+
+/// One life of a host, as it registers itself.
+struct host_entry
+{
+    std::string id;
+    /// When this life began; tells lives under one id apart.
+    std::chrono::milliseconds born{0};
+    std::string address;
+    std::string pool;
+    std::string data_centre;
+    std::string rack;
+    std::vector<std::string> labels;
+    room capacity;
+    bool draining = false;
+
+    bool operator==(const host_entry&) const = default;
+};
+
+/// How a run ended.
+enum class run_outcome : std::uint8_t
+{
+    done,
+    failed,
+    stopped,
+    lapsed,
+    /// Another member of the gang ended.
+    broken,
+    /// The other members of the gang did not come in time.
+    alone
+};
+
+/// A run that a host lists as running.
+struct running_row
+{
+    task_ref task;
+    std::uint32_t run = 0;
+    std::string checkpoint;
+    std::uint32_t percent = 0;
+    /// The tail latency in ms of a serving task; cores in use of another.
+    std::int64_t load = 0;
+};
+
+/// A run that a host lists as ended.
+struct ended_row
+{
+    std::uint64_t number = 0;
+    task_ref task;
+    std::uint32_t run = 0;
+    run_outcome outcome = run_outcome::stopped;
+    std::string checkpoint;
+};
+
+/// A host's answer about all that it runs.
+struct hold_report
+{
+    host_time clock{0};
+    std::optional<std::chrono::milliseconds> born;
+    std::vector<running_row> running;
+    std::vector<ended_row> ended;
+};
+
+/// How a host answered a start.
+enum class start_answer : std::uint8_t
+{
+    started,
+    fenced,
+    run_too_low,
+    too_late,
+    no_room,
+    ticket_refused,
+    malformed,
+    /// The host is unhealthy and did nothing.
+    refused,
+    /// The address belongs to another life.
+    other_life,
+    /// Nothing is known: the start may still be carried out.
+    unknown
+};
+
+std::string_view to_string(start_answer answer);
+std::string_view to_string(run_outcome outcome);
+
+namespace pool_event
+{
+
+struct submitted
+{
+    submission_record record;
+};
+struct cancelled
+{
+    std::uint64_t submission = 0;
+};
+struct hosts_listed
+{
+    /// All live entries of the pool.
+    std::vector<host_entry> entries;
+};
+struct host_held
+{
+    std::string host;
+    std::chrono::milliseconds born{0};
+    /// When the call that this answers was sent.
+    boot_time sent;
+    hold_report report;
+};
+/// The host's address answers for another life now.
+struct host_life_ended
+{
+    std::string host;
+    std::chrono::milliseconds born{0};
+};
+struct start_answered
+{
+    std::string host;
+    std::chrono::milliseconds born{0};
+    task_ref task;
+    std::uint32_t run = 0;
+    start_answer answer = start_answer::unknown;
+    std::optional<host_time> clock;
+};
+/// The host said that it has taken the stop.
+struct stop_answered
+{
+    std::string host;
+    std::chrono::milliseconds born{0};
+    task_ref task;
+    std::uint32_t run = 0;
+    bool taken = false;
+};
+struct advice_answered
+{
+    task_ref step;
+    std::vector<std::pair<std::string, std::string>> granted;
+    std::chrono::milliseconds valid{0};
+    bool answered = false;
+};
+/// Everything up to this batch is in the store.
+struct batch_stored
+{
+    std::uint64_t batch = 0;
+};
+/// Hosts that are to be emptied for upkeep or a move, until the time given.
+struct evacuation_wanted
+{
+    std::string host;
+    boot_time until;
+};
+struct tick
+{};
+
+} // namespace pool_event
+
+using pool_event_body = std::variant<
+    pool_event::submitted, pool_event::cancelled, pool_event::hosts_listed,
+    pool_event::host_held, pool_event::host_life_ended,
+    pool_event::start_answered, pool_event::stop_answered,
+    pool_event::advice_answered, pool_event::batch_stored,
+    pool_event::evacuation_wanted, pool_event::tick>;
+
+namespace pool_effect
+{
+
+struct start
+{
+    std::string host;
+    std::chrono::milliseconds born{0};
+    task_ref task;
+    std::uint32_t run = 0;
+    std::string checkpoint;
+    std::string ticket;
+};
+struct stop
+{
+    std::string host;
+    std::chrono::milliseconds born{0};
+    task_ref task;
+    std::uint32_t run = 0;
+    std::string_view reason;
+};
+struct pace
+{
+    std::string host;
+    std::chrono::milliseconds born{0};
+    task_ref task;
+    std::uint32_t run = 0;
+    std::uint32_t percent = 100;
+};
+struct advise
+{
+    task_ref step;
+    std::vector<std::string> hosts;
+};
+/// A line for the log: a decision, what decided it, and its subject.
+struct decided
+{
+    std::string_view name;
+    std::optional<task_ref> task;
+    std::optional<std::uint64_t> submission;
+    std::uint32_t run = 0;
+    std::string host;
+    std::string reason;
+};
+
+} // namespace pool_effect
+
+using pool_effect_body = std::variant<
+    pool_effect::start, pool_effect::stop, pool_effect::pace,
+    pool_effect::advise, pool_effect::decided>;
+using pool_effects = std::vector<pool_effect_body>;
+
+} // namespace dandeliontack
--- /dev/null
+++ b/src/include/dandeliontack/shard_map.hpp
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <dandeliontack/boot_clock.hpp>
+#include <dandeliontack/queue_table.hpp>
+#include <dandeliontack/store_calls.hpp>
+#include <dandeliontack/stored_records.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace dandeliontack
+{
+
+/// A shard: the pools whose orders share one partition and one owner.
+using shard_id = std::uint32_t;
+
+/// The shard of the fleet duty, which orders about machines.
+inline constexpr shard_id fleet_shard = 1'000'000;
+
+/// Where nodes announce themselves and owners are recorded.
+store_place registry_place();
+/// The partition that holds a shard's records.
+store_place place_of(shard_id shard, std::uint64_t partitions);
+/// The shard of a pool; the same on every node.
+shard_id shard_of(std::string_view pool, std::uint64_t partitions);
+
+/// When a node counts as lost and how successors take turns.
+struct takeover_terms
+{
+    /// A node whose announcements stay out this long is lost.
+    std::chrono::milliseconds silence{2500};
+    /// What this node waits after its first look before it claims anything,
+    /// so that nodes which start together see each other.
+    std::chrono::milliseconds settle{1000};
+    /// What the next in line waits longer.
+    std::chrono::milliseconds stagger{500};
+};
+
+/// What a node knows of the nodes and owners, from the records of the
+/// registry. Silence is counted only while the registry can be read.
+class shard_map
+{
+public:
+    explicit shard_map(takeover_terms terms);
+
+    /// A record of the registry; one that can't be read is ignored and false.
+    bool take(const keyed_record& record, boot_time now);
+    /// The registry was read up to its end at this time.
+    void confirmed(boot_time now);
+
+    std::optional<owner_record> owner(shard_id shard) const;
+    std::uint64_t last_epoch(shard_id shard) const;
+    /// Whether an owner's life is still announced and not leaving.
+    bool is_alive(const owner_record& owner, boot_time now) const;
+    std::vector<node_announcement> alive_nodes(boot_time now) const;
+
+    /// The shards that `self` should claim now, of those that are wanted.
+    std::vector<shard_id> to_claim(
+        const std::set<shard_id>& wanted, const node_announcement& self,
+        boot_time now);
+
+private:
+    struct seen_node
+    {
+        node_announcement said;
+        boot_time changed;
+    };
+
+    bool is_silent(const seen_node& node, boot_time now) const;
+
+    takeover_terms terms_;
+    std::map<std::string, seen_node> nodes_;
+    std::map<shard_id, owner_record> owners_;
+    std::map<shard_id, boot_time> orphaned_;
+    std::optional<boot_time> first_read_;
+    boot_time last_read_;
+};
+
+/// Keys of the registry.
+std::string announcement_key(std::string_view node);
+std::string owner_key(shard_id shard);
+
+/// The shards that the pools of a configuration need, with the fleet's.
+std::set<shard_id>
+wanted_shards(const queue_table& table, std::uint64_t partitions);
+
+} // namespace dandeliontack
--- /dev/null
+++ b/src/include/dandeliontack/store_client.hpp
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <dandeliontack/boot_clock.hpp>
+#include <dandeliontack/node_context.hpp>
+#include <dandeliontack/store_calls.hpp>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <chrono>
+#include <optional>
+#include <string>
+
+namespace dandeliontack
+{
+
+/// The one client of the platform's store. Logs when the store is lost and
+/// regained; never retries by itself.
+class store_client
+{
+public:
+    explicit store_client(node_context& context);
+
+    boost::asio::awaitable<append_answer> append(append_call call);
+    boost::asio::awaitable<read_answer>
+    read(store_place place, std::uint64_t from, std::chrono::milliseconds wait);
+    boost::asio::awaitable<newest_page>
+    newest(store_place place, std::string after);
+
+    /// When the last call that succeeded was answered.
+    boot_time last_success() const;
+
+private:
+    boost::asio::awaitable<exchange_result>
+    call(http_request request, std::chrono::milliseconds timeout);
+    void note(bool answered, const std::string& reason);
+
+    node_context& context_;
+    std::string address_;
+    boot_time last_success_;
+    std::optional<boot_time> lost_since_;
+};
+
+/// The writer of one partition under an epoch of its own. One append is under
+/// way at a time, and each is repeated until its outcome is known.
+class fenced_writer
+{
+public:
+    /// What became of the epoch.
+    enum class state
+    {
+        idle,
+        held,
+        /// A higher epoch has been seen, or the outcome can't be known.
+        lost
+    };
+
+    fenced_writer(
+        node_context& context, store_client& store, store_place place,
+        std::string producer);
+
+    /// Takes an epoch above `last` by appending `records`. False where another
+    /// node was first or the store refuses for longer than `patience`.
+    boost::asio::awaitable<bool> claim(
+        std::uint64_t last, std::vector<keyed_record> records,
+        std::chrono::milliseconds patience);
+
+    /// Appends, repeating until stored or lost. False once lost, or when
+    /// `give_up` says so before anything was sent.
+    boost::asio::awaitable<bool> append(std::vector<keyed_record> records);
+
+    /// Ends the waiting of an append that can't be settled.
+    void abandon();
+
+    std::uint64_t epoch() const;
+    state standing() const;
+    /// When the last append that was stored had been sent.
+    boot_time confirmed() const;
+
+private:
+    boost::asio::awaitable<append_outcome> settle(
+        append_call call, std::chrono::milliseconds patience);
+
+    node_context& context_;
+    store_client& store_;
+    store_place place_;
+    std::string producer_;
+    std::uint64_t epoch_ = 0;
+    std::uint64_t sequence_ = 0;
+    state state_ = state::idle;
+    boot_time confirmed_;
+};
+
+} // namespace dandeliontack
--- /dev/null
+++ b/src/include/dandeliontack/stored_records.hpp
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <dandeliontack/finding.hpp>
+#include <dandeliontack/incarnation.hpp>
+#include <dandeliontack/pool_state.hpp>
+#include <dandeliontack/store_calls.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace dandeliontack
+{
+
+/// A node, as it announces itself.
+struct node_announcement
+{
+    std::string name;
+    /// Where other nodes reach it.
+    std::string address;
+    incarnation life;
+    /// Rises with each announcement of a life.
+    std::uint64_t beat = 0;
+    bool leaving = false;
+    std::uint32_t cpu_milli = 0;
+
+    bool operator==(const node_announcement&) const = default;
+};
+
+/// Who owns a shard, and since which epoch.
+struct owner_record
+{
+    std::string node;
+    std::string address;
+    incarnation life;
+    std::uint64_t epoch = 0;
+    /// The owner has given it back.
+    bool released = false;
+
+    bool operator==(const owner_record&) const = default;
+};
+
+/// How far a wave of upkeep is.
+struct wave_record
+{
+    std::string wave;
+    std::vector<std::string> begun;
+    std::vector<std::string> ordered;
+    bool completed = false;
+};
+
+/// What is stored of the ends of a submission's tasks.
+struct progress_record
+{
+    std::optional<submission_phase> finished;
+    bool cancelled = false;
+    struct task
+    {
+        task_ref task;
+        bool done = false;
+        std::uint32_t failures = 0;
+        std::uint32_t recorded_run = 0;
+        std::string checkpoint;
+    };
+    std::vector<task> tasks;
+};
+
+std::string encode(const submission_record& record);
+std::string encode(const progress_record& record);
+std::string encode(const host_use& record);
+std::string encode(const node_announcement& record);
+std::string encode(const owner_record& record);
+std::string encode(const wave_record& record);
+
+/// Each returns nothing where the bytes are not such a record.
+std::optional<submission_record> decode_submission_record(std::string_view bytes);
+std::optional<progress_record>
+decode_progress(std::uint64_t submission, std::string_view bytes);
+std::optional<host_use> decode_host_use(std::string_view bytes);
+std::optional<node_announcement> decode_announcement(std::string_view bytes);
+std::optional<owner_record> decode_owner(std::string_view bytes);
+std::optional<wave_record> decode_wave_record(std::string_view bytes);
+
+/// What is to be stored of a submission now.
+progress_record progress_of(const submission_state& s);
+/// Fills in what was stored of its tasks.
+void apply_progress(const progress_record& record, submission_state& s);
+
+/// Keys on a shard's partition.
+std::string submission_key(std::uint64_t id);
+std::string progress_key(std::uint64_t id);
+std::string host_key(std::string_view id);
+inline constexpr std::string_view shard_owner_key = "o";
+
+} // namespace dandeliontack
--- /dev/null
+++ b/src/include/dandeliontack/tack_node.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <dandeliontack/caller_front.hpp>
+#include <dandeliontack/fleet_duty.hpp>
+#include <dandeliontack/http_server.hpp>
+#include <dandeliontack/node_context.hpp>
+#include <dandeliontack/shard_map.hpp>
+#include <dandeliontack/shard_router.hpp>
+#include <dandeliontack/store_client.hpp>
+#include <dandeliontack/topic_follower.hpp>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace dandeliontack
+{
+
+/// One node: serves callers, owns shards, and holds the fleet duty when it is
+/// its turn. Everything runs on one executor.
+class tack_node
+{
+public:
+    explicit tack_node(node_context& context);
+    tack_node(const tack_node&) = delete;
+    tack_node& operator=(const tack_node&) = delete;
+
+    /// Binds all addresses and begins. Throws where an address can't be bound.
+    void start();
+
+    /// Goes out of rotation, gives back what it owns, finishes what callers
+    /// wait for, and returns within `grace`.
+    boost::asio::awaitable<void> stop(std::chrono::milliseconds grace);
+
+private:
+    boost::asio::awaitable<void> announce_regularly();
+    boost::asio::awaitable<void> claim_regularly();
+    boost::asio::awaitable<void> claim(shard_id shard);
+    boost::asio::awaitable<void> claim_duty();
+    boost::asio::awaitable<void> write_log_regularly();
+    boost::asio::awaitable<void> hand_over_all(std::shared_ptr<bool> done);
+    void take_operator_record(const keyed_record& record);
+    void take_host_record(const keyed_record& record);
+    void list_hosts();
+    void drop_lost_shards();
+    bool is_ready() const;
+    node_announcement announcement() const;
+
+    node_context& context_;
+    store_client store_;
+    shard_map shards_;
+    shard_router router_;
+    caller_front front_;
+    topic_follower operator_records_;
+    topic_follower registry_;
+    topic_follower host_records_;
+    http_server callers_;
+    http_server readiness_;
+    http_server peers_;
+    http_server metrics_;
+    std::map<std::string, host_entry> hosts_;
+    bool hosts_changed_ = false;
+    bool hosts_followed_ = false;
+    std::map<std::string, wave_request> waves_;
+    std::set<shard_id> claiming_;
+    std::shared_ptr<fleet_duty> duty_;
+    std::uint64_t beat_ = 0;
+    bool leaving_ = false;
+    wake_signal announce_now_;
+};
+
+} // namespace dandeliontack
--- /dev/null
+++ b/src/libnode/fleet_duty.cpp
@@ -0,0 +1,406 @@
+#include <dandeliontack/fleet_duty.hpp>
+
+#include <dandeliontack/pause.hpp>
+#include <platform/machine_calls.hpp>
+#include <platform/operator_records.hpp>
+#include <platform/store_codec.hpp>
+
+#include <boost/asio.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace dandeliontack
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr auto renewal_interval = 900ms;
+constexpr auto claim_patience = 2500ms;
+constexpr auto call_timeout = 1500ms;
+constexpr auto retry_pause = 150ms;
+// How often the machines are looked at while a wave is under way, and while
+// none is.
+constexpr auto busy_interval = 250ms;
+constexpr auto idle_interval = 400ms;
+constexpr auto ask_patience = 600ms;
+constexpr std::string_view progress_prefix = "w/";
+
+// A right that has not been confirmed for this long may have passed to
+// another node; the same bound as that of a pool's owner.
+const auto right = lease_terms().right;
+
+} // namespace
+
+fleet_duty::fleet_duty(
+    node_context& context, store_client& store, shard_router& router)
+    : context_(context),
+      store_(store),
+      router_(router),
+      writer_(
+          context, store,
+          place_of(fleet_shard, context.settings.store.partitions), "owner"),
+      registry_writer_(
+          context, store, registry_place(),
+          "own" + std::to_string(fleet_shard)),
+      append_ended_(context.executor)
+{}
+
+bool fleet_duty::is_lost() const
+{
+    return lost_;
+}
+
+bool fleet_duty::has_right() const
+{
+    return !lost_ && read_clocks().steady - writer_.confirmed() < right;
+}
+
+void fleet_duty::request(wave_request wave)
+{
+    auto& known = waves_[wave.name];
+    known.request = std::move(wave);
+    known.known = true;
+}
+
+void fleet_duty::lose(std::string_view reason)
+{
+    if (std::exchange(lost_, true))
+        return;
+    writer_.abandon();
+    context_.log.write(
+        "fleet", "duty_lost",
+        log_line().add("epoch", writer_.epoch()).add("reason", reason));
+}
+
+asio::awaitable<bool> fleet_duty::announce(bool released)
+{
+    const auto self = shared_from_this();
+    owner_record mine{
+        context_.settings.node.name, to_string(context_.settings.listen.peers),
+        context_.life, writer_.epoch(), released};
+    std::vector<keyed_record> records{
+        {owner_key(fleet_shard), encode(mine), 0}};
+    if (registry_writer_.standing() != fenced_writer::state::idle)
+        co_return co_await registry_writer_.append(std::move(records));
+    co_return co_await registry_writer_.claim(
+        writer_.epoch() - 1, std::move(records), claim_patience);
+}
+
+asio::awaitable<bool> fleet_duty::take_over(std::uint64_t last)
+{
+    const auto self = shared_from_this();
+    owner_record mine{
+        context_.settings.node.name, to_string(context_.settings.listen.peers),
+        context_.life, last + 1, false};
+    std::vector<keyed_record> records{
+        {std::string(shard_owner_key), encode(mine), 0}};
+    const bool claimed =
+        co_await writer_.claim(last, std::move(records), claim_patience);
+    if (!claimed)
+    {
+        lost_ = true;
+        co_return false;
+    }
+    const bool loaded = co_await load();
+    if (!loaded)
+    {
+        lose("the duty's records can't be read");
+        co_await announce(true);
+        co_return false;
+    }
+    co_await announce(false);
+    context_.log.write(
+        "fleet", "duty_taken", log_line().add("epoch", writer_.epoch()));
+    asio::co_spawn(context_.executor, renew(), asio::detached);
+    asio::co_spawn(context_.executor, run(), asio::detached);
+    co_return true;
+}
+
+asio::awaitable<void> fleet_duty::hand_over()
+{
+    const auto self = shared_from_this();
+    if (!lost_)
+        co_await announce(true);
+    lose("the duty was handed over");
+}
+
+asio::awaitable<bool> fleet_duty::load()
+{
+    const auto place =
+        place_of(fleet_shard, context_.settings.store.partitions);
+    std::string after;
+    while (true)
+    {
+        auto page = co_await store_.newest(place, after);
+        if (!page.answered)
+            co_return false;
+        for (const auto& record : page.records)
+        {
+            if (!record.key.starts_with(progress_prefix))
+                continue;
+            const auto known = decode_wave_record(record.value);
+            if (!known)
+                continue;
+            auto& wave = waves_[known->wave];
+            wave.progress.begun = {known->begun.begin(), known->begun.end()};
+            wave.progress.unanswered = {
+                known->ordered.begin(), known->ordered.end()};
+            wave.completed = known->completed;
+            wave.reported = known->completed;
+        }
+        if (!page.has_more || page.records.empty())
+            co_return true;
+        after = page.records.back().key;
+    }
+}
+
+asio::awaitable<bool> fleet_duty::save(std::string name)
+{
+    const auto self = shared_from_this();
+    while (appending_)
+        co_await append_ended_.wait(retry_pause);
+    appending_ = true;
+    const auto& wave = waves_[name];
+    wave_record record{
+        name,
+        {wave.progress.begun.begin(), wave.progress.begun.end()},
+        {wave.progress.unanswered.begin(), wave.progress.unanswered.end()},
+        wave.completed};
+    std::vector<keyed_record> records{
+        {std::string(progress_prefix) + name, encode(record), 0}};
+    const bool stored = co_await writer_.append(std::move(records));
+    appending_ = false;
+    append_ended_.notify();
+    if (!stored)
+        lose("another node took the duty over");
+    co_return stored;
+}
+
+asio::awaitable<void> fleet_duty::renew()
+{
+    const auto self = shared_from_this();
+    while (!lost_)
+    {
+        const auto age = read_clocks().steady - writer_.confirmed();
+        if (age < renewal_interval || appending_)
+        {
+            co_await pause_for(
+                context_.executor,
+                std::max<std::chrono::milliseconds>(
+                    renewal_interval - age, retry_pause));
+            continue;
+        }
+        appending_ = true;
+        owner_record mine{
+            context_.settings.node.name,
+            to_string(context_.settings.listen.peers), context_.life,
+            writer_.epoch(), false};
+        std::vector<keyed_record> records{
+            {std::string(shard_owner_key), encode(mine), 0}};
+        const bool stored = co_await writer_.append(std::move(records));
+        appending_ = false;
+        append_ended_.notify();
+        if (!stored && !lost_)
+        {
+            lose("another node took the duty over");
+            co_await announce(true);
+        }
+    }
+}
+
+asio::awaitable<bool> fleet_duty::list_machines()
+{
+    const auto& where = context_.settings.machines.address;
+    const auto address = to_string(where);
+    std::vector<listed_machine> all;
+    std::string page_name;
+    while (true)
+    {
+        auto request = platform::encode_machine_list(address, page_name);
+        auto result = co_await context_.connections.exchange(
+            where, std::move(request), call_timeout);
+        context_.metrics.get_counter("tack_machine_calls_total").add();
+        const auto* response = std::get_if<http_response>(&result);
+        if (!response)
+            co_return false;
+        auto page = platform::decode_machine_list(*response);
+        if (const auto* wrong = std::get_if<findings>(&page))
+        {
+            context_.log.write(
+                "fleet", "machines_unreadable",
+                log_line().add("reason", to_string(wrong->front())));
+            co_return false;
+        }
+        auto& listed = std::get<machine_page>(page);
+        std::ranges::move(listed.machines, std::back_inserter(all));
+        if (listed.next.empty())
+            break;
+        page_name = listed.next;
+    }
+    machines_ = std::move(all);
+    co_return true;
+}
+
+asio::awaitable<void> fleet_duty::run()
+{
+    const auto self = shared_from_this();
+    // A past holder may still have an order under way; nobody takes turns
+    // with it within this time.
+    co_await pause_for(
+        context_.executor,
+        std::chrono::round<std::chrono::milliseconds>(
+            std::chrono::duration<double, std::milli>(
+                context_.settings.bounds.lease_ms)) +
+            retry_pause);
+    while (!lost_)
+    {
+        std::vector<std::string> active;
+        for (const auto& [name, wave] : waves_)
+            if (wave.known && !wave.completed)
+                active.push_back(name);
+        if (active.empty() || !has_right())
+        {
+            co_await pause_for(context_.executor, idle_interval);
+            continue;
+        }
+        const bool listed = co_await list_machines();
+        if (listed)
+            for (const auto& name : active)
+                co_await advance(name);
+        co_await pause_for(context_.executor, busy_interval);
+    }
+}
+
+asio::awaitable<void> fleet_duty::advance(std::string name)
+{
+    const auto self = shared_from_this();
+    if (!waves_[name].reported)
+    {
+        co_await report(name, false);
+        waves_[name].reported = true;
+    }
+    const auto step = plan_upkeep(
+        waves_[name].request, waves_[name].progress, machines_,
+        [&](const std::string& host) {
+            const auto found = empty_.find(host);
+            return found != empty_.end() && found->second;
+        });
+    if (step.completed)
+    {
+        waves_[name].completed = true;
+        const bool saved = co_await save(name);
+        if (saved)
+            co_await report(name, true);
+        co_return;
+    }
+    for (const auto& machine : step.evacuate)
+        if (emptying_.insert(machine.host).second)
+            asio::co_spawn(
+                context_.executor, empty_host(machine), asio::detached);
+    for (const auto& machine : step.order)
+        if (!lost_ && waves_[name].ordering.insert(machine.name).second)
+            co_await order_upkeep(name, machine);
+}
+
+asio::awaitable<void> fleet_duty::empty_host(listed_machine machine)
+{
+    const auto self = shared_from_this();
+    shard_call call{
+        shard_call::verb::evacuate,
+        shard_of(machine.pool, context_.settings.store.partitions), 0,
+        machine.host, {}};
+    const auto answer = co_await router_.ask(call, ask_patience, ask_patience);
+    if (answer.outcome == shard_outcome::done)
+        empty_[machine.host] = answer.value == "empty";
+    emptying_.erase(machine.host);
+}
+
+// The order is recorded before it is sent: a successor repeats one whose
+// answer nobody noted before it orders anything else.
+asio::awaitable<void>
+fleet_duty::order_upkeep(std::string name, listed_machine machine)
+{
+    const auto self = shared_from_this();
+    waves_[name].progress.unanswered.insert(machine.name);
+    const bool saved = co_await save(name);
+    if (saved && has_right())
+    {
+        const auto& where = context_.settings.machines.address;
+        const platform::machine_holder holder{
+            context_.settings.node.name, writer_.epoch()};
+        const auto address = to_string(where);
+        auto request = platform::encode_upkeep(
+            address, holder, machine.name, name);
+        auto result = co_await context_.connections.exchange(
+            where, std::move(request), call_timeout);
+        context_.metrics.get_counter("tack_machine_calls_total").add();
+        auto answer = machine_answer::unknown;
+        if (const auto* response = std::get_if<http_response>(&result))
+            answer = platform::decode_machine_answer(*response);
+        else if (
+            std::get<exchange_error>(result).result == outcome::not_run)
+            answer = machine_answer::refused;
+        context_.log.write(
+            "fleet", "upkeep_ordered",
+            log_line()
+                .add("wave", name)
+                .add("machine", machine.name)
+                .add("host", machine.host)
+                .add("epoch", writer_.epoch())
+                .add("answer", to_string(answer)));
+        auto& progress = waves_[name].progress;
+        if (answer == machine_answer::accepted ||
+            answer == machine_answer::unknown_machine)
+        {
+            progress.unanswered.erase(machine.name);
+            progress.begun.insert(machine.name);
+            // The list of before the order must not count the machine as up.
+            for (auto& listed : machines_)
+                if (listed.name == machine.name)
+                    listed.state = machine_state::upkeep;
+        }
+        else if (
+            answer == machine_answer::busy ||
+            answer == machine_answer::refused ||
+            answer == machine_answer::not_in_wave)
+        {
+            progress.unanswered.erase(machine.name);
+        }
+        else if (answer == machine_answer::fenced)
+        {
+            lose("a higher fencing token was used for a machine");
+        }
+        empty_.erase(machine.host);
+    }
+    waves_[name].ordering.erase(machine.name);
+}
+
+asio::awaitable<void> fleet_duty::report(std::string name, bool completed)
+{
+    append_call call{
+        {std::string(platform::status_topic), 0},
+        {{platform::wave_status_key(name),
+          platform::encode_wave_status(completed), 0}},
+        {},
+        {}};
+    auto outcome_of_report = append_outcome::refused;
+    while (!lost_ && outcome_of_report != append_outcome::stored)
+    {
+        auto copy = call;
+        const auto answer = co_await store_.append(std::move(copy));
+        outcome_of_report = answer.outcome;
+        if (outcome_of_report != append_outcome::stored)
+            co_await pause_for(context_.executor, retry_pause);
+    }
+    context_.log.write(
+        "fleet", completed ? "wave_completed" : "wave_running",
+        log_line().add("wave", name).add("epoch", writer_.epoch()));
+}
+
+} // namespace dandeliontack
--- /dev/null
+++ b/src/libnode/shard_map.cpp
@@ -0,0 +1,207 @@
+#include <dandeliontack/shard_map.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <ranges>
+
+namespace dandeliontack
+{
+
+namespace
+{
+
+// Topics of pools; with the partitions of each, few pools share a shard.
+constexpr std::uint32_t pool_topics = 8;
+constexpr std::string_view announcement_prefix = "node/";
+constexpr std::string_view owner_prefix = "own/";
+// A gap between two reads of the registry after which silence counts anew.
+constexpr auto longest_read_gap = std::chrono::milliseconds(1500);
+
+// FNV-1a; the same on every node and in every version.
+std::uint64_t stable_hash(std::string_view text)
+{
+    constexpr std::uint64_t basis = 14695981039346656037ULL;
+    constexpr std::uint64_t prime = 1099511628211ULL;
+    std::uint64_t hash = basis;
+    for (const unsigned char c : text)
+        hash = (hash ^ c) * prime;
+    // Spreads the last characters over all bits.
+    hash ^= hash >> 32U;
+    return hash * prime;
+}
+
+} // namespace
+
+store_place registry_place()
+{
+    return {"keyed.nodes", 0};
+}
+
+store_place place_of(shard_id shard, std::uint64_t partitions)
+{
+    if (shard == fleet_shard)
+        return {"keyed.fleet", 0};
+    return {
+        "keyed.pools" + std::to_string(shard / partitions),
+        static_cast<std::uint32_t>(shard % partitions)};
+}
+
+shard_id shard_of(std::string_view pool, std::uint64_t partitions)
+{
+    return static_cast<shard_id>(
+        stable_hash(pool) % (pool_topics * partitions));
+}
+
+std::string announcement_key(std::string_view node)
+{
+    return std::string(announcement_prefix) + std::string(node);
+}
+
+std::string owner_key(shard_id shard)
+{
+    return std::string(owner_prefix) + std::to_string(shard);
+}
+
+std::set<shard_id>
+wanted_shards(const queue_table& table, std::uint64_t partitions)
+{
+    std::set<shard_id> out{fleet_shard};
+    for (const auto& pool : table.pools)
+        if (!pool.standby)
+            out.insert(shard_of(pool.name, partitions));
+    for (const auto& queue : table.queues)
+        out.insert(shard_of(queue.terms.pool, partitions));
+    return out;
+}
+
+shard_map::shard_map(takeover_terms terms)
+    : terms_(terms)
+{}
+
+bool shard_map::take(const keyed_record& record, boot_time now)
+{
+    const std::string_view key = record.key;
+    if (key.starts_with(announcement_prefix))
+    {
+        const auto name = std::string(key.substr(announcement_prefix.size()));
+        if (record.value.empty())
+        {
+            nodes_.erase(name);
+            return true;
+        }
+        const auto said = decode_announcement(record.value);
+        if (!said)
+            return false;
+        nodes_[name] = {*said, now};
+        return true;
+    }
+    if (!key.starts_with(owner_prefix))
+        return false;
+    shard_id shard = 0;
+    const auto text = key.substr(owner_prefix.size());
+    const auto* end = text.data() + text.size();
+    const auto [stop, error] = std::from_chars(text.data(), end, shard);
+    const auto owner = decode_owner(record.value);
+    if (error != std::errc() || stop != end || !owner)
+        return false;
+    auto& known = owners_[shard];
+    if (owner->epoch >= known.epoch)
+        known = *owner;
+    return true;
+}
+
+void shard_map::confirmed(boot_time now)
+{
+    if (!first_read_)
+        first_read_ = now;
+    // Nobody's announcements could be seen during a gap.
+    if (now - last_read_ > longest_read_gap)
+        for (auto& [name, node] : nodes_)
+            node.changed = now;
+    last_read_ = now;
+}
+
+bool shard_map::is_silent(const seen_node& node, boot_time now) const
+{
+    return now - node.changed > terms_.silence;
+}
+
+std::optional<owner_record> shard_map::owner(shard_id shard) const
+{
+    const auto found = owners_.find(shard);
+    if (found == owners_.end() || found->second.released)
+        return std::nullopt;
+    return found->second;
+}
+
+std::uint64_t shard_map::last_epoch(shard_id shard) const
+{
+    const auto found = owners_.find(shard);
+    return found == owners_.end() ? 0 : found->second.epoch;
+}
+
+bool shard_map::is_alive(const owner_record& owner, boot_time now) const
+{
+    const auto found = nodes_.find(owner.node);
+    return found != nodes_.end() && found->second.said.life == owner.life &&
+           !is_silent(found->second, now);
+}
+
+std::vector<node_announcement> shard_map::alive_nodes(boot_time now) const
+{
+    std::vector<node_announcement> out;
+    for (const auto& [name, node] : nodes_)
+        if (!is_silent(node, now) && !node.said.leaving)
+            out.push_back(node.said);
+    return out;
+}
+
+// Every node works out the same plan from the same records: each orphan goes
+// to the live node with the least load for its processor. The next in line
+// steps in if that node does not.
+std::vector<shard_id> shard_map::to_claim(
+    const std::set<shard_id>& wanted, const node_announcement& self,
+    boot_time now)
+{
+    std::vector<shard_id> out;
+    if (!first_read_ || now - *first_read_ < terms_.settle ||
+        now - last_read_ > longest_read_gap)
+        return out;
+    auto nodes = alive_nodes(now);
+    std::map<std::string, std::uint32_t> load;
+    std::vector<shard_id> orphans;
+    for (const auto shard : wanted)
+    {
+        const auto known = owner(shard);
+        if (known && is_alive(*known, now))
+        {
+            ++load[known->node];
+            orphaned_.erase(shard);
+        }
+        else
+        {
+            orphans.push_back(shard);
+            orphaned_.try_emplace(shard, now);
+        }
+    }
+    for (const auto shard : orphans)
+    {
+        std::ranges::sort(nodes, {}, [&](const node_announcement& node) {
+            const auto cpu = std::max<std::uint32_t>(node.cpu_milli, 1);
+            const double share =
+                static_cast<double>(load[node.name] + 1) / cpu;
+            return std::tuple(
+                share, stable_hash(node.name + std::to_string(shard)));
+        });
+        for (std::size_t rank = 0; rank < nodes.size(); ++rank)
+            if (nodes[rank].name == self.name &&
+                nodes[rank].life == self.life &&
+                now - orphaned_[shard] >= terms_.stagger * rank)
+                out.push_back(shard);
+        if (!nodes.empty())
+            ++load[nodes.front().name];
+    }
+    return out;
+}
+
+} // namespace dandeliontack
--- /dev/null
+++ b/src/libnode/shard_owner.cpp
@@ -0,0 +1,760 @@
+#include <dandeliontack/shard_owner.hpp>
+
+#include <dandeliontack/pause.hpp>
+#include <platform/host_calls.hpp>
+
+#include <boost/asio.hpp>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace dandeliontack
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+// The right to the shard is confirmed this often while nothing is stored.
+constexpr auto renewal_interval = 900ms;
+// Changes gather this long before they are stored together.
+constexpr auto gather_time = 10ms;
+constexpr auto plan_delay = 8ms;
+constexpr auto plan_interval = 200ms;
+constexpr auto claim_patience = 2500ms;
+// How long a host may take for an order, and how often a start is repeated
+// before it is stopped instead.
+constexpr auto order_timeout = 500ms;
+constexpr int start_tries = 3;
+// How long a hold waits for an end, and between two holds.
+constexpr auto hold_wait = 1000ms;
+constexpr auto hold_gap = 30ms;
+constexpr auto hold_retry = 150ms;
+constexpr auto store_wait = 250ms;
+// How long a caller's request waits for the store before it is asked again.
+constexpr auto answer_wait = 800ms;
+constexpr std::uint32_t orders_at_once = 3;
+constexpr auto advice_timeout = 1500ms;
+constexpr auto evacuation_time = 3000ms;
+constexpr auto hand_over_patience = 1500ms;
+
+} // namespace
+
+std::string_view to_string(shard_outcome outcome)
+{
+    constexpr std::array<std::string_view, 5> names{
+        "done", "not found", "not owner", "unknown", "rejected"};
+    return names.at(static_cast<std::size_t>(outcome));
+}
+
+shard_owner::shard_owner(
+    node_context& context, store_client& store, shard_id shard)
+    : context_(context),
+      store_(store),
+      shard_(shard),
+      terms_(pool_terms_of(context.settings)),
+      writer_(
+          context, store, place_of(shard, context.settings.store.partitions),
+          "owner"),
+      registry_writer_(
+          context, store, registry_place(), "own" + std::to_string(shard)),
+      stored_(context.executor),
+      changed_(context.executor),
+      planned_(context.executor)
+{}
+
+bool shard_owner::is_lost() const
+{
+    return lost_;
+}
+
+std::uint64_t shard_owner::epoch() const
+{
+    return writer_.epoch();
+}
+
+shard_id shard_owner::shard() const
+{
+    return shard_;
+}
+
+const pool_engine* shard_owner::engine() const
+{
+    return engine_.get();
+}
+
+bool shard_owner::has_right() const
+{
+    return !lost_ && read_clocks().steady - writer_.confirmed() <
+                         terms_.leases.right;
+}
+
+bool shard_owner::may_speak() const
+{
+    return serving_ && !stopping_ && has_right();
+}
+
+asio::awaitable<bool> shard_owner::take_over(std::uint64_t last)
+{
+    const auto self = shared_from_this();
+    const auto began = read_clocks().steady;
+    owner_record mine{
+        context_.settings.node.name, to_string(context_.settings.listen.peers),
+        context_.life, 0, false};
+    mine.epoch = last + 1;
+    std::vector<keyed_record> records{
+        {std::string(shard_owner_key), encode(mine), 0}};
+    const bool claimed =
+        co_await writer_.claim(last, std::move(records), claim_patience);
+    if (!claimed)
+    {
+        lost_ = true;
+        co_return false;
+    }
+    const bool loaded = co_await load();
+    if (!loaded)
+    {
+        lose("the shard's records can't be read");
+        co_await announce(true);
+        co_return false;
+    }
+    engine_->begin(read_clocks());
+    serving_ = true;
+    asio::co_spawn(context_.executor, store_changes(), asio::detached);
+    asio::co_spawn(context_.executor, plan_regularly(), asio::detached);
+    for (const auto& [id, host] : engine_->hosts())
+        if (held_hosts_.insert(id).second)
+            asio::co_spawn(context_.executor, hold_host(id), asio::detached);
+    const bool announced = co_await announce(false);
+    context_.log.write(
+        "owner", "shard_taken",
+        log_line()
+            .add("shard", shard_)
+            .add("epoch", epoch())
+            .add("submissions", std::uint64_t{engine_->active()})
+            .add("took_ms", (read_clocks().steady - began).count())
+            .add("announced", announced));
+    context_.metrics.get_summary("tack_takeover_seconds")
+        .record(read_clocks().steady - began);
+    co_return true;
+}
+
+asio::awaitable<bool> shard_owner::announce(bool released)
+{
+    const auto self = shared_from_this();
+    owner_record mine{
+        context_.settings.node.name, to_string(context_.settings.listen.peers),
+        context_.life, epoch(), released};
+    std::vector<keyed_record> records{{owner_key(shard_), encode(mine), 0}};
+    if (registry_writer_.standing() != fenced_writer::state::idle)
+        co_return co_await registry_writer_.append(std::move(records));
+    const bool done = co_await registry_writer_.claim(
+        epoch() - 1, std::move(records), claim_patience);
+    co_return done&& registry_writer_.epoch() == epoch();
+}
+
+asio::awaitable<bool> shard_owner::load()
+{
+    const auto place = place_of(shard_, context_.settings.store.partitions);
+    const auto began = read_clocks().steady;
+    constexpr auto load_patience = 4000ms;
+    std::vector<keyed_record> records;
+    std::string after;
+    while (read_clocks().steady - began < load_patience)
+    {
+        auto page = co_await store_.newest(place, after);
+        if (!page.answered)
+        {
+            co_await pause_for(context_.executor, hold_retry);
+            continue;
+        }
+        std::ranges::move(page.records, std::back_inserter(records));
+        if (!page.has_more || page.records.empty())
+        {
+            restore(records, read_clocks());
+            co_return true;
+        }
+        after = records.back().key;
+    }
+    co_return false;
+}
+
+void shard_owner::restore(const std::vector<keyed_record>& records, moment now)
+{
+    engine_ = std::make_unique<pool_engine>(terms_, epoch());
+    std::map<std::uint64_t, progress_record> progress;
+    std::vector<submission_record> submissions;
+    std::uint64_t unreadable = 0;
+    for (const auto& record : records)
+    {
+        const std::string_view key = record.key;
+        const auto name =
+            key.size() > 2 ? std::string(key.substr(2)) : std::string();
+        const auto id = parse_submission_name(name);
+        bool known = key == shard_owner_key;
+        if (key.starts_with("s/") && id)
+        {
+            if (auto submission = decode_submission_record(record.value))
+            {
+                submissions.push_back(std::move(*submission));
+                known = true;
+            }
+        }
+        else if (key.starts_with("p/") && id)
+        {
+            if (auto row = decode_progress(*id, record.value))
+            {
+                progress[*id] = std::move(*row);
+                known = true;
+            }
+        }
+        else if (key.starts_with("h/"))
+        {
+            if (const auto use = decode_host_use(record.value))
+            {
+                engine_->restore_host(*use, now);
+                known = true;
+            }
+        }
+        if (!known)
+            ++unreadable;
+    }
+    for (const auto& [id, row] : progress)
+        if (row.finished)
+            engine_->restore_finished(id, *row.finished, now);
+    for (auto& submission : submissions)
+    {
+        const auto id = submission.id;
+        const auto row = progress.find(id);
+        if (row != progress.end() && row->second.finished)
+            continue;
+        engine_->restore(
+            std::move(submission), now, [&](submission_state& s) {
+                if (row != progress.end())
+                    apply_progress(row->second, s);
+            });
+    }
+    if (unreadable > 0)
+        context_.log.write(
+            "owner", "records_unreadable",
+            log_line().add("shard", shard_).add("records", unreadable));
+}
+
+asio::awaitable<void> shard_owner::hand_over()
+{
+    const auto self = shared_from_this();
+    stopping_ = true;
+    const auto until = read_clocks().steady + hand_over_patience;
+    while (serving_ && !lost_ && engine_->has_changes() &&
+           read_clocks().steady < until)
+        co_await stored_.wait(gather_time);
+    if (!lost_)
+        co_await announce(true);
+    lose("the shard was handed over");
+}
+
+void shard_owner::lose(std::string_view reason)
+{
+    if (std::exchange(lost_, true))
+        return;
+    serving_ = false;
+    writer_.abandon();
+    context_.log.write(
+        "owner", "shard_lost",
+        log_line()
+            .add("shard", shard_)
+            .add("epoch", epoch())
+            .add("reason", reason));
+    stored_.notify();
+    changed_.notify();
+    planned_.notify();
+}
+
+void shard_owner::hosts_listed(const std::vector<host_entry>& entries)
+{
+    if (!serving_ || lost_)
+        return;
+    pool_event::hosts_listed listed;
+    std::ranges::copy_if(
+        entries, std::back_inserter(listed.entries),
+        [&](const host_entry& entry) {
+            return shard_of(
+                       entry.pool, context_.settings.store.partitions) ==
+                   shard_;
+        });
+    apply(listed);
+    for (const auto& [id, host] : engine_->hosts())
+        if (held_hosts_.insert(id).second)
+            asio::co_spawn(context_.executor, hold_host(id), asio::detached);
+}
+
+void shard_owner::poke()
+{
+    poked_ = true;
+    planned_.notify();
+}
+
+void shard_owner::apply(const pool_event_body& event)
+{
+    run_effects(engine_->apply(event, read_clocks()));
+    if (engine_->has_changes())
+        changed_.notify();
+    poke();
+}
+
+void shard_owner::run_effects(pool_effects effects)
+{
+    for (auto& effect : effects)
+    {
+        if (const auto* decision = std::get_if<pool_effect::decided>(&effect))
+        {
+            log_decision(*decision);
+            continue;
+        }
+        if (auto* question = std::get_if<pool_effect::advise>(&effect))
+        {
+            asio::co_spawn(
+                context_.executor, ask_advice(std::move(*question)),
+                asio::detached);
+            continue;
+        }
+        std::string host;
+        if (const auto* start = std::get_if<pool_effect::start>(&effect))
+            host = start->host;
+        else if (const auto* stop = std::get_if<pool_effect::stop>(&effect))
+            host = stop->host;
+        else if (const auto* pace = std::get_if<pool_effect::pace>(&effect))
+            host = pace->host;
+        auto& queue = queues_[host];
+        queue.orders.push_back(std::move(effect));
+        if (queue.sending < orders_at_once)
+        {
+            ++queue.sending;
+            asio::co_spawn(
+                context_.executor, send_orders(host), asio::detached);
+        }
+    }
+}
+
+void shard_owner::log_decision(const pool_effect::decided& decision)
+{
+    log_line line;
+    if (decision.submission)
+        line.add("submission", submission_name(*decision.submission));
+    if (decision.task)
+        line.add("task", task_name(*decision.task)).add("run", decision.run);
+    if (!decision.host.empty())
+        line.add("host", decision.host);
+    if (!decision.reason.empty())
+        line.add("reason", decision.reason);
+    line.add("shard", shard_).add("epoch", epoch());
+    context_.log.write("pool", decision.name, line);
+    context_.metrics
+        .get_counter(
+            "tack_decisions_total{name=\"" + std::string(decision.name) +
+            "\"}")
+        .add();
+}
+
+std::vector<keyed_record>
+shard_owner::encode_changes(const pool_changes& changes) const
+{
+    std::vector<keyed_record> out;
+    const auto drop = [&](std::string key) {
+        out.push_back({std::move(key), {}, 0});
+    };
+    for (const auto& host : changes.dropped_hosts)
+        drop(host_key(host));
+    for (const auto& id : changes.used_hosts)
+        if (const auto host = engine_->hosts().find(id);
+            host != engine_->hosts().end())
+            out.push_back(
+                {host_key(id),
+                 encode(host_use{
+                     id, host->second.entry.born, host->second.entry.pool,
+                     host->second.entry.address}),
+                 0});
+    for (const auto id : changes.accepted)
+        if (const auto* s = engine_->state_of(id))
+            out.push_back({submission_key(id), encode(s->record), 0});
+    for (const auto id : changes.progressed)
+        if (const auto* s = engine_->state_of(id))
+            out.push_back({progress_key(id), encode(progress_of(*s)), 0});
+    for (const auto id : changes.finished)
+        if (const auto phase = engine_->finished_phase(id))
+        {
+            progress_record ended;
+            ended.finished = phase;
+            out.push_back({progress_key(id), encode(ended), 0});
+            drop(submission_key(id));
+        }
+    for (const auto id : changes.forgotten)
+        drop(progress_key(id));
+    return out;
+}
+
+asio::awaitable<void> shard_owner::store_changes()
+{
+    const auto self = shared_from_this();
+    while (!lost_)
+    {
+        if (!engine_->has_changes())
+        {
+            const auto age = read_clocks().steady - writer_.confirmed();
+            if (age < renewal_interval)
+            {
+                co_await changed_.wait(renewal_interval - age);
+                if (engine_->has_changes())
+                    co_await pause_for(context_.executor, gather_time);
+                continue;
+            }
+        }
+        const auto changes = engine_->take_changes();
+        auto records = encode_changes(changes);
+        if (records.empty())
+        {
+            owner_record mine{
+                context_.settings.node.name,
+                to_string(context_.settings.listen.peers), context_.life,
+                epoch(), false};
+            records.push_back({std::string(shard_owner_key), encode(mine), 0});
+        }
+        const bool stored = co_await writer_.append(std::move(records));
+        if (!stored)
+        {
+            const bool ended_here = lost_;
+            lose("another node took the shard over");
+            if (!ended_here)
+                co_await announce(true);
+            co_return;
+        }
+        stored_batch_ = changes.batch;
+        apply(pool_event::batch_stored{changes.batch});
+        stored_.notify();
+        co_await pause_for(context_.executor, gather_time);
+    }
+}
+
+asio::awaitable<bool> shard_owner::wait_stored(std::uint64_t batch)
+{
+    const auto until = read_clocks().steady + answer_wait;
+    while (!lost_ && stored_batch_ < batch && read_clocks().steady < until)
+        co_await stored_.wait(store_wait);
+    co_return stored_batch_ >= batch;
+}
+
+asio::awaitable<void> shard_owner::plan_regularly()
+{
+    const auto self = shared_from_this();
+    while (!lost_)
+    {
+        if (!poked_)
+            co_await planned_.wait(plan_interval);
+        else
+            co_await pause_for(context_.executor, plan_delay);
+        if (lost_)
+            co_return;
+        poked_ = false;
+        if (!has_right() || stopping_)
+        {
+            co_await pause_for(context_.executor, plan_interval);
+            continue;
+        }
+        run_effects(engine_->apply(pool_event::tick{}, read_clocks()));
+        if (engine_->has_changes())
+            changed_.notify();
+    }
+}
+
+// Looks at a host again and again: learns what runs and what has ended,
+// acknowledges ends, and extends the lease of all that runs there.
+asio::awaitable<void> shard_owner::hold_host(std::string id)
+{
+    const auto self = shared_from_this();
+    while (!lost_)
+    {
+        const auto found = engine_->hosts().find(id);
+        if (found == engine_->hosts().end())
+            break;
+        const auto& host = found->second;
+        const auto peer = parse_endpoint(host.entry.address);
+        if (!has_right() || !peer)
+        {
+            co_await pause_for(context_.executor, hold_retry);
+            continue;
+        }
+        const auto born = host.entry.born;
+        const platform::host_address address{
+            id, host.entry.address, epoch()};
+        // The first answer brings the host's clock; only then can a lease be
+        // given. With ends that wait for the store it would answer at once.
+        const bool wait =
+            host.contacted && host.unstored_ends.empty() && !stopping_;
+        std::optional<host_time> lease_end;
+        const auto sent = read_clocks();
+        if (host.contacted)
+            lease_end = engine_->extend_lease(id, sent);
+        auto request = platform::encode_hold(
+            address, host.ack_cursor, lease_end, wait ? hold_wait : 0ms);
+        auto result = co_await context_.connections.exchange(
+            *peer, std::move(request), order_timeout + (wait ? hold_wait : 0ms));
+        if (lost_)
+            co_return;
+        const auto* response = std::get_if<http_response>(&result);
+        if (!response ||
+            response->result() != boost::beast::http::status::ok)
+        {
+            if (response)
+            {
+                const auto answer = platform::decode_order_answer(*response);
+                if (answer.answer == start_answer::other_life)
+                    apply(pool_event::host_life_ended{id, born});
+                if (answer.answer == start_answer::fenced)
+                    context_.log.write(
+                        "owner", "host_fenced",
+                        log_line().add("host", id).add("epoch", epoch()));
+            }
+            co_await pause_for(context_.executor, hold_retry);
+            continue;
+        }
+        auto report = platform::decode_hold(response->body());
+        if (const auto* wrong = std::get_if<findings>(&report))
+        {
+            context_.log.write(
+                "owner", "host_unreadable",
+                log_line().add("host", id).add(
+                    "reason", to_string(wrong->front())));
+            co_await pause_for(context_.executor, hold_retry);
+            continue;
+        }
+        apply(pool_event::host_held{
+            id, born, sent.steady,
+            std::move(std::get<hold_report>(report))});
+        const auto now = engine_->hosts().find(id);
+        if (now != engine_->hosts().end() && !now->second.unstored_ends.empty())
+        {
+            const auto batch = now->second.unstored_ends.back().second;
+            if (stored_batch_ < batch)
+                co_await stored_.wait(store_wait);
+        }
+        co_await pause_for(context_.executor, hold_gap);
+    }
+    held_hosts_.erase(id);
+}
+
+asio::awaitable<void> shard_owner::send_orders(std::string host)
+{
+    const auto self = shared_from_this();
+    while (!lost_ && !queues_[host].orders.empty())
+    {
+        auto& orders = queues_[host].orders;
+        auto order = std::move(orders.front());
+        orders.erase(orders.begin());
+        if (auto* start = std::get_if<pool_effect::start>(&order))
+            co_await send_start(std::move(*start));
+        else if (auto* stop = std::get_if<pool_effect::stop>(&order))
+            co_await send_stop(std::move(*stop));
+        else if (auto* pace = std::get_if<pool_effect::pace>(&order))
+            co_await send_pace(std::move(*pace));
+    }
+    auto& queue = queues_[host];
+    --queue.sending;
+    if (queue.sending == 0 && queue.orders.empty())
+        queues_.erase(host);
+}
+
+asio::awaitable<void> shard_owner::send_start(pool_effect::start order)
+{
+    pool_event::start_answered answered{
+        order.host, order.born, order.task, order.run, start_answer::unknown,
+        {}};
+    for (int tries = 0; tries < start_tries; ++tries)
+    {
+        const auto now = read_clocks();
+        const auto host = engine_->hosts().find(order.host);
+        const auto* s = engine_->state_of(order.task.submission);
+        // Before the first try nothing has been sent: the start is withdrawn.
+        if (!has_right() || stopping_ || !s ||
+            host == engine_->hosts().end() || !engine_->is_wanted(order))
+        {
+            if (tries == 0)
+                answered.answer = start_answer::refused;
+            break;
+        }
+        const auto peer = parse_endpoint(host->second.entry.address);
+        const auto lease_end = engine_->extend_lease(order.host, now);
+        if (!peer || !lease_end)
+        {
+            answered.answer = start_answer::refused;
+            break;
+        }
+        const platform::host_address address{
+            order.host, host->second.entry.address, epoch()};
+        auto request = platform::encode_start(
+            address, order, s->record.spec.text, *lease_end);
+        auto result = co_await context_.connections.exchange(
+            *peer, std::move(request), order_timeout);
+        if (lost_)
+            co_return;
+        context_.metrics.get_summary("tack_start_seconds")
+            .record(read_clocks().steady - now.steady);
+        if (const auto* error = std::get_if<exchange_error>(&result))
+        {
+            if (error->result == outcome::not_run && tries == 0)
+            {
+                answered.answer = start_answer::refused;
+                break;
+            }
+            continue;
+        }
+        const auto decoded =
+            platform::decode_order_answer(std::get<http_response>(result));
+        answered.clock = decoded.clock;
+        // A repeat that the host rejects says nothing of the first, which may
+        // still be carried out.
+        if (decoded.answer != start_answer::unknown &&
+            (tries == 0 || decoded.answer == start_answer::started ||
+             decoded.answer == start_answer::other_life))
+        {
+            answered.answer = decoded.answer;
+            break;
+        }
+    }
+    apply(answered);
+}
+
+asio::awaitable<void> shard_owner::send_stop(pool_effect::stop order)
+{
+    pool_event::stop_answered answered{
+        order.host, order.born, order.task, order.run, false};
+    const auto host = engine_->hosts().find(order.host);
+    const auto peer = host == engine_->hosts().end()
+                          ? std::nullopt
+                          : parse_endpoint(host->second.entry.address);
+    if (peer && has_right())
+    {
+        const platform::host_address address{
+            order.host, host->second.entry.address, epoch()};
+        auto request = platform::encode_stop(address, order);
+        auto result = co_await context_.connections.exchange(
+            *peer, std::move(request), order_timeout);
+        if (lost_)
+            co_return;
+        if (const auto* response = std::get_if<http_response>(&result))
+            answered.taken = platform::decode_order_answer(*response).answer ==
+                             start_answer::started;
+    }
+    apply(answered);
+}
+
+asio::awaitable<void> shard_owner::send_pace(pool_effect::pace order)
+{
+    const auto host = engine_->hosts().find(order.host);
+    const auto peer = host == engine_->hosts().end()
+                          ? std::nullopt
+                          : parse_endpoint(host->second.entry.address);
+    if (!peer || !has_right())
+        co_return;
+    const platform::host_address address{
+        order.host, host->second.entry.address, epoch()};
+    auto request = platform::encode_pace(address, order);
+    auto result = co_await context_.connections.exchange(
+        *peer, std::move(request), order_timeout);
+    const auto* response = std::get_if<http_response>(&result);
+    context_.log.write(
+        "pool", "run_paced",
+        log_line()
+            .add("task", task_name(order.task))
+            .add("run", order.run)
+            .add("host", order.host)
+            .add("percent", order.percent)
+            .add("answered", response != nullptr));
+}
+
+asio::awaitable<void> shard_owner::ask_advice(pool_effect::advise question)
+{
+    const auto self = shared_from_this();
+    pool_event::advice_answered answered{question.step, {}, {}, false};
+    const auto& text = context_.settings.advice.address;
+    if (const auto peer = parse_endpoint(text))
+    {
+        auto request = platform::encode_advise(text, question);
+        auto result = co_await context_.connections.exchange(
+            *peer, std::move(request), advice_timeout);
+        if (const auto* response = std::get_if<http_response>(&result))
+            answered = platform::decode_advice(question.step, *response);
+    }
+    if (!lost_)
+        apply(answered);
+}
+
+asio::awaitable<shard_answer> shard_owner::submit(submission_record record)
+{
+    const auto self = shared_from_this();
+    if (!may_speak())
+        co_return shard_answer{shard_outcome::not_owner, {}};
+    const auto id = record.id;
+    if (!engine_->find(id))
+    {
+        record.accepted = read_clocks().wall;
+        apply(pool_event::submitted{std::move(record)});
+    }
+    const auto view = engine_->find(id);
+    const bool stored =
+        co_await wait_stored(view ? view->after_batch : 0);
+    co_return shard_answer{
+        stored ? shard_outcome::done : shard_outcome::unknown, {}};
+}
+
+asio::awaitable<shard_answer> shard_owner::cancel(std::uint64_t id)
+{
+    const auto self = shared_from_this();
+    if (!may_speak())
+        co_return shard_answer{shard_outcome::not_owner, {}};
+    if (!engine_->find(id))
+        co_return shard_answer{shard_outcome::not_found, {}};
+    apply(pool_event::cancelled{id});
+    const auto view = engine_->find(id);
+    const bool stored =
+        co_await wait_stored(view ? view->after_batch : 0);
+    co_return shard_answer{
+        stored ? shard_outcome::done : shard_outcome::unknown, {}};
+}
+
+asio::awaitable<shard_answer> shard_owner::state(std::uint64_t id)
+{
+    const auto self = shared_from_this();
+    if (!may_speak())
+        co_return shard_answer{shard_outcome::not_owner, {}};
+    const auto view = engine_->find(id);
+    if (!view)
+        co_return shard_answer{shard_outcome::not_found, {}};
+    co_return shard_answer{
+        shard_outcome::done, std::string(to_string(view->phase))};
+}
+
+asio::awaitable<shard_answer> shard_owner::pending(std::string route)
+{
+    const auto self = shared_from_this();
+    if (!may_speak())
+        co_return shard_answer{shard_outcome::not_owner, {}};
+    co_return shard_answer{
+        shard_outcome::done, std::to_string(engine_->pending(route))};
+}
+
+asio::awaitable<shard_answer> shard_owner::evacuate(std::string host)
+{
+    const auto self = shared_from_this();
+    if (!may_speak())
+        co_return shard_answer{shard_outcome::not_owner, {}};
+    apply(pool_event::evacuation_wanted{
+        host, read_clocks().steady + evacuation_time});
+    co_return shard_answer{
+        shard_outcome::done, engine_->is_empty(host) ? "empty" : "busy"};
+}
+
+} // namespace dandeliontack
--- /dev/null
+++ b/src/libnode/shard_router.cpp
@@ -0,0 +1,251 @@
+#include <dandeliontack/shard_router.hpp>
+
+#include <boost/asio.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <utility>
+
+namespace dandeliontack
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+// How long one try at an owner may take, and the pause before the next.
+constexpr auto try_timeout = 900ms;
+constexpr auto try_pause = 60ms;
+constexpr int http_version = 11;
+constexpr std::size_t call_parts = 3;
+
+struct verb_row
+{
+    shard_call::verb what;
+    std::string_view name;
+};
+constexpr std::array verbs{
+    verb_row{shard_call::verb::submit, "submit"},
+    verb_row{shard_call::verb::cancel, "cancel"},
+    verb_row{shard_call::verb::state, "state"},
+    verb_row{shard_call::verb::pending, "pending"},
+    verb_row{shard_call::verb::evacuate, "evacuate"}};
+
+struct outcome_row
+{
+    shard_outcome outcome;
+    http::status status;
+};
+constexpr std::array outcomes{
+    outcome_row{shard_outcome::done, http::status::ok},
+    outcome_row{shard_outcome::not_found, http::status::not_found},
+    outcome_row{shard_outcome::not_owner, http::status::misdirected_request},
+    outcome_row{shard_outcome::unknown, http::status::gateway_timeout},
+    outcome_row{shard_outcome::rejected, http::status::service_unavailable}};
+
+// The path is `/VERB/SHARD/SUBJECT`, the body a stored record or a name.
+http_request encode_call(const owner_record& owner, const shard_call& call)
+{
+    const auto* verb = std::ranges::find(verbs, call.what, &verb_row::what);
+    const auto target = "/" + std::string(verb->name) + "/" +
+                        std::to_string(call.shard) + "/" +
+                        submission_name(call.submission);
+    http_request request(http::verb::post, target, http_version);
+    request.set(http::field::host, owner.address);
+    request.body() = call.record ? encode(*call.record) : call.name;
+    request.prepare_payload();
+    return request;
+}
+
+std::optional<shard_call> decode_call(const http_request& request)
+{
+    std::array<std::string_view, call_parts> parts;
+    std::string_view rest(request.target().data(), request.target().size());
+    for (auto& part : parts)
+    {
+        if (rest.empty() || rest.front() != '/')
+            return std::nullopt;
+        rest.remove_prefix(1);
+        part = rest.substr(0, rest.find('/'));
+        rest.remove_prefix(part.size());
+    }
+    shard_call call;
+    const auto* verb = std::ranges::find(verbs, parts[0], &verb_row::name);
+    const auto* end = parts[1].data() + parts[1].size();
+    const auto id = parse_submission_name(parts[2]);
+    const auto parsed = std::from_chars(parts[1].data(), end, call.shard);
+    if (verb == verbs.end() || parsed.ec != std::errc() ||
+        parsed.ptr != end || !id)
+        return std::nullopt;
+    call.what = verb->what;
+    call.submission = *id;
+    if (call.what != shard_call::verb::submit)
+    {
+        call.name = request.body();
+        return call;
+    }
+    call.record = decode_submission_record(request.body());
+    if (!call.record)
+        return std::nullopt;
+    return call;
+}
+
+shard_answer decode_answer(const http_response& response)
+{
+    const auto* row =
+        std::ranges::find(outcomes, response.result(), &outcome_row::status);
+    if (row == outcomes.end())
+        return {shard_outcome::unknown, {}};
+    return {row->outcome, response.body()};
+}
+
+} // namespace
+
+shard_router::shard_router(node_context& context, shard_map& shards)
+    : context_(context),
+      shards_(shards),
+      changed_(context.executor)
+{}
+
+void shard_router::own(std::shared_ptr<shard_owner> owner)
+{
+    const auto shard = owner->shard();
+    owned_[shard] = std::move(owner);
+    changed_.notify();
+}
+
+void shard_router::disown(shard_id shard)
+{
+    owned_.erase(shard);
+}
+
+const std::map<shard_id, std::shared_ptr<shard_owner>>&
+shard_router::owned() const
+{
+    return owned_;
+}
+
+void shard_router::changed()
+{
+    changed_.notify();
+}
+
+asio::awaitable<shard_answer>
+shard_router::ask_local(shard_owner& owner, shard_call call)
+{
+    switch (call.what)
+    {
+    case shard_call::verb::submit:
+        return owner.submit(std::move(*call.record));
+    case shard_call::verb::cancel:
+        return owner.cancel(call.submission);
+    case shard_call::verb::pending:
+        return owner.pending(std::move(call.name));
+    case shard_call::verb::evacuate:
+        return owner.evacuate(std::move(call.name));
+    default:
+        return owner.state(call.submission);
+    }
+}
+
+asio::awaitable<shard_answer> shard_router::ask_remote(
+    const owner_record& owner, const shard_call& call,
+    std::chrono::milliseconds timeout)
+{
+    const auto peer = parse_endpoint(owner.address);
+    if (!peer)
+        co_return shard_answer{shard_outcome::not_owner, {}};
+    auto request = encode_call(owner, call);
+    auto result = co_await context_.connections.exchange(
+        *peer, std::move(request), timeout);
+    const auto* error = std::get_if<exchange_error>(&result);
+    if (!error)
+        co_return decode_answer(std::get<http_response>(result));
+    context_.log.write(
+        "router", "owner_unreachable",
+        log_line()
+            .add("shard", call.shard)
+            .add("owner", owner.node)
+            .add("epoch", owner.epoch)
+            .add("submission", submission_name(call.submission))
+            .add("reason", error->reason));
+    co_return shard_answer{
+        error->result == outcome::not_run ? shard_outcome::not_owner
+                                          : shard_outcome::unknown,
+        {}};
+}
+
+asio::awaitable<shard_answer> shard_router::ask(
+    shard_call call, std::chrono::milliseconds patience,
+    std::chrono::milliseconds reach)
+{
+    const auto began = read_clocks().steady;
+    bool unclear = false;
+    while (true)
+    {
+        const auto age = read_clocks().steady - began;
+        const auto left = patience - age;
+        shard_answer answer{shard_outcome::not_owner, {}};
+        const auto local = owned_.find(call.shard);
+        if (local != owned_.end() && !local->second->is_lost())
+        {
+            // Keeps the owner alive while it is asked.
+            const auto owner = local->second;
+            auto copy = call;
+            answer = co_await ask_local(*owner, std::move(copy));
+        }
+        else if (const auto owner = shards_.owner(call.shard);
+                 owner && owner->life != context_.life)
+        {
+            const auto timeout = std::clamp<std::chrono::milliseconds>(
+                left, 1ms, try_timeout);
+            const auto record = *owner;
+            answer = co_await ask_remote(record, call, timeout);
+        }
+        switch (answer.outcome)
+        {
+        case shard_outcome::done:
+        case shard_outcome::not_found:
+        case shard_outcome::rejected:
+            co_return answer;
+        case shard_outcome::unknown:
+            unclear = true;
+            break;
+        case shard_outcome::not_owner:
+            break;
+        }
+        const auto spent = read_clocks().steady - began;
+        if (spent + try_pause >= (unclear ? patience : std::min(reach, patience)))
+            co_return shard_answer{
+                unclear ? shard_outcome::unknown : shard_outcome::rejected,
+                {}};
+        co_await changed_.wait(try_pause);
+    }
+}
+
+asio::awaitable<http_response> shard_router::serve(http_request request)
+{
+    auto call = decode_call(request);
+    if (!call)
+        co_return make_problem(
+            http::status::bad_request, outcome::not_run, "malformed call",
+            "the call of another node can't be read");
+    shard_answer answer{shard_outcome::not_owner, {}};
+    const auto local = owned_.find(call->shard);
+    if (local != owned_.end())
+    {
+        const auto owner = local->second;
+        answer = co_await ask_local(*owner, std::move(*call));
+    }
+    const auto* row =
+        std::ranges::find(outcomes, answer.outcome, &outcome_row::outcome);
+    co_return make_response(
+        row->status, "application/octet-stream", std::move(answer.value));
+}
+
+} // namespace dandeliontack
--- /dev/null
+++ b/src/libnode/stored_records.cpp
@@ -0,0 +1,342 @@
+#include <dandeliontack/stored_records.hpp>
+
+#include "submission.pb.h"
+
+#include <algorithm>
+
+namespace dandeliontack
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+template <class Message>
+std::optional<Message> parse(std::string_view bytes)
+{
+    Message message;
+    if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+        return std::nullopt;
+    return message;
+}
+
+void put(const step_spec& step, stored::Step& out)
+{
+    out.set_count(step.count);
+    out.set_cpu_milli(step.need.cpu_milli);
+    out.set_memory_mb(step.need.memory_mb);
+    out.set_accelerators(step.need.accelerators);
+    out.set_estimate_ms(step.estimate.count());
+    out.mutable_after()->Add(step.after.begin(), step.after.end());
+    out.set_checkpoints(step.checkpoints);
+    out.set_gang(step.gang);
+    out.set_same_rack(step.same_rack);
+    out.set_label(step.label);
+    out.set_rack(step.rack);
+    out.set_most_per_host(step.most_per_host);
+    out.set_speculative(step.speculative);
+    out.set_long_running(step.long_running);
+    out.set_image(step.image);
+    out.set_latency_objective_ms(step.latency_objective.count());
+    out.set_fills(step.fills);
+    out.set_may_miss(step.may_miss);
+}
+
+step_spec step_of(const stored::Step& in)
+{
+    step_spec step;
+    step.count = in.count();
+    step.need = {in.cpu_milli(), in.memory_mb(), in.accelerators()};
+    step.estimate = milliseconds(in.estimate_ms());
+    step.after.assign(in.after().begin(), in.after().end());
+    step.checkpoints = in.checkpoints();
+    step.gang = in.gang();
+    step.same_rack = in.same_rack();
+    step.label = in.label();
+    step.rack = in.rack();
+    step.most_per_host = in.most_per_host();
+    step.speculative = in.speculative();
+    step.long_running = in.long_running();
+    step.image = in.image();
+    step.latency_objective = milliseconds(in.latency_objective_ms());
+    step.fills = in.fills();
+    step.may_miss = in.may_miss();
+    return step;
+}
+
+void put(const queue_terms& terms, stored::Terms& out)
+{
+    out.set_route(terms.route);
+    out.set_pool(terms.pool);
+    out.set_priority(terms.priority);
+    out.set_max_attempts(terms.max_attempts);
+    out.set_stretch(terms.stretch);
+    out.set_target_ms(terms.target.count());
+    if (!terms.advice)
+        return;
+    out.set_has_advice(true);
+    out.set_advice_decide_ms(terms.advice->decide.count());
+    out.set_advice_each_ms(terms.advice->each.count());
+    out.set_advice_valid_ms(terms.advice->valid.count());
+}
+
+queue_terms terms_of(const stored::Terms& in)
+{
+    queue_terms terms;
+    terms.route = in.route();
+    terms.pool = in.pool();
+    terms.priority = in.priority();
+    terms.max_attempts = in.max_attempts();
+    terms.stretch = in.stretch();
+    terms.target = milliseconds(in.target_ms());
+    if (in.has_advice())
+        terms.advice = advice_terms{
+            milliseconds(in.advice_decide_ms()),
+            milliseconds(in.advice_each_ms()),
+            milliseconds(in.advice_valid_ms())};
+    return terms;
+}
+
+} // namespace
+
+std::string encode(const submission_record& record)
+{
+    stored::Submission out;
+    out.set_id(record.id);
+    out.set_text(record.spec.text);
+    for (const auto& step : record.spec.steps)
+        put(step, *out.add_steps());
+    out.set_repetitions(record.spec.repetitions);
+    out.set_first_due_ms(record.spec.first_due.time_since_epoch().count());
+    out.set_interval_ms(record.spec.interval.count());
+    put(record.terms, *out.mutable_terms());
+    out.set_accepted_ms(record.accepted.time_since_epoch().count());
+    out.set_epoch(record.epoch);
+    return out.SerializeAsString();
+}
+
+std::optional<submission_record> decode_submission_record(std::string_view bytes)
+{
+    const auto in = parse<stored::Submission>(bytes);
+    if (!in)
+        return std::nullopt;
+    submission_record record;
+    record.id = in->id();
+    record.spec.text = in->text();
+    for (const auto& step : in->steps())
+        record.spec.steps.push_back(step_of(step));
+    record.spec.repetitions = in->repetitions();
+    record.spec.first_due = wall_time(milliseconds(in->first_due_ms()));
+    record.spec.interval = milliseconds(in->interval_ms());
+    record.terms = terms_of(in->terms());
+    record.accepted = wall_time(milliseconds(in->accepted_ms()));
+    record.epoch = in->epoch();
+    if (!check_submission(record.spec).empty())
+        return std::nullopt;
+    return record;
+}
+
+std::string encode(const progress_record& record)
+{
+    stored::Progress out;
+    if (record.finished)
+        out.set_finished(static_cast<std::uint32_t>(*record.finished) + 1);
+    out.set_cancelled(record.cancelled);
+    for (const auto& task : record.tasks)
+    {
+        auto& row = *out.add_tasks();
+        row.set_occurrence(task.task.occurrence);
+        row.set_step(task.task.step);
+        row.set_index(task.task.index);
+        row.set_done(task.done);
+        row.set_failures(task.failures);
+        row.set_recorded_run(task.recorded_run);
+        row.set_checkpoint(task.checkpoint);
+    }
+    return out.SerializeAsString();
+}
+
+std::optional<progress_record>
+decode_progress(std::uint64_t submission, std::string_view bytes)
+{
+    const auto in = parse<stored::Progress>(bytes);
+    constexpr auto last_phase =
+        static_cast<std::uint32_t>(submission_phase::cancelled);
+    if (!in || in->finished() > last_phase + 1)
+        return std::nullopt;
+    progress_record record;
+    if (in->finished() > 0)
+        record.finished = static_cast<submission_phase>(in->finished() - 1);
+    record.cancelled = in->cancelled();
+    for (const auto& row : in->tasks())
+        record.tasks.push_back(
+            {{submission, row.occurrence(), row.step(), row.index()},
+             row.done(),
+             row.failures(),
+             row.recorded_run(),
+             row.checkpoint()});
+    return record;
+}
+
+std::string encode(const host_use& record)
+{
+    stored::HostUse out;
+    out.set_id(record.id);
+    out.set_born_ms(record.born.count());
+    out.set_pool(record.pool);
+    out.set_address(record.address);
+    return out.SerializeAsString();
+}
+
+std::optional<host_use> decode_host_use(std::string_view bytes)
+{
+    const auto in = parse<stored::HostUse>(bytes);
+    if (!in || in->id().empty())
+        return std::nullopt;
+    return host_use{
+        in->id(), milliseconds(in->born_ms()), in->pool(), in->address()};
+}
+
+std::string encode(const node_announcement& record)
+{
+    stored::Node out;
+    out.set_name(record.name);
+    out.set_address(record.address);
+    out.set_incarnation_high(record.life.high);
+    out.set_incarnation_low(record.life.low);
+    out.set_beat(record.beat);
+    out.set_leaving(record.leaving);
+    out.set_cpu_milli(record.cpu_milli);
+    return out.SerializeAsString();
+}
+
+std::optional<node_announcement> decode_announcement(std::string_view bytes)
+{
+    const auto in = parse<stored::Node>(bytes);
+    if (!in || in->name().empty())
+        return std::nullopt;
+    return node_announcement{
+        in->name(),
+        in->address(),
+        {in->incarnation_high(), in->incarnation_low()},
+        in->beat(),
+        in->leaving(),
+        in->cpu_milli()};
+}
+
+std::string encode(const owner_record& record)
+{
+    stored::Owner out;
+    out.set_node(record.node);
+    out.set_address(record.address);
+    out.set_incarnation_high(record.life.high);
+    out.set_incarnation_low(record.life.low);
+    out.set_epoch(record.epoch);
+    out.set_released(record.released);
+    return out.SerializeAsString();
+}
+
+std::optional<owner_record> decode_owner(std::string_view bytes)
+{
+    const auto in = parse<stored::Owner>(bytes);
+    if (!in || in->epoch() == 0)
+        return std::nullopt;
+    return owner_record{
+        in->node(),
+        in->address(),
+        {in->incarnation_high(), in->incarnation_low()},
+        in->epoch(),
+        in->released()};
+}
+
+std::string encode(const wave_record& record)
+{
+    stored::WaveProgress out;
+    out.set_wave(record.wave);
+    for (const auto& machine : record.begun)
+        out.add_begun(machine);
+    for (const auto& machine : record.ordered)
+        out.add_ordered(machine);
+    out.set_completed(record.completed);
+    return out.SerializeAsString();
+}
+
+std::optional<wave_record> decode_wave_record(std::string_view bytes)
+{
+    const auto in = parse<stored::WaveProgress>(bytes);
+    if (!in || in->wave().empty())
+        return std::nullopt;
+    return wave_record{
+        in->wave(),
+        {in->begun().begin(), in->begun().end()},
+        {in->ordered().begin(), in->ordered().end()},
+        in->completed()};
+}
+
+progress_record progress_of(const submission_state& s)
+{
+    progress_record record;
+    record.cancelled = s.cancelled_in != 0;
+    for (const auto& [k, occurrence] : s.occurrences)
+        for (std::uint32_t i = 0; i < occurrence.steps.size(); ++i)
+        {
+            const auto& tasks = occurrence.steps[i].tasks;
+            for (std::uint32_t j = 0; j < tasks.size(); ++j)
+            {
+                const auto& t = tasks[j];
+                const bool done =
+                    t.phase == task_phase::done ||
+                    (t.phase == task_phase::recording && t.ended_done);
+                if (done || t.recorded_run > 0)
+                    record.tasks.push_back(
+                        {{s.record.id, k, i, j},
+                         done,
+                         t.failures,
+                         t.recorded_run,
+                         done ? std::string() : t.checkpoint});
+            }
+        }
+    return record;
+}
+
+void apply_progress(const progress_record& record, submission_state& s)
+{
+    if (record.cancelled)
+        s.cancelled_in = 1;
+    for (const auto& row : record.tasks)
+    {
+        auto& occurrence = s.occurrences[row.task.occurrence];
+        if (occurrence.steps.empty())
+            for (const auto& step : s.record.spec.steps)
+                occurrence.steps.emplace_back().tasks.resize(step.count);
+        if (row.task.step >= occurrence.steps.size())
+            continue;
+        auto& tasks = occurrence.steps[row.task.step].tasks;
+        if (row.task.index >= tasks.size())
+            continue;
+        auto& t = tasks[row.task.index];
+        t.phase = row.done ? task_phase::done : task_phase::waiting;
+        t.failures = row.failures;
+        t.recorded_run = row.recorded_run;
+        t.run = row.recorded_run;
+        t.checkpoint = row.checkpoint;
+    }
+}
+
+std::string submission_key(std::uint64_t id)
+{
+    return "s/" + submission_name(id);
+}
+
+std::string progress_key(std::uint64_t id)
+{
+    return "p/" + submission_name(id);
+}
+
+std::string host_key(std::string_view id)
+{
+    return "h/" + std::string(id);
+}
+
+} // namespace dandeliontack
--- /dev/null
+++ b/src/libnode/tack_node.cpp
@@ -0,0 +1,374 @@
+#include <dandeliontack/tack_node.hpp>
+
+#include <dandeliontack/pause.hpp>
+#include <dandeliontack/program.hpp>
+#include <platform/host_calls.hpp>
+#include <platform/operator_records.hpp>
+#include <platform/store_codec.hpp>
+
+#include <boost/asio.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace dandeliontack
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+// Nodes announce themselves this often; well under the silence after which
+// one counts as lost.
+constexpr auto announce_interval = 800ms;
+constexpr auto claim_interval = 150ms;
+// How long reads of the operator's topic wait: a connection that went silent
+// is noticed within this and the call's own timeout.
+constexpr auto operator_wait = 800ms;
+constexpr auto registry_interval = 250ms;
+constexpr auto hosts_interval = 400ms;
+constexpr auto log_interval = 100ms;
+// A node that can't reach the store for this long goes out of rotation.
+constexpr auto ready_without_store = 3000ms;
+// The platform stops sending new connections after two failed looks, one a
+// second.
+constexpr auto rotation_time = 2300ms;
+constexpr auto stop_margin = 700ms;
+constexpr std::size_t descriptors_for_others = 1000;
+
+http_limits caller_limits(const tack_node_settings& settings)
+{
+    constexpr std::uint32_t header_bytes = 16 * 1024;
+    constexpr std::uint64_t body_bytes = 256 * 1024;
+    const auto descriptors = settings.limits.descriptors;
+    const auto connections = descriptors > 2 * descriptors_for_others
+                                 ? descriptors - descriptors_for_others
+                                 : descriptors / 2;
+    return {header_bytes, body_bytes, connections, 60s, 10s};
+}
+
+} // namespace
+
+tack_node::tack_node(node_context& context)
+    : context_(context),
+      store_(context),
+      shards_(takeover_terms{}),
+      router_(context, shards_),
+      front_(context, router_),
+      operator_records_(
+          context, store_,
+          {{std::string(platform::operator_topic), 0}, operator_wait, 0ms},
+          [this](const keyed_record& r) { take_operator_record(r); }, [] {}),
+      registry_(
+          context, store_, {registry_place(), 0ms, registry_interval},
+          [this](const keyed_record& r) {
+              shards_.take(r, read_clocks().steady);
+              router_.changed();
+          },
+          [this] { shards_.confirmed(read_clocks().steady); }),
+      host_records_(
+          context, store_,
+          {{std::string(platform::hosts_topic), 0}, 0ms, hosts_interval},
+          [this](const keyed_record& r) { take_host_record(r); },
+          [this] { list_hosts(); }),
+      callers_(
+          context.executor, caller_limits(context.settings), context.metrics,
+          [this](http_request request) {
+              return front_.handle(std::move(request));
+          }),
+      readiness_(
+          context.executor, {}, context.metrics,
+          [this](http_request) -> asio::awaitable<http_response> {
+              co_return make_response(
+                  is_ready() ? http::status::ok
+                             : http::status::service_unavailable,
+                  "text/plain", is_ready() ? "ready\n" : "not ready\n");
+          }),
+      peers_(
+          context.executor, {}, context.metrics,
+          [this](http_request request) {
+              return router_.serve(std::move(request));
+          }),
+      metrics_(
+          context.executor, {}, context.metrics,
+          admin_pages(
+              context.metrics, [this] { return is_ready(); }, {})),
+      announce_now_(context.executor)
+{}
+
+void tack_node::start()
+{
+    const auto& listen = context_.settings.listen;
+    announce("peers", peers_.listen(listen.peers));
+    announce("metrics", metrics_.listen(listen.metrics));
+    announce("callers", callers_.listen(listen.callers));
+    announce("readiness", readiness_.listen(listen.readiness));
+    const auto spawn = [this](asio::awaitable<void> task) {
+        asio::co_spawn(context_.executor, std::move(task), asio::detached);
+    };
+    spawn(operator_records_.run());
+    spawn(registry_.run());
+    spawn(announce_regularly());
+    spawn(claim_regularly());
+    spawn(write_log_regularly());
+}
+
+bool tack_node::is_ready() const
+{
+    return !leaving_ && front_.table() &&
+           read_clocks().steady - store_.last_success() < ready_without_store;
+}
+
+node_announcement tack_node::announcement() const
+{
+    const auto& limits = context_.settings.limits;
+    constexpr double milli = 1000;
+    return {
+        context_.settings.node.name,
+        to_string(context_.settings.listen.peers),
+        context_.life,
+        beat_,
+        leaving_,
+        static_cast<std::uint32_t>(limits.cpu_share * limits.cores * milli)};
+}
+
+// Announcements of one life carry rising epochs, so that a late one of an
+// earlier life is refused by the store.
+asio::awaitable<void> tack_node::announce_regularly()
+{
+    fenced_writer writer(
+        context_, store_, registry_place(),
+        "node." + context_.settings.node.name);
+    const auto started = read_clocks().wall.time_since_epoch();
+    auto last = static_cast<std::uint64_t>(started.count());
+    constexpr auto patience = 2000ms;
+    while (true)
+    {
+        ++beat_;
+        std::vector<keyed_record> records{
+            {announcement_key(context_.settings.node.name),
+             encode(announcement()), 0}};
+        bool done = false;
+        if (writer.standing() == fenced_writer::state::held)
+            done = co_await writer.append(std::move(records));
+        else
+            done =
+                co_await writer.claim(last, std::move(records), patience);
+        if (!done)
+            last = std::max(last, writer.epoch());
+        co_await announce_now_.wait(
+            done ? std::chrono::milliseconds(announce_interval)
+                 : std::chrono::milliseconds(claim_interval));
+    }
+}
+
+asio::awaitable<void> tack_node::write_log_regularly()
+{
+    auto& dropped = context_.metrics.get_gauge("tack_log_lines_dropped");
+    while (true)
+    {
+        context_.log.flush();
+        dropped.set(static_cast<std::int64_t>(context_.log.dropped()));
+        co_await pause_for(context_.executor, log_interval);
+    }
+}
+
+void tack_node::take_operator_record(const keyed_record& record)
+{
+    if (record.key == platform::configuration_key)
+    {
+        auto decoded = platform::decode_configuration(record.value);
+        if (const auto* wrong = std::get_if<findings>(&decoded))
+            context_.log.write(
+                "node", "configuration_unreadable",
+                log_line()
+                    .add("offset", record.offset)
+                    .add("reason", to_string(*wrong)));
+        else
+            front_.set_table(std::make_shared<const queue_table>(
+                std::move(std::get<queue_table>(decoded))));
+        return;
+    }
+    if (!record.key.starts_with(platform::wave_prefix) || record.value.empty())
+        return;
+    auto decoded = platform::decode_wave(record.key, record.value);
+    if (const auto* wrong = std::get_if<findings>(&decoded))
+    {
+        context_.log.write(
+            "node", "wave_unreadable",
+            log_line()
+                .add("wave", record.key)
+                .add("reason", to_string(*wrong)));
+        return;
+    }
+    auto& wave = std::get<wave_request>(decoded);
+    if (duty_)
+        duty_->request(wave);
+    const auto name = wave.name;
+    waves_[name] = std::move(wave);
+}
+
+void tack_node::take_host_record(const keyed_record& record)
+{
+    const auto known = hosts_.find(record.key);
+    if (record.value.empty())
+    {
+        hosts_changed_ = hosts_changed_ || known != hosts_.end();
+        hosts_.erase(record.key);
+        return;
+    }
+    auto decoded = platform::decode_host_entry(record.key, record.value);
+    if (const auto* wrong = std::get_if<findings>(&decoded))
+    {
+        context_.log.write(
+            "node", "host_entry_unreadable",
+            log_line()
+                .add("host", record.key)
+                .add("reason", to_string(wrong->front())));
+        hosts_changed_ = hosts_changed_ || known != hosts_.end();
+        hosts_.erase(record.key);
+        return;
+    }
+    auto& entry = std::get<host_entry>(decoded);
+    if (known != hosts_.end() && known->second == entry)
+        return;
+    hosts_changed_ = true;
+    hosts_[record.key] = std::move(entry);
+}
+
+void tack_node::list_hosts()
+{
+    if (!std::exchange(hosts_changed_, false))
+        return;
+    std::vector<host_entry> entries;
+    for (const auto& [id, entry] : hosts_)
+        entries.push_back(entry);
+    for (const auto& [shard, owner] : router_.owned())
+        owner->hosts_listed(entries);
+}
+
+void tack_node::drop_lost_shards()
+{
+    std::vector<shard_id> lost;
+    for (const auto& [shard, owner] : router_.owned())
+        if (owner->is_lost())
+            lost.push_back(shard);
+    for (const auto shard : lost)
+        router_.disown(shard);
+    if (duty_ && duty_->is_lost())
+        duty_.reset();
+}
+
+asio::awaitable<void> tack_node::claim_regularly()
+{
+    while (true)
+    {
+        co_await pause_for(context_.executor, claim_interval);
+        drop_lost_shards();
+        if (leaving_ || !front_.table())
+            continue;
+        const auto wanted = wanted_shards(
+            *front_.table(), context_.settings.store.partitions);
+        const auto mine = shards_.to_claim(
+            wanted, announcement(), read_clocks().steady);
+        for (const auto shard : mine)
+        {
+            const bool held = shard == fleet_shard
+                                  ? duty_ != nullptr
+                                  : router_.owned().contains(shard);
+            if (held || !claiming_.insert(shard).second)
+                continue;
+            asio::co_spawn(
+                context_.executor,
+                shard == fleet_shard ? claim_duty() : claim(shard),
+                asio::detached);
+        }
+    }
+}
+
+asio::awaitable<void> tack_node::claim(shard_id shard)
+{
+    const auto owner = std::make_shared<shard_owner>(context_, store_, shard);
+    const auto last = shards_.last_epoch(shard);
+    context_.log.write(
+        "node", "shard_claimed",
+        log_line().add("shard", shard).add("after_epoch", last));
+    const bool taken = co_await owner->take_over(last);
+    if (taken && !leaving_)
+    {
+        router_.own(owner);
+        if (!std::exchange(hosts_followed_, true))
+            asio::co_spawn(
+                context_.executor, host_records_.run(), asio::detached);
+        hosts_changed_ = true;
+        list_hosts();
+    }
+    else if (taken)
+    {
+        co_await owner->hand_over();
+    }
+    claiming_.erase(shard);
+}
+
+asio::awaitable<void> tack_node::claim_duty()
+{
+    const auto duty = std::make_shared<fleet_duty>(context_, store_, router_);
+    for (const auto& [name, wave] : waves_)
+        duty->request(wave);
+    const bool taken = co_await duty->take_over(shards_.last_epoch(fleet_shard));
+    if (taken && !leaving_)
+    {
+        for (const auto& [name, wave] : waves_)
+            duty->request(wave);
+        duty_ = duty;
+    }
+    else if (taken)
+    {
+        co_await duty->hand_over();
+    }
+    claiming_.erase(fleet_shard);
+}
+
+asio::awaitable<void>
+tack_node::hand_over_all(std::shared_ptr<bool> done)
+{
+    if (duty_)
+        co_await duty_->hand_over();
+    const auto owned = router_.owned();
+    for (const auto& [shard, owner] : owned)
+        co_await owner->hand_over();
+    *done = true;
+}
+
+asio::awaitable<void> tack_node::stop(std::chrono::milliseconds grace)
+{
+    const auto began = read_clocks().steady;
+    const auto spent = [&] { return read_clocks().steady - began; };
+    context_.log.write(
+        "node", "stopping", log_line().add("grace_ms", grace.count()));
+    leaving_ = true;
+    announce_now_.notify();
+    callers_.close_after_responses();
+    const auto done = std::make_shared<bool>(false);
+    asio::co_spawn(context_.executor, hand_over_all(done), asio::detached);
+    while (spent() < rotation_time)
+        co_await pause_for(context_.executor, log_interval);
+    const auto left = grace - stop_margin - spent();
+    co_await callers_.drain(
+        std::max<std::chrono::milliseconds>(left, log_interval));
+    while (!*done && spent() < grace - stop_margin)
+        co_await pause_for(context_.executor, log_interval);
+    context_.log.write(
+        "node", "stopped",
+        log_line()
+            .add("took_ms", spent().count())
+            .add("handed_over", *done)
+            .add("connections", std::uint64_t{callers_.connections()}));
+    context_.log.flush();
+}
+
+} // namespace dandeliontack
--- /dev/null
+++ b/src/libnode/tack_node_settings.cpp
@@ -0,0 +1,176 @@
+#include <dandeliontack/tack_node_settings.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace dandeliontack
+{
+
+namespace
+{
+
+constexpr double longest_ms = 3'600'000;
+constexpr double longest_seconds = 86'400;
+constexpr double most_bytes = 1024.0 * 1024 * 1024;
+
+std::span<const field<node_listen_settings>> listen_fields()
+{
+    using row = field<node_listen_settings>;
+    using s = node_listen_settings;
+    static const std::array table{
+        row{.key = "callers", .member = &s::callers, .required = true},
+        row{.key = "readiness", .member = &s::readiness, .required = true},
+        row{.key = "peers", .member = &s::peers, .required = true},
+        row{.key = "metrics", .member = &s::metrics, .required = true}};
+    return table;
+}
+
+std::span<const field<node_store_settings>> store_fields()
+{
+    using row = field<node_store_settings>;
+    using s = node_store_settings;
+    static const std::array table{
+        row{.key = "address", .member = &s::address, .required = true},
+        row{.key = "partitions",
+            .member = &s::partitions,
+            .least = 1,
+            .most = 10'000},
+        row{.key = "record_bytes",
+            .member = &s::record_bytes,
+            .least = 1024,
+            .most = most_bytes},
+        row{.key = "call_bytes",
+            .member = &s::call_bytes,
+            .least = 1024,
+            .most = most_bytes}};
+    return table;
+}
+
+std::span<const field<node_machines_settings>> machines_fields()
+{
+    using row = field<node_machines_settings>;
+    using s = node_machines_settings;
+    static const std::array table{
+        row{.key = "address", .member = &s::address, .required = true},
+        row{.key = "move_seconds",
+            .member = &s::move_seconds,
+            .most = longest_seconds},
+        row{.key = "upkeep_seconds",
+            .member = &s::upkeep_seconds,
+            .most = longest_seconds}};
+    return table;
+}
+
+std::span<const field<node_advice_settings>> advice_fields()
+{
+    static const std::array table{field<node_advice_settings>{
+        .key = "address", .member = &node_advice_settings::address}};
+    return table;
+}
+
+std::span<const field<node_bounds_settings>> bounds_fields()
+{
+    using row = field<node_bounds_settings>;
+    using s = node_bounds_settings;
+    static const std::array table{
+        row{.key = "stop_ms", .member = &s::stop_ms, .most = longest_ms},
+        row{.key = "hold_max_ms",
+            .member = &s::hold_max_ms,
+            .least = 1000,
+            .most = longest_ms},
+        row{.key = "harm_ms", .member = &s::harm_ms, .most = longest_ms},
+        row{.key = "status_seconds",
+            .member = &s::status_seconds,
+            .most = longest_seconds},
+        row{.key = "far_factor",
+            .member = &s::far_factor,
+            .least = 1,
+            .most = 1000},
+        row{.key = "grace_seconds",
+            .member = &s::grace_seconds,
+            .most = longest_seconds},
+        row{.key = "lease_ms", .member = &s::lease_ms, .most = longest_ms},
+        row{.key = "host_beat_ms",
+            .member = &s::host_beat_ms,
+            .most = longest_ms}};
+    return table;
+}
+
+std::span<const field<node_limits_settings>> limits_fields()
+{
+    using row = field<node_limits_settings>;
+    using s = node_limits_settings;
+    static const std::array table{
+        row{.key = "cpu_share",
+            .member = &s::cpu_share,
+            .least = 0.001,
+            .most = 1},
+        row{.key = "cores", .member = &s::cores, .least = 1, .most = 4096},
+        row{.key = "descriptors",
+            .member = &s::descriptors,
+            .least = 64,
+            .most = 10'000'000}};
+    return table;
+}
+
+using reader = section_reader<tack_node_settings>;
+using all = tack_node_settings;
+
+const std::array readers{
+    reader{"node", true, read_member<&all::node, node_fields>},
+    reader{"listen", true, read_member<&all::listen, listen_fields>},
+    reader{"store", true, read_member<&all::store, store_fields>},
+    reader{"machines", true, read_member<&all::machines, machines_fields>},
+    reader{"advice", false, read_member<&all::advice, advice_fields>},
+    reader{"bounds", false, read_member<&all::bounds, bounds_fields>},
+    reader{"limits", false, read_member<&all::limits, limits_fields>}};
+
+std::chrono::milliseconds milliseconds_of(double value)
+{
+    return std::chrono::round<std::chrono::milliseconds>(
+        std::chrono::duration<double, std::milli>(value));
+}
+
+} // namespace
+
+checked<tack_node_settings>
+parse_tack_node_settings(const ini_document& document)
+{
+    findings found;
+    auto settings = read_sections<tack_node_settings>(document, readers, found);
+    check_clashes(
+        document,
+        {{"listen", "callers", settings.listen.callers},
+         {"listen", "readiness", settings.listen.readiness},
+         {"listen", "peers", settings.listen.peers},
+         {"listen", "metrics", settings.listen.metrics}},
+        found);
+    if (!settings.advice.address.empty() &&
+        !parse_endpoint(settings.advice.address))
+        found.push_back(
+            {document.file, 0, "advice.address",
+             "must be an IP number with a port, or empty"});
+    if (!found.empty())
+        return found;
+    return settings;
+}
+
+pool_terms pool_terms_of(const tack_node_settings& settings)
+{
+    // What is kept beyond the time for which callers may ask.
+    constexpr auto keep_margin = std::chrono::seconds(60);
+    pool_terms terms;
+    const auto& bounds = settings.bounds;
+    terms.longest_hold = milliseconds_of(bounds.hold_max_ms);
+    terms.leases.lease = std::min(terms.leases.lease, terms.longest_hold);
+    terms.stop_bound = milliseconds_of(bounds.stop_ms);
+    terms.harm_bound = milliseconds_of(bounds.harm_ms);
+    terms.far_factor = bounds.far_factor;
+    terms.keep_finished =
+        std::chrono::round<std::chrono::milliseconds>(
+            std::chrono::duration<double>(bounds.status_seconds)) +
+        keep_margin;
+    return terms;
+}
+
+} // namespace dandeliontack
--- /dev/null
+++ b/src/libsched/pool_engine.cpp
@@ -0,0 +1,1121 @@
+#include "pool_planner.hpp"
+
+#include <dandeliontack/pool_engine.hpp>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace dandeliontack
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+// Run numbers that one epoch may use for a task; far above the restarts that
+// fit between two stored ends.
+constexpr std::uint32_t runs_per_epoch = 1000;
+// Answers that must miss a run before it counts as gone: one may have been
+// made before the run was there.
+constexpr std::uint32_t answers_that_miss = 2;
+// A stop that the host has not taken is ordered again after this long.
+constexpr auto stop_again = 500ms;
+// Failures of different submissions in a row that suspend a host.
+constexpr std::uint32_t failures_to_suspend = 3;
+constexpr std::size_t submissions_to_suspend = 2;
+// The first suspension and the longest; each one doubles the last.
+constexpr auto first_suspension = 2000ms;
+constexpr auto longest_suspension = 8000ms;
+constexpr auto refusal_pause = 500ms;
+constexpr auto no_room_pause = 300ms;
+constexpr auto malformed_pause = 2000ms;
+// A host that is no longer listed may come back within this (the platform
+// restores entries that lapsed while its store was away within 2 s).
+constexpr auto unlisted_grace = 2500ms;
+// A run whose progress stands still for longer than this, or longer than the
+// task's estimate, hangs.
+constexpr auto hang_least = 1500ms;
+constexpr auto start_up_bound = 5000ms;
+// A start that is neither answered nor listed after this long is stopped.
+constexpr auto start_bound = 5000ms;
+// Weight of the newest run in the learned ratio of run time to estimate.
+constexpr double estimate_weight = 0.1;
+constexpr double factor_least = 0.3;
+constexpr double factor_most = 4.0;
+constexpr std::uint32_t whole = 100;
+
+double work_of(const submission_spec& spec)
+{
+    double sum = 0;
+    for (const auto& step : spec.steps)
+        sum += static_cast<double>(step.count) *
+               static_cast<double>(step.need.cpu_milli) / 1000.0 *
+               static_cast<double>(step.estimate.count());
+    return sum;
+}
+
+bool limits_attempts(const step_spec& step)
+{
+    return !step.long_running;
+}
+
+} // namespace
+
+std::string_view to_string(start_answer answer)
+{
+    constexpr std::array<std::string_view, 10> names{
+        "started",        "fenced",    "run too low", "too late",
+        "no room",        "no ticket", "malformed",   "refused",
+        "another life",   "unknown"};
+    return names.at(static_cast<std::size_t>(answer));
+}
+
+std::string_view to_string(run_outcome outcome)
+{
+    constexpr std::array<std::string_view, 6> names{
+        "done", "failed", "stopped", "lapsed", "broken", "alone"};
+    return names.at(static_cast<std::size_t>(outcome));
+}
+
+bool pool_changes::empty() const
+{
+    return accepted.empty() && progressed.empty() && finished.empty() &&
+           forgotten.empty() && used_hosts.empty() && dropped_hosts.empty();
+}
+
+pool_engine::pool_engine(pool_terms terms, std::uint64_t epoch)
+    : terms_(terms),
+      epoch_(epoch)
+{}
+
+void pool_engine::restore(
+    submission_record record, moment now,
+    const std::function<void(submission_state&)>& progress)
+{
+    now_ = now;
+    const auto id = record.id;
+    auto& s = active_[id];
+    s.record = std::move(record);
+    s.arrived = now.steady;
+    s.work = work_of(s.record.spec);
+    // Time that it waited under past owners counts against its objective.
+    const auto age = now.wall - s.record.accepted;
+    if (age > 0ms)
+        s.arrived -= std::min<std::chrono::milliseconds>(age, 60s);
+    progress(s);
+    for (auto& [k, occurrence] : s.occurrences)
+        for (auto& step : occurrence.steps)
+            for (auto& task : step.tasks)
+            {
+                task.inherited = task.phase != task_phase::done;
+                s.started = s.started || task.recorded_run > 0;
+            }
+    open_occurrences(s);
+    for (auto& [k, occurrence] : s.occurrences)
+        for (auto& step : occurrence.steps)
+            for (auto& task : step.tasks)
+                task.inherited = task.phase != task_phase::done;
+    if (s.started)
+        s.phase = submission_phase::running;
+}
+
+void pool_engine::restore_finished(
+    std::uint64_t submission, submission_phase phase, moment now)
+{
+    finished_[submission] = {phase, now.steady};
+}
+
+void pool_engine::restore_host(const host_use& use, moment now)
+{
+    auto& h = hosts_[use.id];
+    h.entry.id = use.id;
+    h.entry.born = use.born;
+    h.entry.pool = use.pool;
+    h.entry.address = use.address;
+    h.unlisted_since = now.steady;
+    unmet_hosts_.insert(use.id);
+}
+
+void pool_engine::begin(moment now)
+{
+    now_ = now;
+    settling_ = true;
+    bar_until_ = now.steady + terms_.leases.takeover_wait();
+    std::vector<std::uint64_t> ids;
+    for (const auto& [id, s] : active_)
+        ids.push_back(id);
+    for (const auto id : ids)
+    {
+        auto* s = active_submission(id);
+        if (s && s->cancelled_in != 0)
+            finish(*s, submission_phase::cancelled);
+        else if (s)
+            settle_recorded(*s);
+    }
+    effects_.clear();
+}
+
+pool_effects pool_engine::apply(const pool_event_body& event, moment now)
+{
+    now_ = now;
+    effects_.clear();
+    std::visit([this](const auto& e) { on(e); }, event);
+    return std::move(effects_);
+}
+
+void pool_engine::on(const pool_event::submitted& e)
+{
+    if (active_.contains(e.record.id) || finished_.contains(e.record.id))
+        return;
+    auto& s = active_[e.record.id];
+    s.record = e.record;
+    s.record.epoch = epoch_;
+    s.arrived = now_.steady;
+    s.work = work_of(s.record.spec);
+    s.accepted_in = next_batch_;
+    changes_.accepted.push_back(e.record.id);
+}
+
+void pool_engine::on(const pool_event::cancelled& e)
+{
+    auto* s = active_submission(e.submission);
+    if (!s || s->cancelled_in != 0)
+        return;
+    s->cancelled_in = next_batch_;
+    note_progress(e.submission);
+}
+
+void pool_engine::open_occurrences(submission_state& s)
+{
+    const auto& spec = s.record.spec;
+    const auto total = std::max<std::uint32_t>(spec.repetitions, 1);
+    for (std::uint32_t k = 0; k < total; ++k)
+    {
+        const auto due = spec.first_due + spec.interval * k;
+        if (spec.repetitions > 0 && due > now_.wall)
+            break;
+        if (s.occurrences.contains(k))
+            continue;
+        auto& occurrence = s.occurrences[k];
+        occurrence.due = spec.repetitions > 0 ? now_.steady : s.arrived;
+        for (const auto& step : spec.steps)
+            occurrence.steps.emplace_back().tasks.resize(step.count);
+    }
+}
+
+void pool_engine::on(const pool_event::hosts_listed& e)
+{
+    for (auto& [id, h] : hosts_)
+    {
+        if (h.listed)
+            h.unlisted_since = now_.steady;
+        h.listed = false;
+    }
+    for (const auto& entry : e.entries)
+    {
+        auto found = hosts_.find(entry.id);
+        if (found != hosts_.end() && found->second.entry.born < entry.born)
+            begin_life(found->second, entry.born);
+        if (found == hosts_.end())
+        {
+            found = hosts_.emplace(entry.id, host_state{}).first;
+            found->second.recorded_in = next_batch_;
+            changes_.used_hosts.push_back(entry.id);
+        }
+        auto& h = found->second;
+        if (!h.entry.draining && entry.draining)
+            effects_.emplace_back(pool_effect::decided{
+                "host_drains", {}, {}, 0, entry.id, {}});
+        // The list may be older than what the host has said itself.
+        const auto born = std::max(h.entry.born, entry.born);
+        h.entry = entry;
+        h.entry.born = born;
+        h.listed = true;
+    }
+}
+
+void pool_engine::on(const pool_event::host_held& e)
+{
+    const auto found = hosts_.find(e.host);
+    if (found == hosts_.end() || found->second.entry.born != e.born)
+        return;
+    auto& h = found->second;
+    if (e.report.born && *e.report.born != h.entry.born)
+        begin_life(h, *e.report.born);
+    // Where every lease has surely ended, its runs were released by `tick`.
+    check_host(h);
+    h.lease.observe(e.report.clock, now_.steady);
+    h.last_answer = now_.steady;
+    for (const auto& row : e.report.ended)
+    {
+        if (row.number <= h.seen_end)
+            continue;
+        h.seen_end = row.number;
+        // An end that changes nothing stored needs no batch.
+        h.unstored_ends.emplace_back(
+            row.number, take_end(h, row) ? next_batch_ : 0);
+    }
+    for (const auto& row : e.report.running)
+        take_running(h, row);
+    find_missing(h, e);
+    if (!h.contacted)
+    {
+        h.contacted = true;
+        unmet_hosts_.erase(e.host);
+    }
+    advance_cursor(h);
+    check_bar();
+}
+
+void pool_engine::on(const pool_event::host_life_ended& e)
+{
+    const auto found = hosts_.find(e.host);
+    if (found == hosts_.end() || found->second.entry.born != e.born)
+        return;
+    release_all(found->second, "the address belongs to another life");
+    unmet_hosts_.erase(e.host);
+    changes_.dropped_hosts.push_back(e.host);
+    hosts_.erase(found);
+    check_bar();
+}
+
+void pool_engine::on(const pool_event::start_answered& e)
+{
+    const auto found = hosts_.find(e.host);
+    if (found == hosts_.end() || found->second.entry.born != e.born)
+        return;
+    auto& h = found->second;
+    if (e.clock)
+    {
+        h.lease.observe(*e.clock, now_.steady);
+        h.last_answer = now_.steady;
+    }
+    const auto run = h.runs.find(e.task);
+    if (run == h.runs.end() || run->second.run != e.run)
+        return;
+    auto* t = find_task(e.task);
+    switch (e.answer)
+    {
+    case start_answer::started:
+        run->second.confirmed = true;
+        run->second.confirmed_at = now_.steady;
+        if (t && t->phase == task_phase::starting && t->run == e.run)
+        {
+            t->phase = task_phase::running;
+            t->started = now_.steady;
+            t->progressed = now_.steady;
+        }
+        if (auto* s = active_submission(e.task.submission))
+        {
+            s->started = true;
+            if (s->phase == submission_phase::queued)
+                s->phase = submission_phase::running;
+        }
+        if (h.fill_percent < whole && run->second.fills)
+            effects_.emplace_back(pool_effect::pace{
+                e.host, e.born, e.task, e.run, h.fill_percent});
+        return;
+    case start_answer::unknown:
+        order_stop(h, e.task, "the start was not answered");
+        return;
+    case start_answer::no_room:
+        h.blocked_until = now_.steady + no_room_pause;
+        break;
+    case start_answer::refused:
+        h.health.avoid_until = now_.steady + refusal_pause;
+        break;
+    case start_answer::malformed:
+        if (t)
+            t->retry_at = now_.steady + malformed_pause;
+        break;
+    case start_answer::ticket_refused:
+        if (auto* s = active_submission(e.task.submission))
+            s->occurrences[e.task.occurrence]
+                .steps[e.task.step]
+                .tickets.erase(e.host);
+        break;
+    default:
+        break;
+    }
+    say("start_rejected", e.task, e.run, e.host,
+        std::string(to_string(e.answer)));
+    release(h, e.task, to_string(e.answer));
+}
+
+void pool_engine::on(const pool_event::stop_answered& e)
+{
+    const auto found = hosts_.find(e.host);
+    if (found == hosts_.end() || found->second.entry.born != e.born)
+        return;
+    const auto run = found->second.runs.find(e.task);
+    if (run == found->second.runs.end() || run->second.run != e.run)
+        return;
+    if (e.taken)
+        run->second.stop_taken = now_.steady;
+}
+
+void pool_engine::on(const pool_event::advice_answered& e)
+{
+    auto* s = active_submission(e.step.submission);
+    if (!s)
+        return;
+    auto& step = s->occurrences[e.step.occurrence].steps[e.step.step];
+    step.asking = false;
+    if (!e.answered)
+        return;
+    for (const auto& [host, ticket] : e.granted)
+        step.tickets[host] = ticket;
+    step.tickets_until = now_.steady + e.valid;
+}
+
+void pool_engine::on(const pool_event::batch_stored& e)
+{
+    while (!recording_.empty() && recording_.begin()->first <= e.batch)
+    {
+        const auto ids = std::move(recording_.begin()->second);
+        recording_.erase(recording_.begin());
+        for (const auto id : ids)
+        {
+            auto* s = active_submission(id);
+            if (!s)
+                continue;
+            if (s->accepted_in != 0 && s->accepted_in <= e.batch)
+            {
+                s->accepted_in = 0;
+                open_occurrences(*s);
+            }
+            if (s->cancelled_in != 0 && s->cancelled_in <= e.batch)
+            {
+                finish(*s, submission_phase::cancelled);
+                continue;
+            }
+            settle_recorded(*s);
+        }
+    }
+    for (auto& [id, h] : hosts_)
+    {
+        if (h.recorded_in != 0 && h.recorded_in <= e.batch)
+            h.recorded_in = 0;
+        while (!h.unstored_ends.empty() &&
+               h.unstored_ends.front().second <= e.batch)
+        {
+            h.ack_cursor = h.unstored_ends.front().first;
+            h.unstored_ends.pop_front();
+        }
+    }
+}
+
+void pool_engine::on(const pool_event::evacuation_wanted& e)
+{
+    const auto found = hosts_.find(e.host);
+    if (found == hosts_.end())
+        return;
+    if (found->second.evacuate_until < now_.steady)
+        effects_.emplace_back(pool_effect::decided{
+            "host_evacuates", {}, {}, 0, e.host, "its upkeep is due"});
+    found->second.evacuate_until = e.until;
+    evacuate(found->second);
+}
+
+void pool_engine::on(const pool_event::tick& /*e*/)
+{
+    for (auto& [id, h] : hosts_)
+    {
+        check_host(h);
+        check_runs(h);
+        if (h.evacuate_until > now_.steady || h.entry.draining)
+            evacuate(h);
+        pace_fillers(h);
+    }
+    std::erase_if(hosts_, [&](auto& item) {
+        auto& [id, h] = item;
+        const bool gone = !h.listed && h.runs.empty() &&
+                          now_.steady - h.unlisted_since > unlisted_grace &&
+                          h.lease.has_ended(now_.steady) &&
+                          !unmet_hosts_.contains(id);
+        if (gone)
+            changes_.dropped_hosts.push_back(id);
+        return gone;
+    });
+    for (auto& [id, s] : active_)
+        if (s.record.spec.repetitions > 0 && s.accepted_in == 0)
+            open_occurrences(s);
+    std::erase_if(finished_, [&](const auto& item) {
+        const bool old =
+            now_.steady - item.second.since > terms_.keep_finished;
+        if (old)
+            changes_.forgotten.push_back(item.first);
+        return old;
+    });
+    check_bar();
+    pool_planner(*this).plan();
+}
+
+// The host started again under its id: what ran before has ended, and its
+// counts begin anew. Starts that were under way may have reached the new life,
+// so its next answers say which runs are gone.
+void pool_engine::begin_life(host_state& h, std::chrono::milliseconds born)
+{
+    effects_.emplace_back(pool_effect::decided{
+        "host_restarted", {}, {}, 0, h.entry.id, {}});
+    h.entry.born = born;
+    h.lease.begin_life(now_.steady, terms_.longest_hold);
+    h.contacted = false;
+    h.seen_end = 0;
+    h.ack_cursor = 0;
+    h.unstored_ends.clear();
+    h.health = {};
+    h.fill_percent = whole;
+    h.recorded_in = next_batch_;
+    changes_.used_hosts.push_back(h.entry.id);
+}
+
+// Takes one listed end. Ends of runs that are not the task's current one say
+// nothing new: they were stored by a past owner, or their lease had lapsed
+// and the task was given up there.
+bool pool_engine::take_end(host_state& h, const ended_row& row)
+{
+    bool noted = false;
+    const auto held = h.runs.find(row.task);
+    const bool current = held != h.runs.end() && held->second.run == row.run;
+    auto* s = active_submission(row.task.submission);
+    auto* t = s ? find_task(row.task) : nullptr;
+    if (t && row.run > t->recorded_run && t->phase != task_phase::done &&
+        t->phase != task_phase::recording &&
+        ((t->host == h.entry.id && t->run == row.run) ||
+         (t->inherited && t->phase == task_phase::waiting)))
+        noted = end_current(h, *s, *t, row);
+    if (current)
+        forget_run(h, row.task);
+    return noted;
+}
+
+bool pool_engine::end_current(
+    host_state& h, submission_state& s, task_state& t, const ended_row& row)
+{
+    const auto& step = s.record.spec.steps[row.task.step];
+    t.run = std::max(t.run, row.run);
+    if (!row.checkpoint.empty() && step.checkpoints)
+        t.checkpoint = row.checkpoint;
+    t.inherited = false;
+    t.host.clear();
+    t.percent = 0;
+    s.started = true;
+    say("run_ended", row.task, row.run, h.entry.id,
+        std::string(to_string(row.outcome)));
+    switch (row.outcome)
+    {
+    case run_outcome::done:
+        h.health.failures = 0;
+        h.health.suspensions = 0;
+        h.health.failed_submissions.clear();
+        t.ended_done = true;
+        if (step.estimate.count() > 0 && t.started != boot_time{} &&
+            t.checkpoint.empty())
+        {
+            const double ratio =
+                static_cast<double>((now_.steady - t.started).count()) /
+                static_cast<double>(step.estimate.count());
+            auto& factor =
+                estimate_factor_.try_emplace(s.record.terms.route, 1.0)
+                    .first->second;
+            factor = std::clamp(
+                factor + estimate_weight * (ratio - factor), factor_least,
+                factor_most);
+        }
+        break;
+    case run_outcome::failed:
+        ++t.failures;
+        t.failed_on.insert(h.entry.id);
+        t.ended_done = false;
+        blame(h, row.task.submission);
+        break;
+    default:
+        t.phase = task_phase::waiting;
+        return false;
+    }
+    t.phase = task_phase::recording;
+    t.recorded_run = row.run;
+    note_progress(s.record.id);
+    return true;
+}
+
+void pool_engine::blame(host_state& h, std::uint64_t submission)
+{
+    ++h.health.failures;
+    h.health.failed_submissions.insert(submission);
+    if (h.health.failures < failures_to_suspend ||
+        h.health.failed_submissions.size() < submissions_to_suspend)
+        return;
+    const auto pause = std::min<std::chrono::milliseconds>(
+        first_suspension * (1U << std::min(h.health.suspensions, 4U)),
+        longest_suspension);
+    h.health.avoid_until = now_.steady + pause;
+    ++h.health.suspensions;
+    // One more failure after the pause suspends it again.
+    h.health.failures = failures_to_suspend - 1;
+    effects_.emplace_back(pool_effect::decided{
+        "host_suspended", {}, {}, 0, h.entry.id,
+        "tasks of different submissions failed there"});
+}
+
+void pool_engine::take_running(host_state& h, const running_row& row)
+{
+    auto held = h.runs.find(row.task);
+    auto* s = active_submission(row.task.submission);
+    auto* t = s ? find_task(row.task) : nullptr;
+    const auto* step = spec_of(row.task);
+    if (held == h.runs.end() || held->second.run != row.run)
+    {
+        host_run run;
+        run.run = row.run;
+        run.ordered = now_.steady;
+        if (step)
+        {
+            run.need = step->need;
+            run.serves = step->long_running && step->latency_objective > 0ms;
+            run.fills = step->fills;
+            run.objective = step->latency_objective;
+            if (step->fills)
+                run.need.cpu_milli = 0;
+        }
+        if (held != h.runs.end())
+            forget_run(h, row.task);
+        held = h.runs.emplace(row.task, run).first;
+        h.used = h.used + run.need;
+        const bool adopt = t && t->inherited &&
+                           t->phase == task_phase::waiting &&
+                           row.run > t->recorded_run && s->cancelled_in == 0;
+        if (adopt)
+        {
+            t->inherited = false;
+            t->phase = task_phase::running;
+            t->run = row.run;
+            t->host = h.entry.id;
+            t->started = now_.steady;
+            t->progressed = now_.steady;
+            s->started = true;
+            if (s->phase == submission_phase::queued)
+                s->phase = submission_phase::running;
+            say("run_adopted", row.task, row.run, h.entry.id);
+        }
+        else
+        {
+            order_stop(h, row.task, "the run is not wanted");
+        }
+    }
+    auto& run = held->second;
+    run.confirmed = true;
+    run.missed = 0;
+    if (run.confirmed_at == boot_time{})
+        run.confirmed_at = now_.steady;
+    run.percent = row.percent;
+    run.load = row.load;
+    if (!t || t->host != h.entry.id || t->run != row.run)
+        return;
+    if (t->phase == task_phase::starting)
+    {
+        t->phase = task_phase::running;
+        t->started = now_.steady;
+        t->progressed = now_.steady;
+        s->started = true;
+    }
+    if (!row.checkpoint.empty() && step && step->checkpoints)
+        t->checkpoint = row.checkpoint;
+    if (row.percent > t->percent)
+    {
+        t->percent = row.percent;
+        t->progressed = now_.steady;
+    }
+}
+
+// Runs that the host neither lists nor has listed as ended.
+void pool_engine::find_missing(
+    host_state& h, const pool_event::host_held& e)
+{
+    std::vector<task_ref> gone;
+    for (auto& [task, run] : h.runs)
+    {
+        const bool listed = std::ranges::any_of(
+            e.report.running, [&](const running_row& row) {
+                return row.task == task && row.run == run.run;
+            });
+        if (listed)
+            continue;
+        if (run.stop_taken && *run.stop_taken < e.sent)
+            gone.push_back(task);
+        else if (
+            run.confirmed && run.confirmed_at < e.sent &&
+            ++run.missed >= answers_that_miss)
+            gone.push_back(task);
+    }
+    for (const auto& task : gone)
+        release(h, task, "the host does not list it");
+}
+
+void pool_engine::advance_cursor(host_state& h)
+{
+    while (!h.unstored_ends.empty() && h.unstored_ends.front().second == 0)
+    {
+        h.ack_cursor = h.unstored_ends.front().first;
+        h.unstored_ends.pop_front();
+    }
+}
+
+// Ends what is known of a run on the host; the task waits again if the run
+// was its current one.
+void pool_engine::release(
+    host_state& h, const task_ref& task, std::string_view reason)
+{
+    const auto held = h.runs.find(task);
+    if (held == h.runs.end())
+        return;
+    const auto run = held->second.run;
+    forget_run(h, task);
+    auto* t = find_task(task);
+    if (!t || t->host != h.entry.id || t->run != run ||
+        t->phase == task_phase::done || t->phase == task_phase::recording)
+        return;
+    t->phase = task_phase::waiting;
+    t->host.clear();
+    t->percent = 0;
+    say("run_released", task, run, h.entry.id, std::string(reason));
+}
+
+void pool_engine::release_all(host_state& h, std::string_view reason)
+{
+    std::vector<task_ref> tasks;
+    for (const auto& [task, run] : h.runs)
+        tasks.push_back(task);
+    for (const auto& task : tasks)
+        release(h, task, reason);
+}
+
+void pool_engine::forget_run(host_state& h, const task_ref& task)
+{
+    const auto held = h.runs.find(task);
+    h.used = h.used - held->second.need;
+    h.runs.erase(held);
+}
+
+void pool_engine::order_stop(
+    host_state& h, const task_ref& task, std::string_view reason)
+{
+    auto& run = h.runs.at(task);
+    run.stop_ordered = now_.steady;
+    run.stop_taken.reset();
+    if (auto* t = find_task(task);
+        t && t->host == h.entry.id && t->run == run.run &&
+        (t->phase == task_phase::starting || t->phase == task_phase::running))
+        t->phase = task_phase::stopping;
+    effects_.emplace_back(pool_effect::stop{
+        h.entry.id, h.entry.born, task, run.run, reason});
+    say("stop_ordered", task, run.run, h.entry.id, std::string(reason));
+}
+
+// Applies what the store has acknowledged of a submission.
+void pool_engine::settle_recorded(submission_state& s)
+{
+    bool has_failed = false;
+    for (auto& [k, occurrence] : s.occurrences)
+        for (std::uint32_t i = 0; i < occurrence.steps.size(); ++i)
+        {
+            const auto& spec = s.record.spec.steps[i];
+            auto& step = occurrence.steps[i];
+            bool gang_done = false;
+            std::uint32_t gang_failures = 0;
+            for (auto& t : step.tasks)
+            {
+                if (t.phase == task_phase::recording)
+                {
+                    t.phase = t.ended_done ? task_phase::done
+                                           : task_phase::waiting;
+                    gang_done = gang_done || t.ended_done;
+                }
+                gang_failures += t.failures;
+                has_failed = has_failed ||
+                             (limits_attempts(spec) &&
+                              t.failures >= s.record.terms.max_attempts &&
+                              t.phase != task_phase::done);
+            }
+            if (spec.gang)
+            {
+                has_failed =
+                    has_failed || (limits_attempts(spec) && !gang_done &&
+                                   gang_failures >=
+                                       s.record.terms.max_attempts);
+                if (gang_done)
+                    for (auto& t : step.tasks)
+                        t.phase = task_phase::done;
+            }
+            step.done = static_cast<std::uint32_t>(std::ranges::count(
+                step.tasks, task_phase::done, &task_state::phase));
+        }
+    if (has_failed)
+    {
+        finish(s, submission_phase::failed);
+        return;
+    }
+    s.occurrences_done = 0;
+    for (auto& [k, occurrence] : s.occurrences)
+    {
+        occurrence.steps_done = static_cast<std::uint32_t>(std::ranges::count_if(
+            occurrence.steps, [](const step_state& step) {
+                return step.done == step.tasks.size();
+            }));
+        if (occurrence.steps_done == occurrence.steps.size())
+            ++s.occurrences_done;
+    }
+    if (s.occurrences_done >=
+        std::max<std::uint32_t>(s.record.spec.repetitions, 1))
+        finish(s, submission_phase::completed);
+}
+
+void pool_engine::finish(submission_state& s, submission_phase phase)
+{
+    const auto id = s.record.id;
+    stop_everything(s, to_string(phase));
+    effects_.emplace_back(pool_effect::decided{
+        "submission_finished", {}, id, 0, {}, std::string(to_string(phase))});
+    finished_[id] = {phase, now_.steady};
+    changes_.finished.push_back(id);
+    std::erase(changes_.progressed, id);
+    active_.erase(id);
+}
+
+void pool_engine::stop_everything(
+    submission_state& s, std::string_view reason)
+{
+    const auto id = s.record.id;
+    for (auto& [name, h] : hosts_)
+        for (auto at = h.runs.lower_bound(task_ref{id, 0, 0, 0});
+             at != h.runs.end() && at->first.submission == id; ++at)
+            if (!at->second.stop_ordered)
+                order_stop(h, at->first, reason);
+}
+
+// Gives up what ran on a host of which every lease has ended.
+void pool_engine::check_host(host_state& h)
+{
+    if (!h.lease.has_ended(now_.steady) || h.runs.empty())
+        return;
+    release_all(h, "every lease on the host has ended");
+    h.contacted = false;
+}
+
+void pool_engine::check_runs(host_state& h)
+{
+    std::vector<task_ref> again;
+    std::vector<task_ref> hung;
+    std::vector<task_ref> unanswered;
+    for (auto& [task, run] : h.runs)
+    {
+        if (run.stop_ordered)
+        {
+            const bool untaken =
+                !run.stop_taken && now_.steady - *run.stop_ordered > stop_again;
+            const bool overdue =
+                run.stop_taken && now_.steady - *run.stop_taken >
+                                      terms_.stop_bound + stop_again;
+            if (untaken || overdue)
+                again.push_back(task);
+            continue;
+        }
+        if (!run.confirmed && now_.steady - run.ordered > start_bound)
+        {
+            unanswered.push_back(task);
+            continue;
+        }
+        const auto* t = find_task(task);
+        const auto* step = spec_of(task);
+        if (!t || !step || t->phase != task_phase::running)
+            continue;
+        const auto still = now_.steady - t->progressed;
+        if (step->long_running)
+        {
+            if (t->percent < whole && h.fill_percent == whole &&
+                still > start_up_bound)
+                hung.push_back(task);
+            continue;
+        }
+        if (step->gang)
+            continue;
+        if (h.last_answer > t->progressed &&
+            still > std::max<std::chrono::milliseconds>(
+                        hang_least, step->estimate))
+            hung.push_back(task);
+    }
+    for (const auto& task : again)
+        order_stop(h, task, "the stop was not carried out");
+    for (const auto& task : unanswered)
+        order_stop(h, task, "the start was not settled");
+    for (const auto& task : hung)
+    {
+        if (auto* t = find_task(task))
+            t->failed_on.insert(h.entry.id);
+        blame(h, task.submission);
+        order_stop(h, task, "it makes no progress");
+    }
+}
+
+// Empties a host that leaves or is due for upkeep, as far as each step may
+// miss tasks. What ends soon by itself is left to end.
+void pool_engine::evacuate(host_state& h)
+{
+    std::vector<task_ref> tasks;
+    for (const auto& [task, run] : h.runs)
+    {
+        const auto* step = spec_of(task);
+        if (run.stop_ordered || !step || (step->gang && !step->checkpoints))
+            continue;
+        if (step->long_running || step->checkpoints)
+            tasks.push_back(task);
+    }
+    for (const auto& task : tasks)
+    {
+        const auto* step = spec_of(task);
+        if (step->long_running && !h.entry.draining && !may_take_away(task))
+            continue;
+        order_stop(h, task, "the host is being emptied");
+    }
+}
+
+bool pool_engine::may_take_away(const task_ref& task) const
+{
+    const auto found = active_.find(task.submission);
+    if (found == active_.end())
+        return true;
+    const auto& spec = found->second.record.spec.steps[task.step];
+    const auto& step =
+        found->second.occurrences.at(task.occurrence).steps[task.step];
+    const auto limit = std::max<std::uint32_t>(spec.may_miss, 1);
+    std::uint32_t away = 0;
+    for (std::uint32_t i = 0; i < step.tasks.size(); ++i)
+        if (i != task.index &&
+            (step.tasks[i].phase != task_phase::running ||
+             step.tasks[i].percent < whole))
+            ++away;
+    return away < limit;
+}
+
+// Filling tasks of a host with a serving task near or over its objective are
+// slowed down fast and given back what they had slowly.
+void pool_engine::pace_fillers(host_state& h)
+{
+    constexpr auto pace_interval = 500ms;
+    // Of the objective: where pacing begins, and below which it is eased.
+    constexpr double press = 0.85;
+    constexpr double calm = 0.65;
+    constexpr std::uint32_t ease_step = 10;
+    if (now_.steady - h.fill_changed < pace_interval)
+        return;
+    double worst = 0;
+    bool serves = false;
+    bool fills = false;
+    for (const auto& [task, run] : h.runs)
+    {
+        fills = fills || run.fills;
+        if (!run.serves || run.objective.count() <= 0)
+            continue;
+        serves = true;
+        worst = std::max(
+            worst, static_cast<double>(run.load) /
+                       static_cast<double>(run.objective.count()));
+    }
+    auto wanted = h.fill_percent;
+    if (!serves)
+        wanted = whole;
+    else if (worst > 1.0)
+        wanted = wanted > 25 ? wanted / 3 : 0;
+    else if (worst > press)
+        wanted = wanted * 2 / 3;
+    else if (worst < calm)
+        wanted = std::min(whole, wanted + ease_step);
+    if (wanted == h.fill_percent || !fills)
+        return;
+    h.fill_percent = wanted;
+    h.fill_changed = now_.steady;
+    for (const auto& [task, run] : h.runs)
+        if (run.fills && run.confirmed && !run.stop_ordered)
+            effects_.emplace_back(pool_effect::pace{
+                h.entry.id, h.entry.born, task, run.run, wanted});
+}
+
+// Tasks of before the takeover may start once every host that the past owner
+// used has answered, or its last lease has surely ended.
+void pool_engine::check_bar()
+{
+    if (!settling_)
+        return;
+    const bool over = now_.steady > bar_until_;
+    if (!unmet_hosts_.empty() && !over)
+        return;
+    settling_ = false;
+    unmet_hosts_.clear();
+    for (auto& [id, s] : active_)
+        for (auto& [k, occurrence] : s.occurrences)
+            for (auto& step : occurrence.steps)
+                for (auto& t : step.tasks)
+                    t.inherited = false;
+    effects_.emplace_back(pool_effect::decided{
+        "takeover_settled", {}, {}, 0, {},
+        over ? "the leases of unreachable hosts have ended"
+             : "every host has answered"});
+}
+
+void pool_engine::note_progress(std::uint64_t submission)
+{
+    recording_[next_batch_].insert(submission);
+    if (std::ranges::find(changes_.progressed, submission) ==
+        changes_.progressed.end())
+        changes_.progressed.push_back(submission);
+}
+
+pool_changes pool_engine::take_changes()
+{
+    auto out = std::exchange(changes_, {});
+    out.batch = next_batch_++;
+    for (const auto id : out.accepted)
+        recording_[out.batch].insert(id);
+    return out;
+}
+
+bool pool_engine::has_changes() const
+{
+    return !changes_.empty();
+}
+
+std::optional<submission_view> pool_engine::find(std::uint64_t id) const
+{
+    if (const auto done = finished_.find(id); done != finished_.end())
+        return submission_view{done->second.phase, 0};
+    const auto found = active_.find(id);
+    if (found == active_.end())
+        return std::nullopt;
+    const auto& s = found->second;
+    return submission_view{
+        s.phase, s.cancelled_in != 0 ? s.cancelled_in : s.accepted_in};
+}
+
+const submission_state* pool_engine::state_of(std::uint64_t id) const
+{
+    const auto found = active_.find(id);
+    return found == active_.end() ? nullptr : &found->second;
+}
+
+std::optional<submission_phase>
+pool_engine::finished_phase(std::uint64_t id) const
+{
+    const auto found = finished_.find(id);
+    if (found == finished_.end())
+        return std::nullopt;
+    return found->second.phase;
+}
+
+std::size_t pool_engine::pending(const std::string& route) const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(active_, [&](const auto& item) {
+            return !item.second.started && item.second.cancelled_in == 0 &&
+                   item.second.record.terms.route == route;
+        }));
+}
+
+const std::map<std::string, host_state>& pool_engine::hosts() const
+{
+    return hosts_;
+}
+
+std::optional<host_time>
+pool_engine::extend_lease(const std::string& host, moment now)
+{
+    const auto found = hosts_.find(host);
+    if (found == hosts_.end())
+        return std::nullopt;
+    return found->second.lease.extend(now.steady, terms_.leases);
+}
+
+bool pool_engine::is_wanted(const pool_effect::start& order) const
+{
+    const auto found = hosts_.find(order.host);
+    if (found == hosts_.end() || found->second.entry.born != order.born)
+        return false;
+    const auto run = found->second.runs.find(order.task);
+    return run != found->second.runs.end() &&
+           run->second.run == order.run && !run->second.stop_ordered;
+}
+
+bool pool_engine::is_empty(const std::string& host) const
+{
+    const auto found = hosts_.find(host);
+    return found == hosts_.end() || found->second.runs.empty();
+}
+
+bool pool_engine::is_settling() const
+{
+    return settling_;
+}
+
+std::size_t pool_engine::active() const
+{
+    return active_.size();
+}
+
+std::size_t pool_engine::waiting_tasks() const
+{
+    std::size_t sum = 0;
+    for (const auto& [id, s] : active_)
+        for (const auto& [k, occurrence] : s.occurrences)
+            for (const auto& step : occurrence.steps)
+                sum += static_cast<std::size_t>(std::ranges::count(
+                    step.tasks, task_phase::waiting, &task_state::phase));
+    return sum;
+}
+
+submission_state* pool_engine::active_submission(std::uint64_t id)
+{
+    const auto found = active_.find(id);
+    return found == active_.end() ? nullptr : &found->second;
+}
+
+task_state* pool_engine::find_task(const task_ref& task)
+{
+    auto* s = active_submission(task.submission);
+    if (!s)
+        return nullptr;
+    const auto occurrence = s->occurrences.find(task.occurrence);
+    if (occurrence == s->occurrences.end() ||
+        task.step >= occurrence->second.steps.size())
+        return nullptr;
+    auto& tasks = occurrence->second.steps[task.step].tasks;
+    return task.index < tasks.size() ? &tasks[task.index] : nullptr;
+}
+
+const step_spec* pool_engine::spec_of(const task_ref& task) const
+{
+    const auto* s = state_of(task.submission);
+    return s && task.step < s->record.spec.steps.size()
+               ? &s->record.spec.steps[task.step]
+               : nullptr;
+}
+
+std::uint32_t
+pool_engine::next_run(const task_ref& task, const task_state& t) const
+{
+    const auto* s = state_of(task.submission);
+    const auto epochs = epoch_ - std::min(epoch_, s->record.epoch);
+    const auto base = static_cast<std::uint32_t>(epochs * runs_per_epoch);
+    return std::max(t.run, base) + 1;
+}
+
+void pool_engine::say(
+    std::string_view name, const task_ref& task, std::uint32_t run,
+    const std::string& host, std::string reason)
+{
+    effects_.emplace_back(pool_effect::decided{
+        name, task, task.submission, run, host, std::move(reason)});
+}
+
+} // namespace dandeliontack
--- /dev/null
+++ b/src/libsched/pool_planner.cpp
@@ -0,0 +1,403 @@
+#include "pool_planner.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <ranges>
+
+namespace dandeliontack
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+// Ranks of candidates, the first served first.
+constexpr int rank_long_running = 0;
+constexpr int rank_started = 1;
+constexpr int rank_in_time = 2;
+constexpr int rank_late = 3;
+constexpr int rank_overdue = 4;
+// A submission counts as served, late, up to this many times its objective.
+constexpr double late_limit = 3.0;
+// What a submission is worth beside its work, of the mean of its queue.
+constexpr double fixed_worth = 0.3;
+// A question for advice that stays unanswered this long is asked again.
+constexpr auto ask_again = 1500ms;
+constexpr std::size_t most_hosts_asked = 30;
+// Terms of the cost of a host for a task; only their order matters.
+constexpr double cost_failed_there = 1000;
+constexpr double cost_far = 100;
+constexpr double cost_on_probation = 50;
+constexpr double cost_neighbour = 5;
+
+} // namespace
+
+room counted_room(const step_spec& step)
+{
+    auto need = step.need;
+    if (step.fills)
+        need.cpu_milli = 0;
+    return need;
+}
+
+pool_planner::pool_planner(pool_engine& engine)
+    : engine_(engine),
+      now_(engine.now_)
+{}
+
+void pool_planner::plan()
+{
+    collect_hosts();
+    if (hosts_.empty())
+        return;
+    auto candidates = collect_candidates();
+    std::ranges::sort(candidates, {}, [](const candidate& c) {
+        return std::tuple(c.rank, c.priority, c.key);
+    });
+    for (const auto& c : candidates)
+    {
+        if (c.submission->record.spec.steps[c.step].gang)
+            place_gang(c);
+        else
+            place_tasks(c);
+    }
+}
+
+void pool_planner::collect_hosts()
+{
+    for (auto& [id, h] : engine_.hosts_)
+    {
+        const auto now = now_.steady;
+        const bool eligible =
+            h.listed && !h.entry.draining && h.contacted &&
+            h.recorded_in == 0 && h.evacuate_until <= now &&
+            h.blocked_until <= now && h.health.avoid_until <= now &&
+            !h.lease.has_ended(now);
+        if (eligible)
+            hosts_[h.entry.pool].push_back(&h);
+    }
+}
+
+bool pool_planner::may_start(const task_state& t) const
+{
+    return t.phase == task_phase::waiting && t.retry_at <= now_.steady &&
+           !(t.inherited && engine_.settling_);
+}
+
+bool pool_planner::is_ready(
+    const submission_state& s, const occurrence_state& o,
+    std::uint32_t step) const
+{
+    const auto& spec = s.record.spec.steps[step];
+    return std::ranges::all_of(spec.after, [&](std::uint32_t earlier) {
+        return o.steps[earlier].done == o.steps[earlier].tasks.size();
+    });
+}
+
+std::vector<pool_planner::candidate> pool_planner::collect_candidates()
+{
+    std::vector<candidate> out;
+    for (auto& [id, s] : engine_.active_)
+    {
+        auto& mean =
+            mean_work_.try_emplace(s.record.terms.route, s.work).first->second;
+        constexpr double newest = 0.1;
+        mean += newest * (s.work - mean);
+    }
+    for (auto& [id, s] : engine_.active_)
+    {
+        if (s.accepted_in != 0 || s.cancelled_in != 0 ||
+            !hosts_.contains(s.record.terms.pool))
+            continue;
+        for (auto& [k, o] : s.occurrences)
+            for (std::uint32_t i = 0; i < o.steps.size(); ++i)
+            {
+                const auto& step = o.steps[i];
+                if (step.done < step.tasks.size() && is_ready(s, o, i) &&
+                    std::ranges::any_of(
+                        step.tasks,
+                        [&](const task_state& t) { return may_start(t); }))
+                    out.push_back(ranked(s, k, i));
+            }
+    }
+    return out;
+}
+
+// The longest chain of work that is left, by the learned run times.
+std::chrono::milliseconds pool_planner::chain_from(
+    const submission_state& s, const occurrence_state& o) const
+{
+    std::vector<std::chrono::milliseconds> ends;
+    std::chrono::milliseconds longest{0};
+    for (std::uint32_t i = 0; i < o.steps.size(); ++i)
+    {
+        const auto& spec = s.record.spec.steps[i];
+        std::chrono::milliseconds begin{0};
+        for (const auto earlier : spec.after)
+            begin = std::max(begin, ends[earlier]);
+        const bool done = o.steps[i].done == o.steps[i].tasks.size();
+        ends.push_back(begin + (done ? 0ms : spec.estimate));
+        longest = std::max(longest, ends.back());
+    }
+    return longest;
+}
+
+pool_planner::candidate pool_planner::ranked(
+    submission_state& s, std::uint32_t occurrence, std::uint32_t step)
+{
+    candidate c{&s, occurrence, step, 0, s.record.terms.priority, 0};
+    const auto& spec = s.record.spec.steps[step];
+    if (spec.long_running)
+    {
+        c.rank = rank_long_running;
+        c.key = static_cast<double>(s.arrived.time_since_epoch().count());
+        return c;
+    }
+    const auto& terms = s.record.terms;
+    const auto& o = s.occurrences.at(occurrence);
+    const auto factor = engine_.estimate_factor_.contains(terms.route)
+                            ? engine_.estimate_factor_.at(terms.route)
+                            : 1.0;
+    const double left =
+        factor * static_cast<double>(chain_from(s, o).count());
+    occurrence_state fresh;
+    fresh.steps.resize(o.steps.size());
+    for (auto& f : fresh.steps)
+        f.tasks.resize(1);
+    const double chain =
+        factor * static_cast<double>(chain_from(s, fresh).count());
+    const double objective =
+        terms.stretch * chain + static_cast<double>(terms.target.count());
+    const double age =
+        static_cast<double>((now_.steady - o.due).count());
+    const bool started = std::ranges::any_of(o.steps, [](const auto& item) {
+        return std::ranges::any_of(item.tasks, [](const task_state& t) {
+            return t.phase != task_phase::waiting;
+        });
+    });
+    if (age + left <= objective)
+        c.rank = started ? rank_started : rank_in_time;
+    else
+        c.rank =
+            age + left <= late_limit * objective ? rank_late : rank_overdue;
+    const double mean = std::max(mean_work_[terms.route], 1.0);
+    const double work = std::max(s.work, 1.0);
+    const double worth = fixed_worth + (1 - fixed_worth) * work / mean;
+    // In time: the most worth for the work first. Late: the oldest first.
+    c.key = c.rank <= rank_in_time ? -worth / work : -age;
+    return c;
+}
+
+bool pool_planner::takes(
+    const host_state& h, const candidate& c, const step_spec& spec) const
+{
+    if (!fits(counted_room(spec), h.entry.capacity - h.used))
+        return false;
+    if (!spec.label.empty() &&
+        std::ranges::find(h.entry.labels, spec.label) == h.entry.labels.end())
+        return false;
+    const auto id = c.submission->record.id;
+    if (spec.most_per_host > 0)
+    {
+        const auto first =
+            h.runs.lower_bound(task_ref{id, c.occurrence, c.step, 0});
+        const auto last =
+            h.runs.lower_bound(task_ref{id, c.occurrence, c.step + 1, 0});
+        if (std::distance(first, last) >= spec.most_per_host)
+            return false;
+    }
+    if (c.submission->record.terms.advice)
+    {
+        const auto& step =
+            c.submission->occurrences.at(c.occurrence).steps[c.step];
+        return step.tickets.contains(h.entry.id);
+    }
+    // One run at a time tries a host that was suspended.
+    return h.health.suspensions == 0 || h.runs.empty() || spec.long_running;
+}
+
+double pool_planner::cost_of(
+    const host_state& h, const step_spec& spec, const task_state& t,
+    const std::string& rack) const
+{
+    double cost = 0;
+    if (t.failed_on.contains(h.entry.id))
+        cost += cost_failed_there;
+    if (!rack.empty() && h.entry.rack != rack)
+        cost += cost_far;
+    if (h.health.suspensions > 0)
+        cost += cost_on_probation;
+    const auto neighbours = std::ranges::count_if(h.runs, [&](const auto& r) {
+        return spec.fills ? r.second.serves
+                          : r.second.serves || r.second.fills;
+    });
+    if (spec.fills || spec.long_running)
+        cost += cost_neighbour * static_cast<double>(neighbours);
+    const auto free = h.entry.capacity - h.used;
+    const double left =
+        h.entry.capacity.cpu_milli > 0
+            ? static_cast<double>(free.cpu_milli) /
+                  static_cast<double>(h.entry.capacity.cpu_milli)
+            : 0;
+    // Tasks of limited time go where least stays free, the others spread.
+    return cost + (spec.long_running ? 1 - left : left);
+}
+
+host_state* pool_planner::best_host(
+    const candidate& c, const step_spec& spec, const task_state& t,
+    const std::string& rack)
+{
+    host_state* best = nullptr;
+    double least = std::numeric_limits<double>::max();
+    for (auto* h : hosts_[c.submission->record.terms.pool])
+    {
+        if (!takes(*h, c, spec))
+            continue;
+        const double cost = cost_of(*h, spec, t, rack);
+        if (cost < least)
+        {
+            least = cost;
+            best = h;
+        }
+    }
+    return best;
+}
+
+std::string pool_planner::rack_in_use(const candidate& c) const
+{
+    const auto& step =
+        c.submission->occurrences.at(c.occurrence).steps[c.step];
+    for (const auto& t : step.tasks)
+        if (!t.host.empty())
+            if (const auto h = engine_.hosts_.find(t.host);
+                h != engine_.hosts_.end())
+                return h->second.entry.rack;
+    return {};
+}
+
+// Whether the step may be placed; asks for advice where that is needed.
+bool pool_planner::has_advice(const candidate& c)
+{
+    const auto& s = *c.submission;
+    if (!s.record.terms.advice)
+        return true;
+    auto& step = c.submission->occurrences.at(c.occurrence).steps[c.step];
+    if (!step.tickets.empty() && step.tickets_until > now_.steady)
+        return true;
+    if (step.asking && now_.steady - step.asked < ask_again)
+        return false;
+    step.tickets.clear();
+    step.asking = true;
+    step.asked = now_.steady;
+    pool_effect::advise ask{
+        {s.record.id, c.occurrence, c.step, 0}, {}};
+    auto& hosts = hosts_[s.record.terms.pool];
+    std::ranges::sort(hosts, std::greater<>{}, [](const host_state* h) {
+        return h->entry.capacity.cpu_milli - h->used.cpu_milli;
+    });
+    for (const auto* h : hosts | std::views::take(most_hosts_asked))
+        ask.hosts.push_back(h->entry.id);
+    engine_.effects_.emplace_back(std::move(ask));
+    return false;
+}
+
+void pool_planner::place_tasks(const candidate& c)
+{
+    const auto& spec = c.submission->record.spec.steps[c.step];
+    auto& step = c.submission->occurrences.at(c.occurrence).steps[c.step];
+    if (!has_advice(c))
+        return;
+    auto rack = spec.rack;
+    if (rack.empty() && spec.same_rack)
+        rack = rack_in_use(c);
+    for (std::uint32_t i = 0; i < step.tasks.size(); ++i)
+    {
+        auto& t = step.tasks[i];
+        if (!may_start(t))
+            continue;
+        auto* h = best_host(c, spec, t, rack);
+        if (!h)
+            return;
+        if (rack.empty() && spec.same_rack)
+            rack = h->entry.rack;
+        start(c, i, *h, engine_.next_run({c.submission->record.id,
+            c.occurrence, c.step, i}, t));
+    }
+}
+
+void pool_planner::place_gang(const candidate& c)
+{
+    const auto& spec = c.submission->record.spec.steps[c.step];
+    auto& step = c.submission->occurrences.at(c.occurrence).steps[c.step];
+    if (!std::ranges::all_of(
+            step.tasks, [&](const task_state& t) { return may_start(t); }) ||
+        !has_advice(c))
+        return;
+    std::uint32_t run = 0;
+    for (std::uint32_t i = 0; i < step.tasks.size(); ++i)
+        run = std::max(
+            run, engine_.next_run(
+                     {c.submission->record.id, c.occurrence, c.step, i},
+                     step.tasks[i]));
+    // The newest checkpoint of any member serves all.
+    const auto saved = std::ranges::max_element(
+        step.tasks, {}, [](const task_state& t) { return t.recorded_run; });
+    const auto checkpoint = saved->checkpoint;
+    std::vector<host_state*> places;
+    std::vector<room> before;
+    auto rack = spec.rack;
+    for (std::size_t i = 0; i < step.tasks.size(); ++i)
+    {
+        auto* h = best_host(c, spec, step.tasks[i], rack);
+        if (!h)
+            break;
+        if (rack.empty() && spec.same_rack)
+            rack = h->entry.rack;
+        places.push_back(h);
+        before.push_back(h->used);
+        h->used = h->used + counted_room(spec);
+    }
+    for (const auto i :
+         std::views::iota(std::size_t{0}, places.size()) | std::views::reverse)
+        places[i]->used = before[i];
+    if (places.size() < step.tasks.size())
+        return;
+    for (std::uint32_t i = 0; i < step.tasks.size(); ++i)
+    {
+        step.tasks[i].checkpoint = checkpoint;
+        start(c, i, *places[i], run);
+    }
+}
+
+void pool_planner::start(
+    const candidate& c, std::uint32_t index, host_state& h, std::uint32_t run)
+{
+    const auto& spec = c.submission->record.spec.steps[c.step];
+    auto& step = c.submission->occurrences.at(c.occurrence).steps[c.step];
+    auto& t = step.tasks[index];
+    const task_ref task{c.submission->record.id, c.occurrence, c.step, index};
+    t.phase = task_phase::starting;
+    t.run = run;
+    t.host = h.entry.id;
+    t.started = now_.steady;
+    t.percent = 0;
+    t.inherited = false;
+    host_run held;
+    held.run = run;
+    held.need = counted_room(spec);
+    held.ordered = now_.steady;
+    held.serves = spec.long_running && spec.latency_objective > 0ms;
+    held.fills = spec.fills;
+    held.objective = spec.latency_objective;
+    h.runs.emplace(task, held);
+    h.used = h.used + held.need;
+    const auto ticket = step.tickets.find(h.entry.id);
+    engine_.effects_.emplace_back(pool_effect::start{
+        h.entry.id, h.entry.born, task, run, t.checkpoint,
+        ticket == step.tickets.end() ? std::string() : ticket->second});
+    engine_.say("start_ordered", task, run, h.entry.id,
+        c.rank >= rank_late ? "late" : "in time");
+}
+
+} // namespace dandeliontack
--- /dev/null
+++ b/src/libsched/submission.cpp
@@ -0,0 +1,128 @@
+#include <dandeliontack/submission.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <charconv>
+
+namespace dandeliontack
+{
+
+namespace
+{
+
+constexpr std::size_t name_digits = 16;
+constexpr int hexadecimal = 16;
+constexpr std::size_t task_name_numbers = 3;
+// Bounds that keep one submission from taking the whole memory of a host.
+constexpr std::size_t most_steps = 256;
+constexpr std::uint32_t most_tasks = 10'000;
+
+template <class Number>
+bool parse_number(std::string_view text, Number& out, int base = 10)
+{
+    const auto* end = text.data() + text.size();
+    const auto [stop, error] = std::from_chars(text.data(), end, out, base);
+    return error == std::errc() && stop == end;
+}
+
+} // namespace
+
+room operator+(const room& a, const room& b)
+{
+    return {
+        a.cpu_milli + b.cpu_milli, a.memory_mb + b.memory_mb,
+        a.accelerators + b.accelerators};
+}
+
+room operator-(const room& a, const room& b)
+{
+    return {
+        a.cpu_milli - b.cpu_milli, a.memory_mb - b.memory_mb,
+        a.accelerators - b.accelerators};
+}
+
+std::string_view to_string(submission_phase phase)
+{
+    constexpr std::array<std::string_view, 5> names{
+        "queued", "running", "completed", "failed", "cancelled"};
+    return names.at(static_cast<std::size_t>(phase));
+}
+
+std::string submission_name(std::uint64_t id)
+{
+    std::array<char, name_digits> digits{};
+    const auto [end, error] = std::to_chars(
+        digits.data(), digits.data() + digits.size(), id, hexadecimal);
+    const std::string text(digits.data(), end);
+    return std::string(name_digits - text.size(), '0') + text;
+}
+
+std::optional<std::uint64_t> parse_submission_name(std::string_view text)
+{
+    const auto is_digit = [](unsigned char c) { return std::isxdigit(c) != 0; };
+    std::uint64_t id = 0;
+    if (text.size() != name_digits || !std::ranges::all_of(text, is_digit) ||
+        !parse_number(text, id, hexadecimal))
+        return std::nullopt;
+    return id;
+}
+
+std::string task_name(const task_ref& task)
+{
+    return submission_name(task.submission) + "." +
+           std::to_string(task.occurrence) + "." + std::to_string(task.step) +
+           "." + std::to_string(task.index);
+}
+
+std::optional<task_ref> parse_task_name(std::string_view text)
+{
+    task_ref task;
+    const auto id = parse_submission_name(text.substr(0, name_digits));
+    if (!id || text.size() <= name_digits)
+        return std::nullopt;
+    task.submission = *id;
+    text.remove_prefix(name_digits);
+    const std::array<std::uint32_t*, task_name_numbers> numbers{
+        &task.occurrence, &task.step, &task.index};
+    for (auto* number : numbers)
+    {
+        if (text.empty() || text.front() != '.')
+            return std::nullopt;
+        text.remove_prefix(1);
+        const auto part = text.substr(0, text.find('.'));
+        if (!parse_number(part, *number))
+            return std::nullopt;
+        text.remove_prefix(part.size());
+    }
+    return text.empty() ? std::optional(task) : std::nullopt;
+}
+
+std::vector<submission_fault> check_submission(const submission_spec& spec)
+{
+    std::vector<submission_fault> found;
+    if (spec.steps.empty())
+        found.push_back({"steps", "there is no step"});
+    if (spec.steps.size() > most_steps)
+        found.push_back({"steps", "there are too many steps"});
+    if (spec.repetitions > 1 && spec.interval.count() <= 0)
+        found.push_back({"interval", "must be above 0"});
+    for (std::size_t i = 0; i < spec.steps.size(); ++i)
+    {
+        const auto& step = spec.steps[i];
+        const auto place = "steps[" + std::to_string(i) + "].";
+        if (step.count == 0)
+            found.push_back({place + "count", "must be above 0"});
+        if (step.count > most_tasks)
+            found.push_back({place + "count", "there are too many tasks"});
+        if (step.need.cpu_milli < 0 || step.need.memory_mb < 0 ||
+            step.need.accelerators < 0)
+            found.push_back({place + "need", "must not be negative"});
+        if (std::ranges::any_of(
+                step.after, [&](std::uint32_t other) { return other >= i; }))
+            found.push_back({place + "after", "must name earlier steps"});
+    }
+    return found;
+}
+
+} // namespace dandeliontack
