Count the leases of a past owner after a takeover

Cause: a host's lease counted as ended until this owner had given one, so runs adopted at a takeover were released at the next answer and started again. Change: a restored host's leases last as long as a past owner could have given them. Ruled out: missing host records (the takeover settled by its bound).

--- a/src/libsched/pool_engine.cpp
+++ b/src/libsched/pool_engine.cpp
@@ -135,6 +135,8 @@
     h.entry.pool = use.pool;
     h.entry.address = use.address;
     h.unlisted_since = now.steady;
+    // What a past owner started there runs under leases that it gave.
+    h.lease.begin_life(now.steady, terms_.leases.takeover_wait());
     unmet_hosts_.insert(use.id);
 }
 
