Hold back tasks whose old ends show at a takeover, and count work as begun late

(2) A run that a past owner was stopping, or whose progress was rounded up to whole, counted as at work (AVAIL). Change: such a task stays held back until the takeover has settled; nothing is taken away before that and a stop's bound; progress must be whole for 300 ms.

--- a/src/include/dandeliontack/pool_engine.hpp
+++ b/src/include/dandeliontack/pool_engine.hpp
@@ -145,6 +145,7 @@
     std::set<std::string> unmet_hosts_;
     boot_time bar_until_;
     bool settling_ = false;
+    boot_time settled_at_;
     std::uint64_t epoch_;
 
     moment now_;
--- a/src/include/dandeliontack/shard_owner.hpp
+++ b/src/include/dandeliontack/shard_owner.hpp
@@ -67,7 +67,7 @@
     boost::asio::awaitable<void> send_stop(pool_effect::stop order);
     boost::asio::awaitable<void> send_pace(pool_effect::pace order);
     boost::asio::awaitable<void> ask_advice(pool_effect::advise question);
-    boost::asio::awaitable<bool> wait_stored(std::uint64_t batch);
+    boost::asio::awaitable<shard_outcome> wait_stored(std::uint64_t batch);
 
     std::vector<keyed_record> encode_changes(const pool_changes& changes) const;
     void apply(const pool_event_body& event);
--- a/src/include/dandeliontack/store_client.hpp
+++ b/src/include/dandeliontack/store_client.hpp
@@ -64,13 +64,15 @@
         std::uint64_t last, std::vector<keyed_record> records,
         std::chrono::milliseconds patience);
 
-    /// Appends, repeating until stored or lost. False once lost, or when
-    /// `give_up` says so before anything was sent.
+    /// Appends, repeating until stored or lost. False once lost.
     boost::asio::awaitable<bool> append(std::vector<keyed_record> records);
 
     /// Ends the waiting of an append that can't be settled.
     void abandon();
 
+    /// Whether the append under way, or the one that was given up, may have
+    /// been stored.
+    bool is_unclear() const;
     std::uint64_t epoch() const;
     state standing() const;
     /// When the last append that was stored had been sent.
@@ -87,6 +89,7 @@
     std::uint64_t epoch_ = 0;
     std::uint64_t sequence_ = 0;
     state state_ = state::idle;
+    bool unclear_ = false;
     boot_time confirmed_;
 };
 
--- a/src/libnode/shard_owner.cpp
+++ b/src/libnode/shard_owner.cpp
@@ -439,12 +439,17 @@
     }
 }
 
-asio::awaitable<bool> shard_owner::wait_stored(std::uint64_t batch)
+asio::awaitable<shard_outcome> shard_owner::wait_stored(std::uint64_t batch)
 {
     const auto until = read_clocks().steady + answer_wait;
     while (!lost_ && stored_batch_ < batch && read_clocks().steady < until)
         co_await stored_.wait(store_wait);
-    co_return stored_batch_ >= batch;
+    if (stored_batch_ >= batch)
+        co_return shard_outcome::done;
+    // Where the shard was lost and nothing that was sent can have been stored,
+    // the next owner does not know of it.
+    co_return lost_ && !writer_.is_unclear() ? shard_outcome::not_owner
+                                             : shard_outcome::unknown;
 }
 
 asio::awaitable<void> shard_owner::plan_regularly()
@@ -704,10 +709,8 @@
         apply(pool_event::submitted{std::move(record)});
     }
     const auto view = engine_->find(id);
-    const bool stored =
-        co_await wait_stored(view ? view->after_batch : 0);
-    co_return shard_answer{
-        stored ? shard_outcome::done : shard_outcome::unknown, {}};
+    const auto outcome = co_await wait_stored(view ? view->after_batch : 0);
+    co_return shard_answer{outcome, {}};
 }
 
 asio::awaitable<shard_answer> shard_owner::cancel(std::uint64_t id)
@@ -719,10 +722,8 @@
         co_return shard_answer{shard_outcome::not_found, {}};
     apply(pool_event::cancelled{id});
     const auto view = engine_->find(id);
-    const bool stored =
-        co_await wait_stored(view ? view->after_batch : 0);
-    co_return shard_answer{
-        stored ? shard_outcome::done : shard_outcome::unknown, {}};
+    const auto outcome = co_await wait_stored(view ? view->after_batch : 0);
+    co_return shard_answer{outcome, {}};
 }
 
 asio::awaitable<shard_answer> shard_owner::state(std::uint64_t id)
--- a/src/libnode/store_client.cpp
+++ b/src/libnode/store_client.cpp
@@ -165,6 +165,11 @@
     return state_;
 }
 
+bool fenced_writer::is_unclear() const
+{
+    return unclear_;
+}
+
 boot_time fenced_writer::confirmed() const
 {
     return confirmed_;
@@ -181,6 +186,7 @@
 {
     const auto began = now_steady();
     std::chrono::milliseconds pause = first_pause;
+    unclear_ = false;
     while (state_ != state::lost)
     {
         const auto sent = now_steady();
@@ -190,12 +196,14 @@
         {
         case append_outcome::stored:
             confirmed_ = sent;
+            unclear_ = false;
             co_return answer.outcome;
         case append_outcome::fenced:
         case append_outcome::wrong_sequence:
         case append_outcome::not_at_end:
             co_return answer.outcome;
         default:
+            unclear_ = unclear_ || answer.outcome == append_outcome::unknown;
             if (now_steady() - began > patience)
                 co_return answer.outcome;
             break;
--- a/src/libsched/pool_engine.cpp
+++ b/src/libsched/pool_engine.cpp
@@ -45,6 +45,8 @@
 constexpr double factor_least = 0.3;
 constexpr double factor_most = 4.0;
 constexpr std::uint32_t whole = 100;
+// How long a task's progress must have been whole before it counts on.
+constexpr auto at_work_after = 300ms;
 
 double work_of(const submission_spec& spec)
 {
@@ -56,6 +58,14 @@
     return sum;
 }
 
+// Whether a task that lasts serves. The figure is rounded, so it has to have
+// been whole for a while.
+bool is_at_work(const task_state& t, boot_time now)
+{
+    return t.phase == task_phase::running && t.percent >= whole &&
+           now - t.progressed >= at_work_after;
+}
+
 bool limits_attempts(const step_spec& step)
 {
     return !step.long_running;
@@ -501,7 +511,8 @@
     t.run = std::max(t.run, row.run);
     if (!row.checkpoint.empty() && step.checkpoints)
         t.checkpoint = row.checkpoint;
-    t.inherited = false;
+    // A past owner may have seen this end already and started the task again.
+    t.inherited = t.inherited && settling_;
     t.host.clear();
     t.percent = 0;
     s.started = true;
@@ -889,15 +900,16 @@
     const auto found = active_.find(task.submission);
     if (found == active_.end())
         return true;
+    // A run that a past owner is stopping still looks as if it ran.
+    if (settling_ || now_.steady < settled_at_ + terms_.stop_bound)
+        return false;
     const auto& spec = found->second.record.spec.steps[task.step];
     const auto& step =
         found->second.occurrences.at(task.occurrence).steps[task.step];
     const auto limit = std::max<std::uint32_t>(spec.may_miss, 1);
     std::uint32_t away = 0;
     for (std::uint32_t i = 0; i < step.tasks.size(); ++i)
-        if (i != task.index &&
-            (step.tasks[i].phase != task_phase::running ||
-             step.tasks[i].percent < whole))
+        if (i != task.index && !is_at_work(step.tasks[i], now_.steady))
             ++away;
     return away < limit;
 }
@@ -955,6 +967,7 @@
     if (!unmet_hosts_.empty() && !over)
         return;
     settling_ = false;
+    settled_at_ = now_.steady;
     unmet_hosts_.clear();
     for (auto& [id, s] : active_)
         for (auto& [k, occurrence] : s.occurrences)
