--- a/src/include/dandeliontack/pool_engine.hpp
+++ b/src/include/dandeliontack/pool_engine.hpp
@@ -122,6 +122,7 @@
     void evacuate(host_state& h);
     void pace_fillers(host_state& h);
     void check_bar();
+    bool is_at_work(const task_state& t) const;
     bool may_take_away(const task_ref& task) const;
     void note_progress(std::uint64_t submission);
     submission_state* active_submission(std::uint64_t id);
--- a/src/libsched/pool_engine.cpp
+++ b/src/libsched/pool_engine.cpp
@@ -47,6 +47,9 @@
 constexpr std::uint32_t whole = 100;
 // How long a task's progress must have been whole before it counts on.
 constexpr auto at_work_after = 300ms;
+// A host that has not answered for this long, more than a hold may take, is
+// taken for silent.
+constexpr auto silent_after = 1700ms;
 
 double work_of(const submission_spec& spec)
 {
@@ -58,14 +61,6 @@
     return sum;
 }
 
-// Whether a task that lasts serves. The figure is rounded, so it has to have
-// been whole for a while.
-bool is_at_work(const task_state& t, boot_time now)
-{
-    return t.phase == task_phase::running && t.percent >= whole &&
-           now - t.progressed >= at_work_after;
-}
-
 bool limits_attempts(const step_spec& step)
 {
     return !step.long_running;
@@ -909,11 +904,21 @@
     const auto limit = std::max<std::uint32_t>(spec.may_miss, 1);
     std::uint32_t away = 0;
     for (std::uint32_t i = 0; i < step.tasks.size(); ++i)
-        if (i != task.index && !is_at_work(step.tasks[i], now_.steady))
+        if (i != task.index && !is_at_work(step.tasks[i]))
             ++away;
     return away < limit;
 }
 
+// Whether a task that lasts serves. The figure is rounded, so it has to have
+// been whole for a while, and a silent host may be dark.
+bool pool_engine::is_at_work(const task_state& t) const
+{
+    const auto h = hosts_.find(t.host);
+    return t.phase == task_phase::running && t.percent >= whole &&
+           now_.steady - t.progressed >= at_work_after && h != hosts_.end() &&
+           now_.steady - h->second.last_answer < silent_after;
+}
+
 // Filling tasks of a host with a serving task near or over its objective are
 // slowed down fast and given back what they had slowly.
 void pool_engine::pace_fillers(host_state& h)
