Let machines follow the pools' demand

Change: owners tell what their pools need and have; the fleet duty moves idle machines to the pool that lacks most, and to standby after 3 s of surplus.

--- a/src/include/dandeliontack/caller_front.hpp
+++ b/src/include/dandeliontack/caller_front.hpp
@@ -22,6 +22,7 @@
     /// Takes a newer configuration into force; an older one is ignored.
     void set_table(std::shared_ptr<const queue_table> table);
     const queue_table* table() const;
+    std::shared_ptr<const queue_table> shared_table() const;
 
     boost::asio::awaitable<http_response> handle(http_request request);
 
--- /dev/null
+++ b/src/include/dandeliontack/fleet_balance.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <dandeliontack/boot_clock.hpp>
+#include <dandeliontack/machine_list.hpp>
+#include <dandeliontack/pool_demand.hpp>
+
+#include <chrono>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace dandeliontack
+{
+
+/// How machines follow demand.
+struct balance_terms
+{
+    /// Waiting work is to be begun within this.
+    std::chrono::milliseconds horizon{1500};
+    /// More than enough must have lasted this long before a machine goes to
+    /// standby: two moves cost as much as a machine in a pool for 2.3 s.
+    std::chrono::milliseconds surplus{3000};
+    /// What tasks of uneven sizes leave unused of a host.
+    double fragmentation = 1.15;
+    /// The fewest machines that a pool with an owner keeps.
+    std::uint32_t least = 2;
+    /// Moves ordered in one round.
+    std::size_t most_moves = 8;
+};
+
+struct machine_move
+{
+    listed_machine machine;
+    std::string to_pool;
+};
+
+/// Decides which machines move between pools. Pattern of load: each pool in
+/// its turn asks for several times its mean for some seconds, and next to
+/// nothing in between.
+class fleet_balance
+{
+public:
+    explicit fleet_balance(balance_terms terms);
+
+    /// `standby` are the pools whose machines are switched off; machines in
+    /// `kept` don't move. Pools that aren't in `demands` neither give nor take.
+    std::vector<machine_move> plan(
+        const std::vector<pool_demand>& demands,
+        const std::vector<listed_machine>& machines,
+        const std::set<std::string>& standby,
+        const std::set<std::string>& kept, boot_time now);
+
+    /// The platform does not let machines of this pool join the other one.
+    void forbid(const std::string& from, const std::string& to);
+
+    /// The machines that the pool should have now.
+    std::uint32_t wanted(const pool_demand& demand) const;
+
+private:
+    balance_terms terms_;
+    std::map<std::string, boot_time> surplus_since_;
+    std::set<std::pair<std::string, std::string>> forbidden_;
+};
+
+} // namespace dandeliontack
--- a/src/include/dandeliontack/fleet_duty.hpp
+++ b/src/include/dandeliontack/fleet_duty.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <dandeliontack/fleet_balance.hpp>
 #include <dandeliontack/machine_list.hpp>
+#include <dandeliontack/queue_table.hpp>
 #include <dandeliontack/shard_router.hpp>
 #include <dandeliontack/store_client.hpp>
 #include <dandeliontack/upkeep_plan.hpp>
@@ -30,6 +32,8 @@
 
     /// A wave that the operator asks for.
     void request(wave_request wave);
+    /// The operator's configuration in force.
+    void set_table(std::shared_ptr<const queue_table> table);
 
     bool is_lost() const;
 
@@ -45,6 +49,12 @@
     boost::asio::awaitable<void>
     order_upkeep(std::string wave, listed_machine machine);
     boost::asio::awaitable<void> empty_host(listed_machine machine);
+    boost::asio::awaitable<void> balance();
+    boost::asio::awaitable<void> move(machine_move order);
+    boost::asio::awaitable<bool>
+    tell_ended(std::string pool, std::string host);
+    boost::asio::awaitable<std::vector<pool_demand>> collect_demands();
+    std::set<std::string> machines_in_waves() const;
     bool has_right() const;
     void lose(std::string_view reason);
 
@@ -67,6 +77,10 @@
     std::vector<listed_machine> machines_;
     std::map<std::string, bool> empty_;
     std::set<std::string> emptying_;
+    fleet_balance balance_{balance_terms{}};
+    std::shared_ptr<const queue_table> table_;
+    /// Machines whose move is under way, with the pool that they join.
+    std::map<std::string, std::string> moving_;
     /// Appends go one after the other.
     bool appending_ = false;
     wake_signal append_ended_;
--- /dev/null
+++ b/src/include/dandeliontack/pool_demand.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace dandeliontack
+{
+
+/// What a pool needs and has, in whole hosts of its kind, as its owner sees
+/// it. A task counts with the larger of its shares of a host's cores and
+/// memory.
+struct pool_demand
+{
+    std::string pool;
+    /// Hosts' worth of tasks of limited time that run now.
+    double running = 0;
+    /// Hosts' worth of tasks that run until they are cancelled.
+    double lasting = 0;
+    /// Host milliseconds of tasks that wait for their turn or for room.
+    double waiting_ms = 0;
+    /// Host milliseconds that arrived a second, of late.
+    double arriving_ms = 0;
+    /// Hosts that may take tasks.
+    std::uint32_t hosts = 0;
+    /// Hosts that can't leave without taking a lasting task away.
+    std::uint32_t lasting_hosts = 0;
+    /// Hosts that run nothing.
+    std::vector<std::string> idle;
+
+    bool operator==(const pool_demand&) const = default;
+};
+
+} // namespace dandeliontack
--- a/src/include/dandeliontack/pool_engine.hpp
+++ b/src/include/dandeliontack/pool_engine.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <dandeliontack/pool_demand.hpp>
 #include <dandeliontack/pool_state.hpp>
 
 #include <functional>
@@ -73,6 +74,8 @@
     bool is_empty(const std::string& host) const;
     /// Whether tasks of before the takeover are still held back.
     bool is_settling() const;
+    /// What each pool of the shard needs and has.
+    std::vector<pool_demand> demands(moment now) const;
     std::size_t active() const;
     std::size_t waiting_tasks() const;
 
@@ -123,6 +126,8 @@
     void evacuate(host_state& h);
     void pace_fillers(host_state& h);
     void check_bar();
+    room typical_host(const std::string& pool) const;
+    void count_arrival(const submission_record& record);
     bool is_at_work(const task_state& t) const;
     bool may_take_away(const task_ref& task) const;
     void note_progress(std::uint64_t submission);
@@ -141,6 +146,13 @@
     pool_changes changes_;
     std::uint64_t next_batch_ = 1;
     std::map<std::uint64_t, std::set<std::uint64_t>> recording_;
+    /// Work that arrived of late in host milliseconds, by pool, decaying.
+    struct arrivals
+    {
+        double host_ms = 0;
+        boot_time at;
+    };
+    std::map<std::string, arrivals> arrivals_;
     /// Learned ratio of run time to estimate, by route.
     std::map<std::string, double> estimate_factor_;
     /// Hosts that a past owner used and that have not answered this one.
--- a/src/include/dandeliontack/shard_owner.hpp
+++ b/src/include/dandeliontack/shard_owner.hpp
@@ -42,6 +42,8 @@
     boost::asio::awaitable<shard_answer> state(std::uint64_t id) override;
     boost::asio::awaitable<shard_answer> pending(std::string route) override;
     boost::asio::awaitable<shard_answer> evacuate(std::string host) override;
+    boost::asio::awaitable<shard_answer> host_ended(std::string host) override;
+    boost::asio::awaitable<shard_answer> demands() override;
 
     bool is_lost() const;
     std::uint64_t epoch() const;
@@ -73,6 +75,7 @@
     void apply(const pool_event_body& event);
     void run_effects(pool_effects effects);
     void log_decision(const pool_effect::decided& decision);
+    void log_submission(const submission_record& record);
     void poke();
     void lose(std::string_view reason);
     /// Whether orders may be given now: the right to the shard is fresh.
--- a/src/include/dandeliontack/shard_router.hpp
+++ b/src/include/dandeliontack/shard_router.hpp
@@ -25,12 +25,15 @@
         cancel,
         state,
         pending,
-        evacuate
+        evacuate,
+        host_ended,
+        demands
     };
     verb what = verb::state;
     shard_id shard = 0;
     std::uint64_t submission = 0;
-    /// A route for `pending`, a host for `evacuate`.
+    /// A route for `pending`, a host for `evacuate` and
+    /// `host_ended`.
     std::string name;
     std::optional<submission_record> record;
 };
--- a/src/include/dandeliontack/shard_service.hpp
+++ b/src/include/dandeliontack/shard_service.hpp
@@ -56,6 +56,11 @@
     /// Asks for a host to be emptied; the value is `empty` or `busy`.
     virtual boost::asio::awaitable<shard_answer>
     evacuate(std::string host) = 0;
+    /// The platform has ended a host's life.
+    virtual boost::asio::awaitable<shard_answer>
+    host_ended(std::string host) = 0;
+    /// The value is what the shard's pools need and have, encoded.
+    virtual boost::asio::awaitable<shard_answer> demands() = 0;
 };
 
 } // namespace dandeliontack
--- a/src/include/dandeliontack/stored_records.hpp
+++ b/src/include/dandeliontack/stored_records.hpp
@@ -2,6 +2,7 @@
 
 #include <dandeliontack/finding.hpp>
 #include <dandeliontack/incarnation.hpp>
+#include <dandeliontack/pool_demand.hpp>
 #include <dandeliontack/pool_state.hpp>
 #include <dandeliontack/store_calls.hpp>
 
@@ -74,6 +75,7 @@
 std::string encode(const node_announcement& record);
 std::string encode(const owner_record& record);
 std::string encode(const wave_record& record);
+std::string encode(const std::vector<pool_demand>& demands);
 
 /// Each returns nothing where the bytes are not such a record.
 std::optional<submission_record> decode_submission_record(std::string_view bytes);
@@ -83,6 +85,7 @@
 std::optional<node_announcement> decode_announcement(std::string_view bytes);
 std::optional<owner_record> decode_owner(std::string_view bytes);
 std::optional<wave_record> decode_wave_record(std::string_view bytes);
+std::optional<std::vector<pool_demand>> decode_demands(std::string_view bytes);
 
 /// What is to be stored of a submission now.
 progress_record progress_of(const submission_state& s);
--- a/src/libnode/caller_front.cpp
+++ b/src/libnode/caller_front.cpp
@@ -87,6 +87,11 @@
     return table_.get();
 }
 
+std::shared_ptr<const queue_table> caller_front::shared_table() const
+{
+    return table_;
+}
+
 asio::awaitable<http_response> caller_front::handle(http_request request)
 {
     const auto began = read_clocks().steady;
--- a/src/libnode/fleet_duty.cpp
+++ b/src/libnode/fleet_duty.cpp
@@ -24,10 +24,12 @@
 constexpr auto claim_patience = 2500ms;
 constexpr auto call_timeout = 1500ms;
 constexpr auto retry_pause = 150ms;
-// How often the machines are looked at while a wave is under way, and while
-// none is.
-constexpr auto busy_interval = 250ms;
+// How often the machines and the pools' demand are looked at, and while the
+// duty has no right to order.
+constexpr auto look_interval = 250ms;
 constexpr auto idle_interval = 400ms;
+// A move that the platform has not answered is ordered again for this long.
+constexpr int move_tries = 4;
 constexpr auto ask_patience = 600ms;
 constexpr std::string_view progress_prefix = "w/";
 
@@ -264,16 +266,19 @@
         for (const auto& [name, wave] : waves_)
             if (wave.known && !wave.completed)
                 active.push_back(name);
-        if (active.empty() || !has_right())
+        if (!has_right())
         {
             co_await pause_for(context_.executor, idle_interval);
             continue;
         }
         const bool listed = co_await list_machines();
         if (listed)
+        {
             for (const auto& name : active)
                 co_await advance(name);
-        co_await pause_for(context_.executor, busy_interval);
+            co_await balance();
+        }
+        co_await pause_for(context_.executor, look_interval);
     }
 }
 
@@ -377,10 +382,158 @@
             lose("a higher fencing token was used for a machine");
         }
         empty_.erase(machine.host);
+        if (answer == machine_answer::accepted && !machine.host.empty())
+            co_await tell_ended(machine.pool, machine.host);
     }
     waves_[name].ordering.erase(machine.name);
 }
 
+void fleet_duty::set_table(std::shared_ptr<const queue_table> table)
+{
+    table_ = std::move(table);
+}
+
+asio::awaitable<bool>
+fleet_duty::tell_ended(std::string pool, std::string host)
+{
+    shard_call call{
+        shard_call::verb::host_ended,
+        shard_of(pool, context_.settings.store.partitions), 0, host, {}};
+    const auto answer = co_await router_.ask(call, ask_patience, ask_patience);
+    co_return answer.outcome == shard_outcome::done;
+}
+
+asio::awaitable<std::vector<pool_demand>> fleet_duty::collect_demands()
+{
+    std::vector<pool_demand> all;
+    std::set<std::string> serving;
+    for (const auto& queue : table_->queues)
+        serving.insert(queue.terms.pool);
+    std::set<shard_id> shards;
+    for (const auto& pool : serving)
+        shards.insert(shard_of(pool, context_.settings.store.partitions));
+    for (const auto shard : shards)
+    {
+        shard_call call{shard_call::verb::demands, shard, 0, {}, {}};
+        const auto answer =
+            co_await router_.ask(call, ask_patience, retry_pause);
+        if (answer.outcome != shard_outcome::done)
+            continue;
+        const auto demands = decode_demands(answer.value);
+        if (!demands)
+            continue;
+        std::ranges::copy_if(
+            *demands, std::back_inserter(all), [&](const auto& demand) {
+                return serving.contains(demand.pool);
+            });
+    }
+    co_return all;
+}
+
+std::set<std::string> fleet_duty::machines_in_waves() const
+{
+    std::set<std::string> out;
+    for (const auto& [machine, pool] : moving_)
+        out.insert(machine);
+    for (const auto& [name, wave] : waves_)
+    {
+        out.insert(wave.ordering.begin(), wave.ordering.end());
+        out.insert(
+            wave.progress.unanswered.begin(), wave.progress.unanswered.end());
+    }
+    return out;
+}
+
+asio::awaitable<void> fleet_duty::balance()
+{
+    const auto self = shared_from_this();
+    if (!table_)
+        co_return;
+    std::set<std::string> standby;
+    for (const auto& pool : table_->pools)
+        if (pool.standby)
+            standby.insert(pool.name);
+    const auto demands = co_await collect_demands();
+    if (lost_ || !has_right())
+        co_return;
+    // A machine that is on its way counts where it goes.
+    for (auto& machine : machines_)
+        if (const auto to = moving_.find(machine.name); to != moving_.end())
+        {
+            machine.pool = to->second;
+            machine.state = machine_state::moving;
+        }
+    const auto moves = balance_.plan(
+        demands, machines_, standby, machines_in_waves(),
+        read_clocks().steady);
+    for (const auto& order : moves)
+    {
+        moving_[order.machine.name] = order.to_pool;
+        asio::co_spawn(context_.executor, move(order), asio::detached);
+    }
+}
+
+asio::awaitable<void> fleet_duty::move(machine_move order)
+{
+    const auto self = shared_from_this();
+    const auto& machine = order.machine;
+    bool empty = machine.host.empty();
+    const bool is_off = std::ranges::any_of(
+        table_->pools, [&](const pool_entry& pool) {
+            return pool.standby && pool.name == machine.pool;
+        });
+    if (!empty && !is_off)
+    {
+        shard_call call{
+            shard_call::verb::evacuate,
+            shard_of(machine.pool, context_.settings.store.partitions), 0,
+            machine.host, {}};
+        const auto answer =
+            co_await router_.ask(call, ask_patience, ask_patience);
+        empty = answer.outcome == shard_outcome::done &&
+                answer.value == "empty";
+    }
+    auto answer = machine_answer::refused;
+    const auto& where = context_.settings.machines.address;
+    const auto address = to_string(where);
+    for (int tries = 0; tries < move_tries && (empty || is_off) &&
+                        has_right() &&
+                        (tries == 0 || answer == machine_answer::unknown);
+         ++tries)
+    {
+        const platform::machine_holder holder{
+            context_.settings.node.name, writer_.epoch()};
+        auto request = platform::encode_move(
+            address, holder, machine.name, order.to_pool);
+        auto result = co_await context_.connections.exchange(
+            where, std::move(request), call_timeout);
+        context_.metrics.get_counter("tack_machine_calls_total").add();
+        answer = machine_answer::unknown;
+        if (const auto* response = std::get_if<http_response>(&result))
+            answer = platform::decode_machine_answer(*response);
+    }
+    context_.log.write(
+        "fleet", "move_ordered",
+        log_line()
+            .add("machine", machine.name)
+            .add("host", machine.host)
+            .add("from", machine.pool)
+            .add("to", order.to_pool)
+            .add("epoch", writer_.epoch())
+            .add("empty", empty)
+            .add("answer", to_string(answer)));
+    if (answer == machine_answer::unknown_machine)
+        balance_.forbid(machine.pool, order.to_pool);
+    if (answer == machine_answer::fenced)
+        lose("a higher fencing token was used for a machine");
+    if (answer == machine_answer::accepted && !is_off &&
+        !machine.host.empty())
+        co_await tell_ended(machine.pool, machine.host);
+    // The next list shows the move.
+    co_await pause_for(context_.executor, look_interval);
+    moving_.erase(machine.name);
+}
+
 asio::awaitable<void> fleet_duty::report(std::string name, bool completed)
 {
     append_call call{
--- a/src/libnode/shard_owner.cpp
+++ b/src/libnode/shard_owner.cpp
@@ -360,6 +360,32 @@
         .add();
 }
 
+void shard_owner::log_submission(const submission_record& record)
+{
+    log_line line;
+    line.add("submission", submission_name(record.id))
+        .add("route", record.terms.route)
+        .add("pool", record.terms.pool)
+        .add("priority", record.terms.priority)
+        .add("repetitions", record.spec.repetitions);
+    std::string steps;
+    for (const auto& step : record.spec.steps)
+    {
+        steps += (steps.empty() ? "" : " ") + std::to_string(step.count) + "x" +
+                 std::to_string(step.need.cpu_milli) + "m/" +
+                 std::to_string(step.estimate.count()) + "ms";
+        for (const auto& [flag, name] :
+             {std::pair(step.long_running, "lasting"),
+              std::pair(step.fills, "fills"), std::pair(step.gang, "gang"),
+              std::pair(step.checkpoints, "checkpoints"),
+              std::pair(step.latency_objective.count() > 0, "serves")})
+            if (flag)
+                steps += std::string(",") + name;
+    }
+    line.add("steps", steps).add("shard", shard_).add("epoch", epoch());
+    context_.log.write("pool", "submission_taken", line);
+}
+
 std::vector<keyed_record>
 shard_owner::encode_changes(const pool_changes& changes) const
 {
@@ -704,6 +730,7 @@
     if (!engine_->find(id))
     {
         record.accepted = read_clocks().wall;
+        log_submission(record);
         apply(pool_event::submitted{std::move(record)});
     }
     const auto view = engine_->find(id);
@@ -756,4 +783,27 @@
         shard_outcome::done, engine_->is_empty(host) ? "empty" : "busy"};
 }
 
+asio::awaitable<shard_answer> shard_owner::host_ended(std::string host)
+{
+    const auto self = shared_from_this();
+    if (!may_speak())
+        co_return shard_answer{shard_outcome::not_owner, {}};
+    const auto found = engine_->hosts().find(host);
+    if (found != engine_->hosts().end())
+    {
+        const auto born = found->second.entry.born;
+        apply(pool_event::host_life_ended{host, born});
+    }
+    co_return shard_answer{shard_outcome::done, {}};
+}
+
+asio::awaitable<shard_answer> shard_owner::demands()
+{
+    const auto self = shared_from_this();
+    if (!may_speak())
+        co_return shard_answer{shard_outcome::not_owner, {}};
+    co_return shard_answer{
+        shard_outcome::done, encode(engine_->demands(read_clocks()))};
+}
+
 } // namespace dandeliontack
--- a/src/libnode/shard_router.cpp
+++ b/src/libnode/shard_router.cpp
@@ -34,7 +34,9 @@
     verb_row{shard_call::verb::cancel, "cancel"},
     verb_row{shard_call::verb::state, "state"},
     verb_row{shard_call::verb::pending, "pending"},
-    verb_row{shard_call::verb::evacuate, "evacuate"}};
+    verb_row{shard_call::verb::evacuate, "evacuate"},
+    verb_row{shard_call::verb::host_ended, "host-ended"},
+    verb_row{shard_call::verb::demands, "demands"}};
 
 struct outcome_row
 {
@@ -148,6 +150,10 @@
         return owner.pending(std::move(call.name));
     case shard_call::verb::evacuate:
         return owner.evacuate(std::move(call.name));
+    case shard_call::verb::host_ended:
+        return owner.host_ended(std::move(call.name));
+    case shard_call::verb::demands:
+        return owner.demands();
     default:
         return owner.state(call.submission);
     }
--- a/src/libnode/stored_records.cpp
+++ b/src/libnode/stored_records.cpp
@@ -274,6 +274,44 @@
         in->completed()};
 }
 
+std::string encode(const std::vector<pool_demand>& demands)
+{
+    stored::Demands out;
+    for (const auto& demand : demands)
+    {
+        auto& row = *out.add_pools();
+        row.set_pool(demand.pool);
+        row.set_running(demand.running);
+        row.set_lasting(demand.lasting);
+        row.set_waiting_ms(demand.waiting_ms);
+        row.set_arriving_ms(demand.arriving_ms);
+        row.set_hosts(demand.hosts);
+        row.set_lasting_hosts(demand.lasting_hosts);
+        for (const auto& id : demand.idle)
+            row.add_idle(id);
+    }
+    return out.SerializeAsString();
+}
+
+std::optional<std::vector<pool_demand>> decode_demands(std::string_view bytes)
+{
+    const auto in = parse<stored::Demands>(bytes);
+    if (!in)
+        return std::nullopt;
+    std::vector<pool_demand> demands;
+    for (const auto& row : in->pools())
+        demands.push_back(
+            {row.pool(),
+             row.running(),
+             row.lasting(),
+             row.waiting_ms(),
+             row.arriving_ms(),
+             row.hosts(),
+             row.lasting_hosts(),
+             {row.idle().begin(), row.idle().end()}});
+    return demands;
+}
+
 progress_record progress_of(const submission_state& s)
 {
     progress_record record;
--- a/src/libnode/tack_node.cpp
+++ b/src/libnode/tack_node.cpp
@@ -189,8 +189,12 @@
                     .add("offset", record.offset)
                     .add("reason", to_string(*wrong)));
         else
+        {
             front_.set_table(std::make_shared<const queue_table>(
                 std::move(std::get<queue_table>(decoded))));
+            if (duty_)
+                duty_->set_table(front_.shared_table());
+        }
         return;
     }
     if (!record.key.starts_with(platform::wave_prefix) || record.value.empty())
@@ -324,6 +328,7 @@
     {
         for (const auto& [name, wave] : waves_)
             duty->request(wave);
+        duty->set_table(front_.shared_table());
         duty_ = duty;
     }
     else if (taken)
--- a/src/libsched/pool_engine.cpp
+++ b/src/libsched/pool_engine.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <utility>
 
 namespace dandeliontack
@@ -45,6 +46,10 @@
 constexpr double factor_least = 0.3;
 constexpr double factor_most = 4.0;
 constexpr std::uint32_t whole = 100;
+// Time constant of the work that arrived of late.
+constexpr auto arrival_time = 1000ms;
+// What a host is taken to have while a pool has shown none.
+constexpr room unknown_host{16'000, 32'768, 0};
 // How long a task's progress must have been whole before it counts on.
 constexpr auto at_work_after = 300ms;
 // A host that has not answered for this long, more than a hold may take, is
@@ -61,6 +66,26 @@
     return sum;
 }
 
+// The larger of a task's shares of a host.
+double share_of(const room& need, const room& host)
+{
+    const auto ratio = [](std::int64_t part, std::int64_t of) {
+        return of > 0 ? static_cast<double>(part) / static_cast<double>(of)
+                      : 0.0;
+    };
+    return std::max(
+        {ratio(need.cpu_milli, host.cpu_milli),
+         ratio(need.memory_mb, host.memory_mb),
+         ratio(need.accelerators, host.accelerators)});
+}
+
+double decay(std::chrono::milliseconds age)
+{
+    return std::exp(
+        -static_cast<double>(age.count()) /
+        static_cast<double>(std::chrono::milliseconds(arrival_time).count()));
+}
+
 bool limits_attempts(const step_spec& step)
 {
     return !step.long_running;
@@ -187,6 +212,7 @@
     s.arrived = now_.steady;
     s.work = work_of(s.record.spec);
     s.accepted_in = next_batch_;
+    count_arrival(s.record);
     changes_.accepted.push_back(e.record.id);
 }
 
@@ -1084,6 +1110,89 @@
     return settling_;
 }
 
+room pool_engine::typical_host(const std::string& pool) const
+{
+    room largest;
+    for (const auto& [id, h] : hosts_)
+        if (h.entry.pool == pool &&
+            h.entry.capacity.cpu_milli > largest.cpu_milli)
+            largest = h.entry.capacity;
+    return largest.cpu_milli > 0 ? largest : unknown_host;
+}
+
+// Work that arrived decays with a time constant, so the sum over it is the
+// work of a second.
+void pool_engine::count_arrival(const submission_record& record)
+{
+    const auto host = typical_host(record.terms.pool);
+    double work = 0;
+    for (const auto& step : record.spec.steps)
+        if (!step.long_running)
+            work += share_of(counted_room(step), host) * step.count *
+                    static_cast<double>(step.estimate.count());
+    auto& sum = arrivals_[record.terms.pool];
+    sum.host_ms = sum.host_ms * decay(now_.steady - sum.at) + work;
+    sum.at = now_.steady;
+}
+
+std::vector<pool_demand> pool_engine::demands(moment now) const
+{
+    std::map<std::string, pool_demand> out;
+    std::map<std::string, room> hosts;
+    for (const auto& [id, h] : hosts_)
+    {
+        auto& demand = out[h.entry.pool];
+        hosts.try_emplace(h.entry.pool, typical_host(h.entry.pool));
+        if (!h.listed || h.entry.draining || !h.contacted)
+            continue;
+        ++demand.hosts;
+        if (h.runs.empty() && h.evacuate_until <= now.steady)
+            demand.idle.push_back(id);
+        bool lasting = false;
+        for (const auto& [task, run] : h.runs)
+        {
+            const auto* step = spec_of(task);
+            const double share = share_of(run.need, hosts[h.entry.pool]);
+            const bool lasts = step && step->long_running;
+            (lasts ? demand.lasting : demand.running) += share;
+            lasting = lasting || lasts;
+        }
+        demand.lasting_hosts += lasting ? 1 : 0;
+    }
+    for (const auto& [id, s] : active_)
+    {
+        const auto& pool = s.record.terms.pool;
+        auto& demand = out[pool];
+        const auto host = hosts.try_emplace(pool, typical_host(pool)).first;
+        for (const auto& [k, occurrence] : s.occurrences)
+            for (std::uint32_t i = 0; i < occurrence.steps.size(); ++i)
+            {
+                const auto& spec = s.record.spec.steps[i];
+                const auto waiting = std::ranges::count(
+                    occurrence.steps[i].tasks, task_phase::waiting,
+                    &task_state::phase);
+                const double share =
+                    share_of(counted_room(spec), host->second) *
+                    static_cast<double>(waiting);
+                if (spec.long_running)
+                    demand.lasting += share;
+                else
+                    demand.waiting_ms +=
+                        share * static_cast<double>(spec.estimate.count());
+            }
+    }
+    std::vector<pool_demand> list;
+    for (auto& [pool, demand] : out)
+    {
+        demand.pool = pool;
+        if (const auto sum = arrivals_.find(pool); sum != arrivals_.end())
+            demand.arriving_ms = sum->second.host_ms *
+                                 decay(now.steady - sum->second.at);
+        list.push_back(std::move(demand));
+    }
+    return list;
+}
+
 std::size_t pool_engine::active() const
 {
     return active_.size();
