Let a repeated order of upkeep end no host

Cause: a successor in the fleet duty repeated an order of upkeep that had been carried out; the answer was 200, and the pool's owner was told that the host that lives on the machine now had ended. Change: only the first order of a machine tells of its host's end, and a repeated one waits until the host is empty, as it may never have been carried out.

--- a/src/libnode/fleet_duty.cpp
+++ b/src/libnode/fleet_duty.cpp
@@ -332,7 +332,8 @@
 fleet_duty::order_upkeep(std::string name, listed_machine machine)
 {
     const auto self = shared_from_this();
-    waves_[name].progress.unanswered.insert(machine.name);
+    const bool first =
+        waves_[name].progress.unanswered.insert(machine.name).second;
     const bool saved = co_await save(name);
     if (saved && has_right())
     {
@@ -382,7 +383,10 @@
             lose("a higher fencing token was used for a machine");
         }
         empty_.erase(machine.host);
-        if (answer == machine_answer::accepted && !machine.host.empty())
+        // A repeated order may have been carried out long ago: then the host
+        // that lives there now goes on.
+        if (first && answer == machine_answer::accepted &&
+            !machine.host.empty())
             co_await tell_ended(machine.pool, machine.host);
     }
     waves_[name].ordering.erase(machine.name);
--- a/src/libsched/upkeep_plan.cpp
+++ b/src/libsched/upkeep_plan.cpp
@@ -39,8 +39,13 @@
             left.push_back(&*found);
     }
     out.completed = left.empty() && again.empty() && down == 0;
+    // An order that was lost may never have been carried out: tasks may run
+    // there again by now.
     for (const auto* machine : again)
-        out.order.push_back(*machine);
+        if (machine->host.empty() || is_empty(machine->host))
+            out.order.push_back(*machine);
+        else
+            out.evacuate.push_back(*machine);
     const std::size_t free =
         wave.most_at_once > down ? wave.most_at_once - down : 0;
     // Machines without a host have nothing to empty and go first.
--- /dev/null
+++ b/src/libsched/upkeep_plan_test.cpp
@@ -0,0 +1,112 @@
+#include <dandeliontack/upkeep_plan.hpp>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+
+namespace dandeliontack
+{
+
+namespace
+{
+
+listed_machine machine(
+    const std::string& name, machine_state state = machine_state::up)
+{
+    listed_machine out;
+    out.name = name;
+    out.pool = "pool";
+    out.state = state;
+    out.host = state == machine_state::up ? "host-" + name : "";
+    return out;
+}
+
+wave_request wave(std::vector<std::string> names, std::uint32_t most)
+{
+    return {"1", std::move(names), std::chrono::seconds(20), most};
+}
+
+const auto everything_empty = [](const std::string&) { return true; };
+const auto nothing_empty = [](const std::string&) { return false; };
+
+} // namespace
+
+TEST(upkeep_plan, empties_hosts_before_it_orders)
+{
+    const auto step = plan_upkeep(
+        wave({"a", "b", "c"}, 1), {},
+        {machine("a"), machine("b"), machine("c")}, nothing_empty);
+    EXPECT_TRUE(step.order.empty());
+    EXPECT_EQ(step.evacuate.size(), 2U);
+    EXPECT_FALSE(step.completed);
+}
+
+TEST(upkeep_plan, is_complete_only_when_all_are_back)
+{
+    const wave_progress_view progress{{"a", "b"}, {}};
+    EXPECT_FALSE(plan_upkeep(
+                     wave({"a", "b"}, 2), progress,
+                     {machine("a"), machine("b", machine_state::upkeep)},
+                     everything_empty)
+                     .completed);
+    EXPECT_TRUE(plan_upkeep(
+                    wave({"a", "b", "gone"}, 2), progress,
+                    {machine("a"), machine("b")}, everything_empty)
+                    .completed);
+}
+
+// Found by the bench on trouble-2: a successor repeated an order that had been
+// carried out, while tasks ran on the machine's new host.
+TEST(upkeep_plan, empties_a_host_before_it_repeats_an_order)
+{
+    const wave_progress_view progress{{}, {"a"}};
+    const auto step = plan_upkeep(
+        wave({"a", "b"}, 2), progress, {machine("a"), machine("b")},
+        nothing_empty);
+    EXPECT_TRUE(step.order.empty());
+    ASSERT_FALSE(step.evacuate.empty());
+    EXPECT_EQ(step.evacuate[0].name, "a");
+}
+
+TEST(upkeep_plan, orders_nothing_new_while_an_order_is_unanswered)
+{
+    const wave_progress_view progress{{}, {"a"}};
+    const auto step = plan_upkeep(
+        wave({"a", "b"}, 2), progress, {machine("a"), machine("b")},
+        everything_empty);
+    ASSERT_EQ(step.order.size(), 1U);
+    EXPECT_EQ(step.order[0].name, "a");
+}
+
+RC_GTEST_PROP(upkeep_plan, never_has_more_down_than_the_wave_allows, ())
+{
+    const auto count = *rc::gen::inRange<std::size_t>(1, 12);
+    const auto most = *rc::gen::inRange<std::uint32_t>(1, 5);
+    std::vector<std::string> names;
+    std::vector<listed_machine> machines;
+    wave_progress_view progress;
+    std::size_t down = 0;
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        names.push_back(std::to_string(i));
+        const auto state = *rc::gen::inRange(0, 4);
+        machines.push_back(machine(
+            names.back(),
+            state == 0 ? machine_state::upkeep : machine_state::up));
+        if (state <= 1)
+            progress.begun.insert(names.back());
+        if (state == 2)
+            progress.unanswered.insert(names.back());
+        down += state == 0 || state == 2 ? 1 : 0;
+    }
+    const auto step = plan_upkeep(
+        wave(names, most), progress, machines, everything_empty);
+    const auto fresh = static_cast<std::size_t>(
+        std::ranges::count_if(step.order, [&](const listed_machine& m) {
+            return !progress.unanswered.contains(m.name);
+        }));
+    RC_ASSERT(fresh == 0 || down + fresh <= most);
+}
+
+} // namespace dandeliontack
