--- a/src/include/dandeliontack/fleet_balance.hpp
+++ b/src/include/dandeliontack/fleet_balance.hpp
@@ -19,8 +19,8 @@
     /// Waiting work is to be begun within this.
     std::chrono::milliseconds horizon{1500};
     /// More than enough must have lasted this long before a machine goes to
-    /// standby: two moves cost as much as a machine in a pool for 2.3 s.
-    std::chrono::milliseconds surplus{3000};
+    /// standby, so that the end of one task does not send it there.
+    std::chrono::milliseconds surplus{1200};
     /// What tasks of uneven sizes leave unused of a host.
     double fragmentation = 1.15;
     /// The fewest machines that a pool with an owner keeps.
--- a/src/include/dandeliontack/fleet_duty.hpp
+++ b/src/include/dandeliontack/fleet_duty.hpp
@@ -66,6 +66,7 @@
         bool completed = false;
         bool reported = false;
         std::set<std::string> ordering;
+        wall_time began;
     };
 
     node_context& context_;
@@ -77,6 +78,8 @@
     std::vector<listed_machine> machines_;
     std::map<std::string, bool> empty_;
     std::set<std::string> emptying_;
+    /// Hosts that ran nothing when their owners were asked last.
+    std::set<std::string> idle_;
     fleet_balance balance_{balance_terms{}};
     std::shared_ptr<const queue_table> table_;
     /// Machines whose move is under way, with the pool that they join.
--- a/src/include/dandeliontack/pool_demand.hpp
+++ b/src/include/dandeliontack/pool_demand.hpp
@@ -23,7 +23,10 @@
     double arriving_ms = 0;
     /// Hosts that may take tasks.
     std::uint32_t hosts = 0;
-    /// Hosts that can't leave without taking a lasting task away.
+    /// Hosts that are being emptied or leave, and take no tasks.
+    std::uint32_t leaving = 0;
+    /// The fewest hosts on which all lasting tasks find a place; one more than
+    /// there are while one waits.
     std::uint32_t lasting_hosts = 0;
     /// Hosts that run nothing.
     std::vector<std::string> idle;
--- a/src/include/dandeliontack/pool_engine.hpp
+++ b/src/include/dandeliontack/pool_engine.hpp
@@ -55,6 +55,12 @@
 
     pool_effects apply(const pool_event_body& event, moment now);
 
+    /// Records of every host what may run there; nothing is started any more.
+    /// A successor then need not wait for hosts that it can't reach.
+    void close_hosts();
+    /// What is to be stored of a host now.
+    host_use use_of(const host_state& h) const;
+
     /// Everything that changed since the last call, numbered as a batch.
     pool_changes take_changes();
     bool has_changes() const;
@@ -125,7 +131,10 @@
     void check_runs(host_state& h);
     void evacuate(host_state& h);
     void pace_fillers(host_state& h);
+    void met(const std::string& host);
     void check_bar();
+    void let_go_inherited();
+    void close_host(host_state& h, bool closed);
     room typical_host(const std::string& pool) const;
     void count_arrival(const submission_record& record);
     bool is_at_work(const task_state& t) const;
@@ -155,11 +164,14 @@
     std::map<std::string, arrivals> arrivals_;
     /// Learned ratio of run time to estimate, by route.
     std::map<std::string, double> estimate_factor_;
-    /// Hosts that a past owner used and that have not answered this one.
+    /// Hosts that a past owner used and that have not answered this one:
+    /// those on which anything may run, and those with a list of it.
     std::set<std::string> unmet_hosts_;
+    std::map<std::string, std::set<task_ref>> unmet_closed_;
     boot_time bar_until_;
     bool settling_ = false;
-    boot_time settled_at_;
+    /// When every host without a list had answered.
+    std::optional<boot_time> settled_at_;
     std::uint64_t epoch_;
 
     moment now_;
--- a/src/include/dandeliontack/pool_state.hpp
+++ b/src/include/dandeliontack/pool_state.hpp
@@ -99,6 +99,7 @@
     std::uint32_t percent = 100;
     bool serves = false;
     bool fills = false;
+    bool lasts = false;
     std::chrono::milliseconds objective{0};
     std::int64_t load = 0;
 };
@@ -123,6 +124,8 @@
     boot_time last_answer;
     /// The batch in which its use is recorded; 0 once that is stored.
     std::uint64_t recorded_in = 0;
+    /// Its record lists what may run there, and nothing more is started.
+    bool closed = false;
     host_lease lease;
     room used;
     std::map<task_ref, host_run> runs;
@@ -148,6 +151,10 @@
     std::chrono::milliseconds born{0};
     std::string pool;
     std::string address;
+    /// Whether nothing else than `tasks` may run there, as no start has been
+    /// sent since this was stored.
+    bool closed = false;
+    std::vector<task_ref> tasks;
 };
 
 /// What has to be stored next, as one batch.
--- a/src/include/dandeliontack/shard_owner.hpp
+++ b/src/include/dandeliontack/shard_owner.hpp
@@ -97,6 +97,7 @@
     wake_signal planned_;
     bool poked_ = false;
     bool serving_ = false;
+    bool appending_ = false;
     bool stopping_ = false;
     bool lost_ = false;
 };
--- a/src/include/dandeliontack/stored_records.hpp
+++ b/src/include/dandeliontack/stored_records.hpp
@@ -51,6 +51,8 @@
     std::vector<std::string> begun;
     std::vector<std::string> ordered;
     bool completed = false;
+    /// When its first owner saw it.
+    wall_time began;
 };
 
 /// What is stored of the ends of a submission's tasks.
--- a/src/include/dandeliontack/upkeep_plan.hpp
+++ b/src/include/dandeliontack/upkeep_plan.hpp
@@ -3,6 +3,7 @@
 #include <dandeliontack/boot_clock.hpp>
 #include <dandeliontack/machine_list.hpp>
 
+#include <chrono>
 #include <functional>
 #include <set>
 #include <string>
@@ -18,6 +19,10 @@
     std::set<std::string> begun;
     /// Machines whose upkeep was ordered without an answer.
     std::set<std::string> unanswered;
+    /// What is left of the time in which the wave is to end.
+    std::chrono::milliseconds time_left{0};
+    /// How long a machine is away with the emptying of its host.
+    std::chrono::milliseconds cycle{4000};
 };
 
 /// What is to be done next for a wave.
@@ -31,13 +36,23 @@
     bool completed = false;
 };
 
-/// Plans the next step of a wave. `is_empty` says whether a host runs nothing.
-/// Never more than the wave's limit are down; an unanswered order counts as
-/// down, and is repeated before anything else. One machine more than the limit
-/// is emptied ahead, so that no time passes between two upkeeps.
+/// What is known of a machine's host.
+enum class host_use_state
+{
+    /// It was asked to take nothing more, and runs nothing.
+    emptied,
+    /// It runs nothing at the moment.
+    idle,
+    busy
+};
+
+/// Plans the next step of a wave. Never more than the wave's limit are down;
+/// an unanswered order counts as down, and is repeated before anything else.
+/// Machines that nobody uses go first. Of the others only so many are emptied
+/// at a time as the wave's end asks for, as each takes room from its pool.
 upkeep_step plan_upkeep(
     const wave_request& wave, const wave_progress_view& progress,
     const std::vector<listed_machine>& machines,
-    const std::function<bool(const std::string& host)>& is_empty);
+    const std::function<host_use_state(const std::string& host)>& use_of);
 
 } // namespace dandeliontack
--- a/src/libnode/fleet_duty.cpp
+++ b/src/libnode/fleet_duty.cpp
@@ -30,6 +30,8 @@
 constexpr auto idle_interval = 400ms;
 // A move that the platform has not answered is ordered again for this long.
 constexpr int move_tries = 4;
+// What emptying a host takes on the whole.
+constexpr auto emptying_time = 2000ms;
 constexpr auto ask_patience = 600ms;
 constexpr std::string_view progress_prefix = "w/";
 
@@ -154,6 +156,7 @@
             wave.progress.unanswered = {
                 known->ordered.begin(), known->ordered.end()};
             wave.completed = known->completed;
+            wave.began = known->began;
             wave.reported = known->completed;
         }
         if (!page.has_more || page.records.empty())
@@ -173,7 +176,7 @@
         name,
         {wave.progress.begun.begin(), wave.progress.begun.end()},
         {wave.progress.unanswered.begin(), wave.progress.unanswered.end()},
-        wave.completed};
+        wave.completed, wave.began};
     std::vector<keyed_record> records{
         {std::string(progress_prefix) + name, encode(record), 0}};
     const bool stored = co_await writer_.append(std::move(records));
@@ -290,11 +293,24 @@
         co_await report(name, false);
         waves_[name].reported = true;
     }
+    auto& wave = waves_[name];
+    const auto now = read_clocks();
+    if (wave.began == wall_time{})
+        wave.began = now.wall;
+    const auto seconds_of = [](double value) {
+        return std::chrono::round<std::chrono::milliseconds>(
+            std::chrono::duration<double>(value));
+    };
+    wave.progress.time_left = wave.request.within - (now.wall - wave.began);
+    wave.progress.cycle =
+        seconds_of(context_.settings.machines.upkeep_seconds) + emptying_time;
     const auto step = plan_upkeep(
-        waves_[name].request, waves_[name].progress, machines_,
-        [&](const std::string& host) {
+        wave.request, wave.progress, machines_, [&](const std::string& host) {
             const auto found = empty_.find(host);
-            return found != empty_.end() && found->second;
+            if (found != empty_.end() && found->second)
+                return host_use_state::emptied;
+            return idle_.contains(host) ? host_use_state::idle
+                                        : host_use_state::busy;
         });
     if (step.completed)
     {
@@ -458,6 +474,9 @@
         if (pool.standby)
             standby.insert(pool.name);
     const auto demands = co_await collect_demands();
+    idle_.clear();
+    for (const auto& demand : demands)
+        idle_.insert(demand.idle.begin(), demand.idle.end());
     if (lost_ || !has_right())
         co_return;
     // A machine that is on its way counts where it goes.
--- a/src/libnode/shard_owner.cpp
+++ b/src/libnode/shard_owner.cpp
@@ -248,9 +248,14 @@
 {
     const auto self = shared_from_this();
     stopping_ = true;
+    if (serving_ && !lost_)
+    {
+        engine_->close_hosts();
+        changed_.notify();
+    }
     const auto until = read_clocks().steady + hand_over_patience;
-    while (serving_ && !lost_ && engine_->has_changes() &&
-           read_clocks().steady < until)
+    while (serving_ && !lost_ && read_clocks().steady < until &&
+           (engine_->has_changes() || appending_))
         co_await stored_.wait(gather_time);
     if (!lost_)
         co_await announce(true);
@@ -399,11 +404,7 @@
         if (const auto host = engine_->hosts().find(id);
             host != engine_->hosts().end())
             out.push_back(
-                {host_key(id),
-                 encode(host_use{
-                     id, host->second.entry.born, host->second.entry.pool,
-                     host->second.entry.address}),
-                 0});
+                {host_key(id), encode(engine_->use_of(host->second)), 0});
     for (const auto id : changes.accepted)
         if (const auto* s = engine_->state_of(id))
             out.push_back({submission_key(id), encode(s->record), 0});
@@ -449,7 +450,9 @@
                 epoch(), false};
             records.push_back({std::string(shard_owner_key), encode(mine), 0});
         }
+        appending_ = true;
         const bool stored = co_await writer_.append(std::move(records));
+        appending_ = false;
         if (!stored)
         {
             const bool ended_here = lost_;
--- a/src/libnode/stored_records.cpp
+++ b/src/libnode/stored_records.cpp
@@ -186,6 +186,15 @@
     out.set_born_ms(record.born.count());
     out.set_pool(record.pool);
     out.set_address(record.address);
+    out.set_closed(record.closed);
+    for (const auto& task : record.tasks)
+    {
+        auto& row = *out.add_tasks();
+        row.set_submission(task.submission);
+        row.set_occurrence(task.occurrence);
+        row.set_step(task.step);
+        row.set_index(task.index);
+    }
     return out.SerializeAsString();
 }
 
@@ -194,8 +203,13 @@
     const auto in = parse<stored::HostUse>(bytes);
     if (!in || in->id().empty())
         return std::nullopt;
-    return host_use{
-        in->id(), milliseconds(in->born_ms()), in->pool(), in->address()};
+    host_use use{
+        in->id(),      milliseconds(in->born_ms()), in->pool(), in->address(),
+        in->closed(), {}};
+    for (const auto& row : in->tasks())
+        use.tasks.push_back(
+            {row.submission(), row.occurrence(), row.step(), row.index()});
+    return use;
 }
 
 std::string encode(const node_announcement& record)
@@ -259,6 +273,7 @@
     for (const auto& machine : record.ordered)
         out.add_ordered(machine);
     out.set_completed(record.completed);
+    out.set_began_ms(record.began.time_since_epoch().count());
     return out.SerializeAsString();
 }
 
@@ -271,7 +286,8 @@
         in->wave(),
         {in->begun().begin(), in->begun().end()},
         {in->ordered().begin(), in->ordered().end()},
-        in->completed()};
+        in->completed(),
+        wall_time(milliseconds(in->began_ms()))};
 }
 
 std::string encode(const std::vector<pool_demand>& demands)
@@ -287,6 +303,7 @@
         row.set_arriving_ms(demand.arriving_ms);
         row.set_hosts(demand.hosts);
         row.set_lasting_hosts(demand.lasting_hosts);
+        row.set_leaving(demand.leaving);
         for (const auto& id : demand.idle)
             row.add_idle(id);
     }
@@ -307,6 +324,7 @@
              row.waiting_ms(),
              row.arriving_ms(),
              row.hosts(),
+             row.leaving(),
              row.lasting_hosts(),
              {row.idle().begin(), row.idle().end()}});
     return demands;
--- a/src/libsched/fleet_balance.cpp
+++ b/src/libsched/fleet_balance.cpp
@@ -36,7 +36,8 @@
     const double busy = std::max(backlog, demand.arriving_ms / second_ms);
     const auto machines = static_cast<std::uint32_t>(
         std::ceil((busy + demand.lasting) * terms_.fragmentation));
-    return std::max({machines, demand.lasting_hosts, terms_.least});
+    return std::max({machines, demand.lasting_hosts, terms_.least}) +
+           demand.leaving;
 }
 
 std::vector<machine_move> fleet_balance::plan(
--- a/src/libsched/pool_driver.hpp
+++ b/src/libsched/pool_driver.hpp
@@ -66,6 +66,12 @@
         apply(listed);
     }
 
+    void begin()
+    {
+        begun_ = true;
+        engine.begin(now);
+    }
+
     /// A host answers a hold; a lease is given with the next call to it.
     pool_effects hold(
         const std::string& id, std::vector<running_row> running = {},
@@ -84,6 +90,8 @@
     /// Lists hosts, stores their use, and has each answer once.
     void ready(const std::vector<std::string>& ids)
     {
+        if (!begun_)
+            begin();
         list(ids);
         store();
         for (const auto& id : ids)
@@ -121,7 +129,14 @@
 
     void restore_host(const std::string& id)
     {
-        engine.restore_host({id, 1ms, "pool", "127.0.0.1:1"}, now);
+        engine.restore_host({id, 1ms, "pool", "127.0.0.1:1", false, {}}, now);
+    }
+
+    /// A past owner left a list of what may run on the host.
+    void restore_closed_host(const std::string& id, std::vector<task_ref> tasks)
+    {
+        engine.restore_host(
+            {id, 1ms, "pool", "127.0.0.1:1", true, std::move(tasks)}, now);
     }
 
     /// The effects of one kind among `effects`.
@@ -147,6 +162,9 @@
     pool_engine engine;
     moment now{boot_time(1h), wall_time(1h)};
     pool_effects all;
+
+private:
+    bool begun_ = false;
 };
 
 inline task_ref task(std::uint32_t index, std::uint32_t step = 0)
--- a/src/libsched/pool_engine.cpp
+++ b/src/libsched/pool_engine.cpp
@@ -172,7 +172,11 @@
     h.unlisted_since = now.steady;
     // What a past owner started there runs under leases that it gave.
     h.lease.begin_life(now.steady, terms_.leases.takeover_wait());
-    unmet_hosts_.insert(use.id);
+    h.closed = use.closed;
+    if (use.closed)
+        unmet_closed_[use.id] = {use.tasks.begin(), use.tasks.end()};
+    else
+        unmet_hosts_.insert(use.id);
 }
 
 void pool_engine::begin(moment now)
@@ -301,8 +305,10 @@
     if (!h.contacted)
     {
         h.contacted = true;
-        unmet_hosts_.erase(e.host);
+        met(e.host);
     }
+    if (h.closed)
+        close_host(h, false);
     advance_cursor(h);
     check_bar();
 }
@@ -313,7 +319,7 @@
     if (found == hosts_.end() || found->second.entry.born != e.born)
         return;
     release_all(found->second, "the address belongs to another life");
-    unmet_hosts_.erase(e.host);
+    met(e.host);
     changes_.dropped_hosts.push_back(e.host);
     hosts_.erase(found);
     check_bar();
@@ -463,6 +469,8 @@
     {
         check_host(h);
         check_runs(h);
+        if (!h.closed && h.contacted && is_silent(h, now_.steady))
+            close_host(h, true);
         if (h.evacuate_until > now_.steady || h.entry.draining)
             evacuate(h);
         pace_fillers(h);
@@ -472,7 +480,8 @@
         const bool gone = !h.listed && h.runs.empty() &&
                           now_.steady - h.unlisted_since > unlisted_grace &&
                           h.lease.has_ended(now_.steady) &&
-                          !unmet_hosts_.contains(id);
+                          !unmet_hosts_.contains(id) &&
+                          !unmet_closed_.contains(id);
         if (gone)
             changes_.dropped_hosts.push_back(id);
         return gone;
@@ -616,6 +625,7 @@
             run.need = step->need;
             run.serves = step->long_running && step->latency_objective > 0ms;
             run.fills = step->fills;
+            run.lasts = step->long_running;
             run.objective = step->latency_objective;
             if (step->fills)
                 run.need.cpu_milli = 0;
@@ -927,7 +937,7 @@
     if (found == active_.end())
         return true;
     // A run that a past owner is stopping still looks as if it ran.
-    if (settling_ || now_.steady < settled_at_ + terms_.stop_bound)
+    if (!settled_at_ || now_.steady < *settled_at_ + terms_.stop_bound)
         return false;
     const auto& spec = found->second.record.spec.steps[task.step];
     const auto& step =
@@ -993,27 +1003,81 @@
                 h.entry.id, h.entry.born, task, run.run, wanted});
 }
 
+void pool_engine::met(const std::string& host)
+{
+    unmet_hosts_.erase(host);
+    if (unmet_closed_.erase(host) > 0 && settled_at_)
+        let_go_inherited();
+}
+
 // Tasks of before the takeover may start once every host that the past owner
-// used has answered, or its last lease has surely ended.
+// used has answered, or its last lease has surely ended. Where the past owner
+// left a list of what may run on a host, only those tasks wait for it.
 void pool_engine::check_bar()
 {
     if (!settling_)
         return;
     const bool over = now_.steady > bar_until_;
-    if (!unmet_hosts_.empty() && !over)
+    if (over)
+    {
+        unmet_hosts_.clear();
+        unmet_closed_.clear();
+    }
+    if (!unmet_hosts_.empty())
         return;
-    settling_ = false;
-    settled_at_ = now_.steady;
-    unmet_hosts_.clear();
+    if (!settled_at_ || over)
+    {
+        settled_at_ = settled_at_.value_or(now_.steady);
+        let_go_inherited();
+        effects_.emplace_back(pool_effect::decided{
+            "takeover_settled", {}, {}, 0, {},
+            over ? "the leases of unreachable hosts have ended"
+                 : "every host has answered or left a list"});
+    }
+    settling_ = !unmet_closed_.empty();
+}
+
+void pool_engine::let_go_inherited()
+{
+    const auto may_run = [&](const task_ref& task) {
+        return std::ranges::any_of(unmet_closed_, [&](const auto& item) {
+            return item.second.contains(task);
+        });
+    };
     for (auto& [id, s] : active_)
         for (auto& [k, occurrence] : s.occurrences)
-            for (auto& step : occurrence.steps)
-                for (auto& t : step.tasks)
-                    t.inherited = false;
-    effects_.emplace_back(pool_effect::decided{
-        "takeover_settled", {}, {}, 0, {},
-        over ? "the leases of unreachable hosts have ended"
-             : "every host has answered"});
+            for (std::uint32_t i = 0; i < occurrence.steps.size(); ++i)
+            {
+                auto& tasks = occurrence.steps[i].tasks;
+                for (std::uint32_t j = 0; j < tasks.size(); ++j)
+                    tasks[j].inherited =
+                        tasks[j].inherited && may_run({id, k, i, j});
+            }
+}
+
+void pool_engine::close_host(host_state& h, bool closed)
+{
+    h.closed = closed;
+    // Nothing is started before the record says so.
+    h.recorded_in = next_batch_;
+    changes_.used_hosts.push_back(h.entry.id);
+}
+
+void pool_engine::close_hosts()
+{
+    for (auto& [id, h] : hosts_)
+        if (!unmet_hosts_.contains(id) && !unmet_closed_.contains(id))
+            close_host(h, true);
+}
+
+host_use pool_engine::use_of(const host_state& h) const
+{
+    host_use use{
+        h.entry.id, h.entry.born, h.entry.pool, h.entry.address, h.closed, {}};
+    if (h.closed)
+        for (const auto& [task, run] : h.runs)
+            use.tasks.push_back(task);
+    return use;
 }
 
 void pool_engine::note_progress(std::uint64_t submission)
@@ -1143,10 +1207,12 @@
     {
         auto& demand = out[h.entry.pool];
         hosts.try_emplace(h.entry.pool, typical_host(h.entry.pool));
-        if (!h.listed || h.entry.draining || !h.contacted)
+        if (!h.listed || !h.contacted)
             continue;
-        ++demand.hosts;
-        if (h.runs.empty() && h.evacuate_until <= now.steady)
+        const bool leaving =
+            h.entry.draining || h.evacuate_until > now.steady;
+        ++(leaving ? demand.leaving : demand.hosts);
+        if (h.runs.empty() && !leaving)
             demand.idle.push_back(id);
         bool lasting = false;
         for (const auto& [task, run] : h.runs)
@@ -1175,7 +1241,21 @@
                     share_of(counted_room(spec), host->second) *
                     static_cast<double>(waiting);
                 if (spec.long_running)
+                {
                     demand.lasting += share;
+                    // One host more lets a task move before its host leaves.
+                    const auto spread =
+                        spec.most_per_host == 0
+                            ? 1
+                            : (spec.count + spec.most_per_host - 1) /
+                                      spec.most_per_host +
+                                  1;
+                    demand.lasting_hosts =
+                        std::max(demand.lasting_hosts, spread);
+                    if (waiting > 0)
+                        demand.lasting_hosts =
+                            std::max(demand.lasting_hosts, demand.hosts + 1);
+                }
                 else
                     demand.waiting_ms +=
                         share * static_cast<double>(spec.estimate.count());
--- a/src/libsched/pool_planner.cpp
+++ b/src/libsched/pool_planner.cpp
@@ -30,6 +30,7 @@
 constexpr double cost_far = 100;
 constexpr double cost_on_probation = 50;
 constexpr double cost_neighbour = 5;
+constexpr double cost_first_lasting = 2;
 
 } // namespace
 
@@ -71,7 +72,7 @@
         const auto now = now_.steady;
         const bool eligible =
             h.listed && !h.entry.draining && h.contacted &&
-            h.recorded_in == 0 && h.evacuate_until <= now &&
+            h.recorded_in == 0 && !h.closed && h.evacuate_until <= now &&
             h.blocked_until <= now && h.health.avoid_until <= now &&
             !is_silent(h, now) && !h.lease.has_ended(now);
         if (eligible)
@@ -240,8 +241,14 @@
             ? static_cast<double>(free.cpu_milli) /
                   static_cast<double>(h.entry.capacity.cpu_milli)
             : 0;
-    // Tasks of limited time go where least stays free, the others spread.
-    return cost + (spec.long_running ? 1 - left : left);
+    // Tasks that last share few hosts, as a host with one can't move to
+    // another pool; the others go where least stays free.
+    if (spec.long_running && !spec.fills)
+        cost += std::ranges::any_of(
+                    h.runs, [](const auto& r) { return r.second.lasts; })
+                    ? 0
+                    : cost_first_lasting;
+    return cost + left;
 }
 
 host_state* pool_planner::best_host(
@@ -389,6 +396,7 @@
     held.ordered = now_.steady;
     held.serves = spec.long_running && spec.latency_objective > 0ms;
     held.fills = spec.fills;
+    held.lasts = spec.long_running;
     held.objective = spec.latency_objective;
     h.runs.emplace(task, held);
     h.used = h.used + held.need;
--- a/src/libsched/upkeep_plan.cpp
+++ b/src/libsched/upkeep_plan.cpp
@@ -1,6 +1,7 @@
 #include <dandeliontack/upkeep_plan.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace dandeliontack
 {
@@ -8,63 +9,87 @@
 namespace
 {
 
-// Hosts that are emptied ahead, beside those that may be down at once.
-constexpr std::size_t emptied_ahead = 1;
+// How much sooner than asked for a wave is planned to end.
+constexpr double haste = 1.4;
+
+// How many machines have to be away at once for the wave to end in time.
+std::size_t
+pace_of(const wave_progress_view& progress, std::size_t left, std::size_t most)
+{
+    const auto time =
+        std::max(progress.time_left - progress.cycle, progress.cycle);
+    const double needed = haste * static_cast<double>(left) *
+                          static_cast<double>(progress.cycle.count()) /
+                          static_cast<double>(time.count());
+    return std::clamp<std::size_t>(
+        static_cast<std::size_t>(std::ceil(needed)), 1,
+        std::max<std::size_t>(most, 1));
+}
 
 } // namespace
 
 upkeep_step plan_upkeep(
     const wave_request& wave, const wave_progress_view& progress,
     const std::vector<listed_machine>& machines,
-    const std::function<bool(const std::string& host)>& is_empty)
+    const std::function<host_use_state(const std::string& host)>& use_of)
 {
     upkeep_step out;
     std::size_t down = 0;
-    std::vector<const listed_machine*> left;
-    std::vector<const listed_machine*> again;
+    struct choice
+    {
+        const listed_machine* machine;
+        host_use_state use;
+    };
+    std::vector<choice> left;
+    std::vector<choice> again;
     for (const auto& name : wave.machines)
     {
         const auto found =
             std::ranges::find(machines, name, &listed_machine::name);
         if (found == machines.end())
             continue;
-        const bool begun = progress.begun.contains(name);
+        const choice c{
+            &*found, found->host.empty() ? host_use_state::emptied
+                                         : use_of(found->host)};
         const bool unanswered = progress.unanswered.contains(name);
-        // A machine in upkeep, and one whose new host has not come yet.
         if (found->state == machine_state::upkeep || unanswered)
             ++down;
         if (unanswered)
-            again.push_back(&*found);
-        else if (!begun && found->state != machine_state::upkeep)
-            left.push_back(&*found);
+            again.push_back(c);
+        else if (
+            !progress.begun.contains(name) &&
+            found->state != machine_state::upkeep)
+            left.push_back(c);
     }
     out.completed = left.empty() && again.empty() && down == 0;
     // An order that was lost may never have been carried out: tasks may run
     // there again by now.
-    for (const auto* machine : again)
-        if (machine->host.empty() || is_empty(machine->host))
-            out.order.push_back(*machine);
-        else
-            out.evacuate.push_back(*machine);
-    const std::size_t free =
-        wave.most_at_once > down ? wave.most_at_once - down : 0;
-    // Machines without a host have nothing to empty and go first.
-    std::ranges::stable_partition(
-        left, [](const listed_machine* m) { return m->host.empty(); });
+    for (const auto& c : again)
+        (c.use == host_use_state::emptied ? out.order : out.evacuate)
+            .push_back(*c.machine);
+    const std::size_t most = wave.most_at_once;
+    const std::size_t free = most > down ? most - down : 0;
+    std::ranges::stable_sort(left, {}, &choice::use);
+    const auto pace = pace_of(progress, left.size(), most);
     std::size_t ordered = 0;
-    for (const auto* machine : left)
+    std::size_t emptying = 0;
+    for (const auto& c : left)
     {
-        const bool empty = machine->host.empty() || is_empty(machine->host);
-        if (again.empty() && empty && ordered < free)
+        if (c.use == host_use_state::emptied)
         {
-            out.order.push_back(*machine);
-            ++ordered;
+            if (again.empty() && ordered < free)
+            {
+                out.order.push_back(*c.machine);
+                ++ordered;
+            }
+            continue;
         }
-        else if (
-            !machine->host.empty() &&
-            out.evacuate.size() < wave.most_at_once + emptied_ahead)
+        // What is idle is locked at once, as far as its turn can come soon.
+        const auto limit = c.use == host_use_state::idle ? most : pace;
+        if (down + ordered + emptying < limit || emptying == 0)
         {
-            out.evacuate.push_back(*machine);
+            out.evacuate.push_back(*c.machine);
+            ++emptying;
         }
     }
     return out;
