Call no host empty before its runs are known

Change: nothing counts as empty until the takeover has settled and the host has answered; a host that was asked to stay empty is locked also if it is listed later. Ruled out: an order of the past owner (the stop was never sent).

--- a/src/include/dandeliontack/pool_engine.hpp
+++ b/src/include/dandeliontack/pool_engine.hpp
@@ -77,7 +77,8 @@
     std::optional<host_time> extend_lease(const std::string& host, moment now);
     /// Whether the run is still the one that is to be started there.
     bool is_wanted(const pool_effect::start& order) const;
-    bool is_empty(const std::string& host) const;
+    /// Whether nothing of this shard can run on the host.
+    bool is_empty(const std::string& host, moment now) const;
     /// Whether tasks of before the takeover are still held back.
     bool is_settling() const;
     /// What each pool of the shard needs and has.
@@ -162,6 +163,8 @@
         boot_time at;
     };
     std::map<std::string, arrivals> arrivals_;
+    /// Hosts that are to stay empty, also those that aren't listed yet.
+    std::map<std::string, boot_time> evacuations_;
     /// Learned ratio of run time to estimate, by route.
     std::map<std::string, double> estimate_factor_;
     /// Hosts that a past owner used and that have not answered this one:
--- a/src/libnode/shard_owner.cpp
+++ b/src/libnode/shard_owner.cpp
@@ -783,7 +783,8 @@
     apply(pool_event::evacuation_wanted{
         host, read_clocks().steady + evacuation_time});
     co_return shard_answer{
-        shard_outcome::done, engine_->is_empty(host) ? "empty" : "busy"};
+        shard_outcome::done, engine_->is_empty(host, read_clocks()) ? "empty"
+                                                              : "busy"};
 }
 
 asio::awaitable<shard_answer> shard_owner::host_ended(std::string host)
--- a/src/libsched/pool_engine.cpp
+++ b/src/libsched/pool_engine.cpp
@@ -265,6 +265,9 @@
             found = hosts_.emplace(entry.id, host_state{}).first;
             found->second.recorded_in = next_batch_;
             changes_.used_hosts.push_back(entry.id);
+            if (const auto until = evacuations_.find(entry.id);
+                until != evacuations_.end())
+                found->second.evacuate_until = until->second;
         }
         auto& h = found->second;
         if (!h.entry.draining && entry.draining)
@@ -453,6 +456,10 @@
 
 void pool_engine::on(const pool_event::evacuation_wanted& e)
 {
+    std::erase_if(evacuations_, [&](const auto& item) {
+        return item.second <= now_.steady;
+    });
+    evacuations_[e.host] = e.until;
     const auto found = hosts_.find(e.host);
     if (found == hosts_.end())
         return;
@@ -1163,10 +1170,17 @@
            run->second.run == order.run && !run->second.stop_ordered;
 }
 
-bool pool_engine::is_empty(const std::string& host) const
+bool pool_engine::is_empty(const std::string& host, moment now) const
 {
+    // Before the takeover has settled, a past owner's tasks may run anywhere.
+    if (settling_)
+        return false;
     const auto found = hosts_.find(host);
-    return found == hosts_.end() || found->second.runs.empty();
+    if (found == hosts_.end())
+        return true;
+    const auto& h = found->second;
+    return h.runs.empty() &&
+           (h.contacted || h.lease.has_ended(now.steady));
 }
 
 bool pool_engine::is_settling() const
--- a/src/libsched/pool_takeover_test.cpp
+++ b/src/libsched/pool_takeover_test.cpp
@@ -169,6 +169,31 @@
     EXPECT_EQ(d.only<pool_effect::stop>(d.all).size(), 1U);
 }
 
+// Found by the bench on trouble-1: a new owner that had not met a host yet
+// called it empty, and its machine was taken for upkeep.
+TEST(pool_takeover, calls_no_host_empty_before_it_has_met_it)
+{
+    pool_driver d(2);
+    d.restore_host("a");
+    d.restore(lasting(1));
+    d.begin();
+    EXPECT_FALSE(d.engine.is_empty("a", d.now));
+    EXPECT_FALSE(d.engine.is_empty("not listed yet", d.now));
+    d.hold("a", {runs(0, 1)});
+    EXPECT_FALSE(d.engine.is_empty("a", d.now));
+    EXPECT_TRUE(d.engine.is_empty("not listed yet", d.now));
+}
+
+TEST(pool_takeover, keeps_a_host_empty_that_is_listed_after_it_was_asked)
+{
+    pool_driver d;
+    d.begin();
+    d.apply(pool_event::evacuation_wanted{"a", d.now.steady + 3s});
+    d.ready({"a"});
+    d.submit(pool_driver::record(1));
+    EXPECT_TRUE(d.only<pool_effect::start>(d.tick()).empty());
+}
+
 // An end that a past owner had stored is listed again until it is
 // acknowledged; it must not count twice.
 TEST(pool_takeover, counts_a_stored_failure_once)
