Let a new holder of the fleet duty order at once what rests, and look unmet hosts up

Change: orders about machines are noted before they are sent, so a successor waits only with those; an owner asks for the list of machines and ends hosts that no machine names. A node counts as lost after 2 s instead of 2.5 s.

--- a/src/include/dandeliontack/fleet_duty.hpp
+++ b/src/include/dandeliontack/fleet_duty.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <dandeliontack/fleet_balance.hpp>
+#include <dandeliontack/machine_client.hpp>
 #include <dandeliontack/machine_list.hpp>
 #include <dandeliontack/queue_table.hpp>
 #include <dandeliontack/shard_router.hpp>
@@ -42,9 +43,11 @@
     boost::asio::awaitable<void> renew();
     boost::asio::awaitable<bool> load();
     boost::asio::awaitable<bool> announce(bool released);
-    boost::asio::awaitable<bool> list_machines();
     boost::asio::awaitable<void> advance(std::string wave);
     boost::asio::awaitable<bool> save(std::string wave);
+    boost::asio::awaitable<bool> append(std::vector<keyed_record> records);
+    boost::asio::awaitable<bool>
+    note_orders(std::vector<std::string> machines);
     boost::asio::awaitable<void> report(std::string wave, bool completed);
     boost::asio::awaitable<void>
     order_upkeep(std::string wave, listed_machine machine);
@@ -54,7 +57,8 @@
     boost::asio::awaitable<bool>
     tell_ended(std::string pool, std::string host);
     boost::asio::awaitable<std::vector<pool_demand>> collect_demands();
-    std::set<std::string> machines_in_waves() const;
+    std::set<std::string> kept_machines() const;
+    bool is_rested(const std::string& machine) const;
     bool has_right() const;
     void lose(std::string_view reason);
 
@@ -72,6 +76,7 @@
     node_context& context_;
     store_client& store_;
     shard_router& router_;
+    machine_client platform_;
     fenced_writer writer_;
     fenced_writer registry_writer_;
     std::map<std::string, wave_state> waves_;
@@ -84,6 +89,10 @@
     std::shared_ptr<const queue_table> table_;
     /// Machines whose move is under way, with the pool that they join.
     std::map<std::string, std::string> moving_;
+    /// Machines about which a past holder ordered something of late, and when
+    /// this one may.
+    std::set<std::string> lately_ordered_;
+    boot_time rested_at_;
     /// Appends go one after the other.
     bool appending_ = false;
     wake_signal append_ended_;
--- /dev/null
+++ b/src/include/dandeliontack/machine_client.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <dandeliontack/machine_list.hpp>
+#include <dandeliontack/node_context.hpp>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace dandeliontack
+{
+
+/// The one client of the platform's list of machines and of its orders about
+/// them. Never retries by itself.
+class machine_client
+{
+public:
+    explicit machine_client(node_context& context);
+
+    /// All machines; nothing where the list can't be read whole.
+    boost::asio::awaitable<std::optional<std::vector<listed_machine>>> list();
+
+    /// Orders under a fencing token, in this node's name.
+    boost::asio::awaitable<machine_answer>
+    upkeep(std::string machine, std::string wave, std::uint64_t fence);
+    boost::asio::awaitable<machine_answer>
+    move(std::string machine, std::string pool, std::uint64_t fence);
+
+private:
+    boost::asio::awaitable<machine_answer> order(http_request request);
+
+    node_context& context_;
+    std::string address_;
+};
+
+} // namespace dandeliontack
--- a/src/include/dandeliontack/pool_engine.hpp
+++ b/src/include/dandeliontack/pool_engine.hpp
@@ -79,6 +79,8 @@
     bool is_wanted(const pool_effect::start& order) const;
     /// Whether nothing of this shard can run on the host.
     bool is_empty(const std::string& host, moment now) const;
+    /// Hosts that a past owner used and that have not answered yet.
+    std::vector<std::string> unmet_hosts() const;
     /// Whether tasks of before the takeover are still held back.
     bool is_settling() const;
     /// What each pool of the shard needs and has.
--- a/src/include/dandeliontack/shard_map.hpp
+++ b/src/include/dandeliontack/shard_map.hpp
@@ -33,7 +33,7 @@
 struct takeover_terms
 {
     /// A node whose announcements stay out this long is lost.
-    std::chrono::milliseconds silence{2500};
+    std::chrono::milliseconds silence{2000};
     /// What this node waits after its first look before it claims anything,
     /// so that nodes which start together see each other.
     std::chrono::milliseconds settle{1000};
--- a/src/include/dandeliontack/shard_owner.hpp
+++ b/src/include/dandeliontack/shard_owner.hpp
@@ -63,6 +63,7 @@
     boost::asio::awaitable<bool> announce(bool released);
     boost::asio::awaitable<void> store_changes();
     boost::asio::awaitable<void> plan_regularly();
+    boost::asio::awaitable<void> look_for_unmet_hosts();
     boost::asio::awaitable<void> hold_host(std::string host);
     boost::asio::awaitable<void> send_orders(std::string host);
     boost::asio::awaitable<void> send_start(pool_effect::start order);
--- a/src/libnode/fleet_duty.cpp
+++ b/src/libnode/fleet_duty.cpp
@@ -1,13 +1,14 @@
 #include <dandeliontack/fleet_duty.hpp>
 
 #include <dandeliontack/pause.hpp>
-#include <platform/machine_calls.hpp>
 #include <platform/operator_records.hpp>
 #include <platform/store_codec.hpp>
 
 #include <boost/asio.hpp>
 
 #include <algorithm>
+#include <charconv>
+#include <cstdlib>
 #include <utility>
 
 namespace dandeliontack
@@ -22,7 +23,6 @@
 
 constexpr auto renewal_interval = 900ms;
 constexpr auto claim_patience = 2500ms;
-constexpr auto call_timeout = 1500ms;
 constexpr auto retry_pause = 150ms;
 // How often the machines and the pools' demand are looked at, and while the
 // duty has no right to order.
@@ -34,11 +34,27 @@
 constexpr auto emptying_time = 2000ms;
 constexpr auto ask_patience = 600ms;
 constexpr std::string_view progress_prefix = "w/";
+constexpr std::string_view order_prefix = "m/";
+// An order noted less than this ago, by clocks that may differ or jump, may be
+// a recent one.
+constexpr auto recent_order = 10'000ms;
 
 // A right that has not been confirmed for this long may have passed to
 // another node; the same bound as that of a pool's owner.
 const auto right = lease_terms().right;
 
+// Keeps the machine of a noted order if that may be recent.
+void note_past_order(
+    const keyed_record& record, moment now, std::set<std::string>& recent)
+{
+    std::int64_t ordered = 0;
+    const auto* end = record.value.data() + record.value.size();
+    const auto parsed = std::from_chars(record.value.data(), end, ordered);
+    const auto age = now.wall.time_since_epoch().count() - ordered;
+    if (parsed.ec != std::errc() || std::abs(age) < recent_order.count())
+        recent.insert(record.key.substr(order_prefix.size()));
+}
+
 } // namespace
 
 fleet_duty::fleet_duty(
@@ -46,6 +62,7 @@
     : context_(context),
       store_(store),
       router_(router),
+      platform_(context),
       writer_(
           context, store,
           place_of(fleet_shard, context.settings.store.partitions), "owner"),
@@ -138,6 +155,12 @@
 {
     const auto place =
         place_of(fleet_shard, context_.settings.store.partitions);
+    const auto now = read_clocks();
+    rested_at_ = now.steady +
+                 std::chrono::round<std::chrono::milliseconds>(
+                     std::chrono::duration<double, std::milli>(
+                         context_.settings.bounds.lease_ms)) +
+                 retry_pause;
     std::string after;
     while (true)
     {
@@ -146,6 +169,8 @@
             co_return false;
         for (const auto& record : page.records)
         {
+            if (record.key.starts_with(order_prefix))
+                note_past_order(record, now, lately_ordered_);
             if (!record.key.starts_with(progress_prefix))
                 continue;
             const auto known = decode_wave_record(record.value);
@@ -168,9 +193,6 @@
 asio::awaitable<bool> fleet_duty::save(std::string name)
 {
     const auto self = shared_from_this();
-    while (appending_)
-        co_await append_ended_.wait(retry_pause);
-    appending_ = true;
     const auto& wave = waves_[name];
     wave_record record{
         name,
@@ -179,14 +201,44 @@
         wave.completed, wave.began};
     std::vector<keyed_record> records{
         {std::string(progress_prefix) + name, encode(record), 0}};
+    co_return co_await append(std::move(records));
+}
+
+asio::awaitable<bool> fleet_duty::append(std::vector<keyed_record> records)
+{
+    const auto self = shared_from_this();
+    while (appending_)
+        co_await append_ended_.wait(retry_pause);
+    appending_ = true;
     const bool stored = co_await writer_.append(std::move(records));
     appending_ = false;
     append_ended_.notify();
-    if (!stored)
+    if (!stored && !lost_)
+    {
         lose("another node took the duty over");
+        co_await announce(true);
+    }
     co_return stored;
 }
 
+// Records when machines are ordered about, before that is done: a successor
+// leaves them alone until two holders no longer take turns too fast.
+asio::awaitable<bool> fleet_duty::note_orders(std::vector<std::string> machines)
+{
+    const auto now = read_clocks().wall.time_since_epoch().count();
+    std::vector<keyed_record> records;
+    for (const auto& machine : machines)
+        records.push_back(
+            {std::string(order_prefix) + machine, std::to_string(now), 0});
+    return append(std::move(records));
+}
+
+bool fleet_duty::is_rested(const std::string& machine) const
+{
+    return !lately_ordered_.contains(machine) ||
+           read_clocks().steady >= rested_at_;
+}
+
 asio::awaitable<void> fleet_duty::renew()
 {
     const auto self = shared_from_this();
@@ -201,68 +253,19 @@
                     renewal_interval - age, retry_pause));
             continue;
         }
-        appending_ = true;
         owner_record mine{
             context_.settings.node.name,
             to_string(context_.settings.listen.peers), context_.life,
             writer_.epoch(), false};
         std::vector<keyed_record> records{
             {std::string(shard_owner_key), encode(mine), 0}};
-        const bool stored = co_await writer_.append(std::move(records));
-        appending_ = false;
-        append_ended_.notify();
-        if (!stored && !lost_)
-        {
-            lose("another node took the duty over");
-            co_await announce(true);
-        }
+        co_await append(std::move(records));
     }
 }
 
-asio::awaitable<bool> fleet_duty::list_machines()
-{
-    const auto& where = context_.settings.machines.address;
-    const auto address = to_string(where);
-    std::vector<listed_machine> all;
-    std::string page_name;
-    while (true)
-    {
-        auto request = platform::encode_machine_list(address, page_name);
-        auto result = co_await context_.connections.exchange(
-            where, std::move(request), call_timeout);
-        context_.metrics.get_counter("tack_machine_calls_total").add();
-        const auto* response = std::get_if<http_response>(&result);
-        if (!response)
-            co_return false;
-        auto page = platform::decode_machine_list(*response);
-        if (const auto* wrong = std::get_if<findings>(&page))
-        {
-            context_.log.write(
-                "fleet", "machines_unreadable",
-                log_line().add("reason", to_string(wrong->front())));
-            co_return false;
-        }
-        auto& listed = std::get<machine_page>(page);
-        std::ranges::move(listed.machines, std::back_inserter(all));
-        if (listed.next.empty())
-            break;
-        page_name = listed.next;
-    }
-    machines_ = std::move(all);
-    co_return true;
-}
-
 asio::awaitable<void> fleet_duty::run()
 {
     const auto self = shared_from_this();
-    // A past holder may still have an order under way; nobody takes turns
-    // with it within this time.
-    co_await pause_for(
-        context_.executor,
-        std::chrono::round<std::chrono::milliseconds>(
-            std::chrono::duration<double, std::milli>(
-                context_.settings.bounds.lease_ms)) +
-            retry_pause);
     while (!lost_)
     {
         std::vector<std::string> active;
@@ -274,9 +277,10 @@
             co_await pause_for(context_.executor, idle_interval);
             continue;
         }
-        const bool listed = co_await list_machines();
+        auto listed = co_await platform_.list();
         if (listed)
         {
+            machines_ = std::move(*listed);
             for (const auto& name : active)
                 co_await advance(name);
             co_await balance();
@@ -325,7 +329,8 @@
             asio::co_spawn(
                 context_.executor, empty_host(machine), asio::detached);
     for (const auto& machine : step.order)
-        if (!lost_ && waves_[name].ordering.insert(machine.name).second)
+        if (!lost_ && is_rested(machine.name) &&
+            waves_[name].ordering.insert(machine.name).second)
             co_await order_upkeep(name, machine);
 }
 
@@ -351,23 +356,14 @@
     const bool first =
         waves_[name].progress.unanswered.insert(machine.name).second;
     const bool saved = co_await save(name);
-    if (saved && has_right())
+    std::vector<std::string> names{machine.name};
+    bool noted = false;
+    if (saved)
+        noted = co_await note_orders(std::move(names));
+    if (noted && has_right())
     {
-        const auto& where = context_.settings.machines.address;
-        const platform::machine_holder holder{
-            context_.settings.node.name, writer_.epoch()};
-        const auto address = to_string(where);
-        auto request = platform::encode_upkeep(
-            address, holder, machine.name, name);
-        auto result = co_await context_.connections.exchange(
-            where, std::move(request), call_timeout);
-        context_.metrics.get_counter("tack_machine_calls_total").add();
-        auto answer = machine_answer::unknown;
-        if (const auto* response = std::get_if<http_response>(&result))
-            answer = platform::decode_machine_answer(*response);
-        else if (
-            std::get<exchange_error>(result).result == outcome::not_run)
-            answer = machine_answer::refused;
+        const auto answer = co_await platform_.upkeep(
+            machine.name, name, writer_.epoch());
         context_.log.write(
             "fleet", "upkeep_ordered",
             log_line()
@@ -450,9 +446,13 @@
     co_return all;
 }
 
-std::set<std::string> fleet_duty::machines_in_waves() const
+// Machines that are not to be moved now.
+std::set<std::string> fleet_duty::kept_machines() const
 {
     std::set<std::string> out;
+    for (const auto& machine : lately_ordered_)
+        if (!is_rested(machine))
+            out.insert(machine);
     for (const auto& [machine, pool] : moving_)
         out.insert(machine);
     for (const auto& [name, wave] : waves_)
@@ -487,11 +487,21 @@
             machine.state = machine_state::moving;
         }
     const auto moves = balance_.plan(
-        demands, machines_, standby, machines_in_waves(),
+        demands, machines_, standby, kept_machines(),
         read_clocks().steady);
+    if (moves.empty())
+        co_return;
+    std::vector<std::string> names;
     for (const auto& order : moves)
     {
+        names.push_back(order.machine.name);
         moving_[order.machine.name] = order.to_pool;
+    }
+    const bool noted = co_await note_orders(std::move(names));
+    for (const auto& order : moves)
+    {
+        if (!noted)
+            break;
         asio::co_spawn(context_.executor, move(order), asio::detached);
     }
 }
@@ -517,23 +527,13 @@
                 answer.value == "empty";
     }
     auto answer = machine_answer::refused;
-    const auto& where = context_.settings.machines.address;
-    const auto address = to_string(where);
     for (int tries = 0; tries < move_tries && (empty || is_off) &&
                         has_right() &&
                         (tries == 0 || answer == machine_answer::unknown);
          ++tries)
     {
-        const platform::machine_holder holder{
-            context_.settings.node.name, writer_.epoch()};
-        auto request = platform::encode_move(
-            address, holder, machine.name, order.to_pool);
-        auto result = co_await context_.connections.exchange(
-            where, std::move(request), call_timeout);
-        context_.metrics.get_counter("tack_machine_calls_total").add();
-        answer = machine_answer::unknown;
-        if (const auto* response = std::get_if<http_response>(&result))
-            answer = platform::decode_machine_answer(*response);
+        answer = co_await platform_.move(
+            machine.name, order.to_pool, writer_.epoch());
     }
     context_.log.write(
         "fleet", "move_ordered",
--- /dev/null
+++ b/src/libnode/machine_client.cpp
@@ -0,0 +1,86 @@
+#include <dandeliontack/machine_client.hpp>
+
+#include <platform/machine_calls.hpp>
+
+#include <boost/asio.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace dandeliontack
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+// Above the answer of a platform that is slow but there.
+constexpr auto call_timeout = std::chrono::milliseconds(1500);
+
+} // namespace
+
+machine_client::machine_client(node_context& context)
+    : context_(context),
+      address_(to_string(context.settings.machines.address))
+{}
+
+asio::awaitable<std::optional<std::vector<listed_machine>>>
+machine_client::list()
+{
+    std::vector<listed_machine> all;
+    std::string page_name;
+    while (true)
+    {
+        auto request = platform::encode_machine_list(address_, page_name);
+        auto result = co_await context_.connections.exchange(
+            context_.settings.machines.address, std::move(request),
+            call_timeout);
+        context_.metrics.get_counter("tack_machine_calls_total").add();
+        const auto* response = std::get_if<http_response>(&result);
+        if (!response)
+            co_return std::nullopt;
+        auto page = platform::decode_machine_list(*response);
+        if (const auto* wrong = std::get_if<findings>(&page))
+        {
+            context_.log.write(
+                "machines", "machines_unreadable",
+                log_line().add("reason", to_string(wrong->front())));
+            co_return std::nullopt;
+        }
+        auto& listed = std::get<machine_page>(page);
+        std::ranges::move(listed.machines, std::back_inserter(all));
+        if (listed.next.empty())
+            break;
+        page_name = listed.next;
+    }
+    co_return all;
+}
+
+asio::awaitable<machine_answer> machine_client::order(http_request request)
+{
+    auto result = co_await context_.connections.exchange(
+        context_.settings.machines.address, std::move(request), call_timeout);
+    context_.metrics.get_counter("tack_machine_calls_total").add();
+    if (const auto* response = std::get_if<http_response>(&result))
+        co_return platform::decode_machine_answer(*response);
+    co_return std::get<exchange_error>(result).result == outcome::not_run
+        ? machine_answer::refused
+        : machine_answer::unknown;
+}
+
+asio::awaitable<machine_answer> machine_client::upkeep(
+    std::string machine, std::string wave, std::uint64_t fence)
+{
+    const platform::machine_holder holder{context_.settings.node.name, fence};
+    return order(platform::encode_upkeep(address_, holder, machine, wave));
+}
+
+asio::awaitable<machine_answer> machine_client::move(
+    std::string machine, std::string pool, std::uint64_t fence)
+{
+    const platform::machine_holder holder{context_.settings.node.name, fence};
+    return order(platform::encode_move(address_, holder, machine, pool));
+}
+
+} // namespace dandeliontack
--- a/src/libnode/shard_owner.cpp
+++ b/src/libnode/shard_owner.cpp
@@ -1,5 +1,6 @@
 #include <dandeliontack/shard_owner.hpp>
 
+#include <dandeliontack/machine_client.hpp>
 #include <dandeliontack/pause.hpp>
 #include <platform/host_calls.hpp>
 
@@ -40,6 +41,9 @@
 constexpr std::uint32_t orders_at_once = 3;
 constexpr auto advice_timeout = 1500ms;
 constexpr auto evacuation_time = 3000ms;
+// When a new owner looks for hosts that have not answered, and how often.
+constexpr auto first_look = 300ms;
+constexpr auto next_look = 1000ms;
 constexpr auto hand_over_patience = 1500ms;
 
 } // namespace
@@ -126,6 +130,7 @@
     serving_ = true;
     asio::co_spawn(context_.executor, store_changes(), asio::detached);
     asio::co_spawn(context_.executor, plan_regularly(), asio::detached);
+    asio::co_spawn(context_.executor, look_for_unmet_hosts(), asio::detached);
     for (const auto& [id, host] : engine_->hosts())
         if (held_hosts_.insert(id).second)
             asio::co_spawn(context_.executor, hold_host(id), asio::detached);
@@ -504,6 +509,36 @@
     }
 }
 
+// A host is one life of a machine: one that no machine names any more has
+// ended, and the takeover need not wait for its leases.
+asio::awaitable<void> shard_owner::look_for_unmet_hosts()
+{
+    const auto self = shared_from_this();
+    machine_client platform(context_);
+    co_await pause_for(context_.executor, first_look);
+    while (!lost_ && !engine_->unmet_hosts().empty())
+    {
+        const auto asked = engine_->unmet_hosts();
+        const auto machines = co_await platform.list();
+        if (lost_)
+            co_return;
+        for (const auto& id : asked)
+        {
+            const auto host = engine_->hosts().find(id);
+            if (!machines || host == engine_->hosts().end() ||
+                std::ranges::find(*machines, id, &listed_machine::host) !=
+                    machines->end())
+                continue;
+            const auto born = host->second.entry.born;
+            context_.log.write(
+                "owner", "host_left",
+                log_line().add("host", id).add("epoch", epoch()));
+            apply(pool_event::host_life_ended{id, born});
+        }
+        co_await pause_for(context_.executor, next_look);
+    }
+}
+
 // Looks at a host again and again: learns what runs and what has ended,
 // acknowledges ends, and extends the lease of all that runs there.
 asio::awaitable<void> shard_owner::hold_host(std::string id)
--- a/src/libnode/tack_node.cpp
+++ b/src/libnode/tack_node.cpp
@@ -24,7 +24,7 @@
 
 // Nodes announce themselves this often; well under the silence after which
 // one counts as lost.
-constexpr auto announce_interval = 800ms;
+constexpr auto announce_interval = 600ms;
 constexpr auto claim_interval = 150ms;
 // How long reads of the operator's topic wait: a connection that went silent
 // is noticed within this and the call's own timeout.
--- a/src/libsched/pool_engine.cpp
+++ b/src/libsched/pool_engine.cpp
@@ -1183,6 +1183,14 @@
            (h.contacted || h.lease.has_ended(now.steady));
 }
 
+std::vector<std::string> pool_engine::unmet_hosts() const
+{
+    std::vector<std::string> out(unmet_hosts_.begin(), unmet_hosts_.end());
+    for (const auto& [id, tasks] : unmet_closed_)
+        out.push_back(id);
+    return out;
+}
+
 bool pool_engine::is_settling() const
 {
     return settling_;
