--- a/src/include/dandeliontack/node_context.hpp
+++ b/src/include/dandeliontack/node_context.hpp
@@ -8,6 +8,8 @@
 
 #include <boost/asio/any_io_executor.hpp>
 
+#include <string>
+
 namespace dandeliontack
 {
 
@@ -21,6 +23,8 @@
     /// Connections to hosts, to peers and to the platform.
     http_pool& connections;
     incarnation life;
+    /// Where other nodes reach this one; set once it listens.
+    std::string peer_address;
 };
 
 } // namespace dandeliontack
--- a/src/libnode/fleet_duty.cpp
+++ b/src/libnode/fleet_duty.cpp
@@ -103,7 +103,7 @@
 {
     const auto self = shared_from_this();
     owner_record mine{
-        context_.settings.node.name, to_string(context_.settings.listen.peers),
+        context_.settings.node.name, context_.peer_address,
         context_.life, writer_.epoch(), released};
     std::vector<keyed_record> records{
         {owner_key(fleet_shard), encode(mine), 0}};
@@ -117,7 +117,7 @@
 {
     const auto self = shared_from_this();
     owner_record mine{
-        context_.settings.node.name, to_string(context_.settings.listen.peers),
+        context_.settings.node.name, context_.peer_address,
         context_.life, last + 1, false};
     std::vector<keyed_record> records{
         {std::string(shard_owner_key), encode(mine), 0}};
@@ -255,7 +255,7 @@
         }
         owner_record mine{
             context_.settings.node.name,
-            to_string(context_.settings.listen.peers), context_.life,
+            context_.peer_address, context_.life,
             writer_.epoch(), false};
         std::vector<keyed_record> records{
             {std::string(shard_owner_key), encode(mine), 0}};
--- a/src/libnode/shard_owner.cpp
+++ b/src/libnode/shard_owner.cpp
@@ -107,7 +107,7 @@
     const auto self = shared_from_this();
     const auto began = read_clocks().steady;
     owner_record mine{
-        context_.settings.node.name, to_string(context_.settings.listen.peers),
+        context_.settings.node.name, context_.peer_address,
         context_.life, 0, false};
     mine.epoch = last + 1;
     std::vector<keyed_record> records{
@@ -152,7 +152,7 @@
 {
     const auto self = shared_from_this();
     owner_record mine{
-        context_.settings.node.name, to_string(context_.settings.listen.peers),
+        context_.settings.node.name, context_.peer_address,
         context_.life, epoch(), released};
     std::vector<keyed_record> records{{owner_key(shard_), encode(mine), 0}};
     if (registry_writer_.standing() != fenced_writer::state::idle)
@@ -451,7 +451,7 @@
         {
             owner_record mine{
                 context_.settings.node.name,
-                to_string(context_.settings.listen.peers), context_.life,
+                context_.peer_address, context_.life,
                 epoch(), false};
             records.push_back({std::string(shard_owner_key), encode(mine), 0});
         }
--- a/src/libnode/tack_node.cpp
+++ b/src/libnode/tack_node.cpp
@@ -103,7 +103,9 @@
 void tack_node::start()
 {
     const auto& listen = context_.settings.listen;
-    announce("peers", peers_.listen(listen.peers));
+    const auto peers = peers_.listen(listen.peers);
+    context_.peer_address = to_string(peers);
+    announce("peers", peers);
     announce("metrics", metrics_.listen(listen.metrics));
     announce("callers", callers_.listen(listen.callers));
     announce("readiness", readiness_.listen(listen.readiness));
@@ -129,7 +131,7 @@
     constexpr double milli = 1000;
     return {
         context_.settings.node.name,
-        to_string(context_.settings.listen.peers),
+        context_.peer_address,
         context_.life,
         beat_,
         leaving_,
@@ -265,6 +267,9 @@
         router_.disown(shard);
     if (duty_ && duty_->is_lost())
         duty_.reset();
+    context_.metrics.get_gauge("tack_shards_owned")
+        .set(static_cast<std::int64_t>(router_.owned().size()));
+    context_.metrics.get_gauge("tack_fleet_duty").set(duty_ ? 1 : 0);
 }
 
 asio::awaitable<void> tack_node::claim_regularly()
--- a/src/tack-node/main.cpp
+++ b/src/tack-node/main.cpp
@@ -75,7 +75,7 @@
     http_pool connections(context.get_executor(), {});
     node_context shared{
         context.get_executor(), settings, log, metrics, connections,
-        make_incarnation()};
+        make_incarnation(), {}};
     tack_node node(shared);
     node.start();
     log.write(
--- /dev/null
+++ b/testsuite/fleet_nodes/fleet_nodes_test.cpp
@@ -0,0 +1,327 @@
+// Nodes as whole processes on a stand-in of the platform: a calm day, the
+// loss of an owner, a store that is away, planned stops, and bad input.
+
+#include "harness/cluster.hpp"
+
+#include <boost/beast/http.hpp>
+#include <boost/json.hpp>
+#include <gtest/gtest.h>
+
+#include <csignal>
+
+namespace dandeliontack::harness
+{
+
+namespace
+{
+
+namespace http = boost::beast::http;
+namespace json = boost::json;
+
+constexpr auto stop_limit = std::chrono::seconds(20);
+
+constexpr std::string_view configuration = R"({"version":1,
+"routes":[{"name":"checks","host":"reg.example","pathPrefix":"/checks/",
+"type":"unsafe","timeoutMs":3000,"targetLatencyMs":600,"priority":0,
+"service":"pool","maxAttempts":2,"stretch":2.0}],
+"services":[{"name":"pool","admissionCheck":true,"standby":false}],
+"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,
+"idleTimeoutMs":15000}})";
+
+std::string submission(const std::string& text, unsigned count, bool lasting)
+{
+    json::object step{
+        {"count", count}, {"cpu", 500}, {"memMb", 100}, {"estimateMs", 200}};
+    if (lasting)
+        step["longRunning"] = true;
+    json::array steps{step};
+    if (!lasting)
+    {
+        step["after"] = json::array{0};
+        steps.push_back(step);
+    }
+    return json::serialize(
+        json::object{{"spec", text}, {"phases", std::move(steps)}});
+}
+
+class node_fleet : public testing::Test
+{
+protected:
+    node_fleet()
+        : platform_(
+              "testsuite/standins/fleet/standin-fleet", {},
+              folder_.path() / "platform.err"),
+          platform_address_(platform_.address_of("platform"))
+    {
+        post(platform_address_, "/configuration", std::string(configuration));
+    }
+
+    void start_node(const std::string& name)
+    {
+        const auto path = folder_.write(
+            name + ".ini",
+            "[node]\nname = " + name +
+                "\ndata_centre = dc-1\n"
+                "[listen]\ncallers = 127.0.0.1:0\nreadiness = 127.0.0.1:0\n"
+                "metrics = 127.0.0.1:0\npeers = 127.0.0.1:0\n"
+                "[store]\naddress = " + to_string(platform_address_) +
+                "\n[machines]\naddress = " + to_string(platform_address_) +
+                "\n[bounds]\ngrace_seconds = 4\n");
+        nodes_.erase(name);
+        const auto started = nodes_.emplace(
+            name, child_process(
+                      "src/tack-node/tack-node", {"--settings", path},
+                      folder_.path() / (name + ".err")));
+        callers_[name] = started.first->second.address_of("callers");
+        ready_[name] = started.first->second.address_of("readiness");
+        metrics_[name] = started.first->second.address_of("metrics");
+    }
+
+    void start_nodes()
+    {
+        for (const auto* name : {"n1", "n2", "n3"})
+            start_node(name);
+        for (const auto* name : {"n1", "n2", "n3"})
+            ASSERT_TRUE(eventually([&] {
+                return get(ready_[name], "/").result() == http::status::ok;
+            }));
+        // Until a node owns the pool's shard, queues can't be counted.
+        ASSERT_TRUE(eventually([&] {
+            return ask("n1", http::verb::get, "/checks/").result() ==
+                   http::status::ok;
+        }));
+    }
+
+    http_response ask(
+        const std::string& node, http::verb verb, const std::string& target,
+        std::string body = {})
+    {
+        http_request request(verb, target, 11);
+        request.set(http::field::host, "reg.example");
+        request.body() = std::move(body);
+        request.prepare_payload();
+        return call(callers_[node], std::move(request));
+    }
+
+    // Hands in again under the same id until it is accepted.
+    bool hand_in(
+        const std::string& node, const std::string& id, const std::string& body)
+    {
+        return eventually([&] {
+            try
+            {
+                return ask(node, http::verb::post, "/checks/" + id, body)
+                           .result() == http::status::ok;
+            }
+            catch (const std::runtime_error&)
+            {
+                return false;
+            }
+        });
+    }
+
+    std::string state(const std::string& node, const std::string& id)
+    {
+        const auto response = ask(node, http::verb::get, "/checks/" + id);
+        if (response.result() != http::status::ok)
+            return std::to_string(response.result_int());
+        return std::string(
+            json::parse(response.body()).at("state").as_string());
+    }
+
+    bool reaches(
+        const std::string& node, const std::string& id,
+        const std::string& wanted)
+    {
+        return eventually(
+            [&] { return state(node, id) == wanted; },
+            std::chrono::seconds(40));
+    }
+
+    json::array all_runs()
+    {
+        return get_json(platform_address_, "/runs").at("runs").as_array();
+    }
+
+    // No task may run twice at once, nor again after it was done.
+    void check_runs()
+    {
+        const auto runs = all_runs();
+        for (const auto& a : runs)
+            for (const auto& b : runs)
+            {
+                if (&a == &b || a.at("task") != b.at("task") ||
+                    a.at("begin").to_number<std::int64_t>() >
+                        b.at("begin").to_number<std::int64_t>())
+                    continue;
+                ASSERT_TRUE(a.as_object().contains("end"))
+                    << json::serialize(a) << json::serialize(b);
+                EXPECT_LE(
+                    a.at("end").to_number<std::int64_t>(),
+                    b.at("begin").to_number<std::int64_t>())
+                    << json::serialize(a) << json::serialize(b);
+                EXPECT_NE(a.at("how").as_string(), "done")
+                    << json::serialize(a) << json::serialize(b);
+            }
+    }
+
+    // The node that answers for the pool, by its own metrics.
+    std::string owner()
+    {
+        std::string found;
+        eventually([&] {
+            for (const auto& [name, process] : nodes_)
+                if (get(metrics_[name], "/metrics")
+                        .body()
+                        .find("tack_shards_owned 1") != std::string::npos)
+                    found = name;
+            return !found.empty();
+        });
+        return found;
+    }
+
+    temporary_folder folder_;
+    child_process platform_;
+    endpoint platform_address_;
+    std::map<std::string, child_process> nodes_;
+    std::map<std::string, endpoint> callers_;
+    std::map<std::string, endpoint> ready_;
+    std::map<std::string, endpoint> metrics_;
+};
+
+std::string id_of(unsigned number)
+{
+    const auto digits = std::to_string(number);
+    return std::string(16 - digits.size(), 'a') + digits;
+}
+
+} // namespace
+
+TEST_F(node_fleet, serves_a_calm_day)
+{
+    start_nodes();
+    for (unsigned i = 0; i < 12; ++i)
+        ASSERT_TRUE(hand_in(
+            i % 2 == 0 ? "n1" : "n2", id_of(i),
+            submission("100", 3, false)));
+    // The same submission again changes nothing.
+    EXPECT_TRUE(hand_in("n3", id_of(0), submission("100", 3, false)));
+    for (unsigned i = 0; i < 12; ++i)
+        EXPECT_TRUE(reaches("n3", id_of(i), "completed"));
+    EXPECT_EQ(all_runs().size(), 12U * 6);
+    check_runs();
+    EXPECT_EQ(state("n1", id_of(99)), "410");
+    EXPECT_EQ(
+        ask("n2", http::verb::get, "/checks/").body(), R"({"pending":0})");
+}
+
+TEST_F(node_fleet, loses_nothing_with_its_owner)
+{
+    start_nodes();
+    ASSERT_TRUE(hand_in("n1", id_of(1), submission("lasting", 2, true)));
+    for (unsigned i = 10; i < 20; ++i)
+        ASSERT_TRUE(hand_in("n2", id_of(i), submission("400", 2, false)));
+    ASSERT_TRUE(reaches("n1", id_of(1), "running"));
+    const auto lost = owner();
+    ASSERT_FALSE(lost.empty());
+    nodes_.at(lost).send_signal(SIGKILL);
+    const std::string other = lost == "n1" ? "n2" : "n1";
+    for (unsigned i = 10; i < 20; ++i)
+        EXPECT_TRUE(reaches(other, id_of(i), "completed"));
+    EXPECT_EQ(state(other, id_of(1)), "running");
+    check_runs();
+    // The lasting tasks went on where they ran.
+    const auto runs = all_runs();
+    EXPECT_EQ(
+        std::ranges::count_if(
+            runs,
+            [&](const json::value& run) {
+                return run.at("task").as_string().starts_with(id_of(1));
+            }),
+        2);
+}
+
+TEST_F(node_fleet, survives_the_kill_of_every_node)
+{
+    start_nodes();
+    ASSERT_TRUE(hand_in("n1", id_of(1), submission("300", 4, false)));
+    ASSERT_TRUE(hand_in("n1", id_of(2), submission("300", 4, false)));
+    EXPECT_EQ(
+        ask("n2", http::verb::delete_, "/checks/" + id_of(2)).result(),
+        http::status::ok);
+    for (auto& [name, process] : nodes_)
+        process.send_signal(SIGKILL);
+    start_nodes();
+    EXPECT_TRUE(reaches("n2", id_of(1), "completed"));
+    EXPECT_EQ(state("n3", id_of(2)), "cancelled");
+    // A late copy of what was cancelled brings nothing back.
+    EXPECT_TRUE(hand_in("n1", id_of(2), submission("300", 4, false)));
+    EXPECT_EQ(state("n3", id_of(2)), "cancelled");
+    check_runs();
+}
+
+TEST_F(node_fleet, hands_over_in_a_planned_stop)
+{
+    start_nodes();
+    for (unsigned i = 0; i < 6; ++i)
+        ASSERT_TRUE(hand_in("n1", id_of(i), submission("300", 2, false)));
+    const auto stopping = owner();
+    ASSERT_FALSE(stopping.empty());
+    nodes_.at(stopping).send_signal(SIGTERM);
+    const std::string other = stopping == "n1" ? "n2" : "n1";
+    for (unsigned i = 0; i < 6; ++i)
+        EXPECT_TRUE(reaches(other, id_of(i), "completed"));
+    EXPECT_EQ(nodes_.at(stopping).wait_exit(stop_limit), 0);
+    check_runs();
+}
+
+TEST_F(node_fleet, says_nothing_untrue_while_the_store_is_away)
+{
+    start_nodes();
+    ASSERT_TRUE(hand_in("n1", id_of(1), submission("lasting", 1, true)));
+    ASSERT_TRUE(reaches("n1", id_of(1), "running"));
+    post(platform_address_, "/fault?mode=lose-answers");
+    const auto unclear =
+        ask("n1", http::verb::post, "/checks/" + id_of(2),
+            submission("100", 1, false));
+    EXPECT_EQ(unclear.result(), http::status::gateway_timeout);
+    post(platform_address_, "/fault?mode=none");
+    EXPECT_TRUE(hand_in("n2", id_of(2), submission("100", 1, false)));
+    EXPECT_TRUE(reaches("n3", id_of(2), "completed"));
+    check_runs();
+}
+
+TEST_F(node_fleet, refuses_bad_input_and_stores_nothing)
+{
+    start_nodes();
+    struct row
+    {
+        std::string id;
+        std::string body;
+        http::status status;
+    };
+    const std::vector<row> rows{
+        {id_of(1), "not json", http::status::bad_request},
+        {id_of(1), R"({"phases":[{"count":"two"}]})",
+         http::status::bad_request},
+        {id_of(1), R"({"phases":[{"count":0}]})",
+         http::status::unprocessable_entity},
+        {id_of(1), R"({"phases":[{"count":1,"after":[0]}]})",
+         http::status::unprocessable_entity},
+        {id_of(1), R"({"phases":[]})", http::status::unprocessable_entity},
+        {"xyz", submission("100", 1, false), http::status::bad_request}};
+    for (const auto& [id, body, status] : rows)
+    {
+        const auto response =
+            ask("n1", http::verb::post, "/checks/" + id, body);
+        EXPECT_EQ(response.result(), status) << body;
+        EXPECT_NE(response.body().find("not-run"), std::string::npos);
+    }
+    EXPECT_EQ(state("n1", id_of(1)), "410");
+    EXPECT_EQ(
+        ask("n1", http::verb::get, "/nowhere/").result(),
+        http::status::not_found);
+    EXPECT_TRUE(all_runs().empty());
+}
+
+} // namespace dandeliontack::harness
--- /dev/null
+++ b/testsuite/standins/fleet/keyed_store.cpp
@@ -0,0 +1,169 @@
+#include "keyed_store.hpp"
+
+#include <absl/strings/escaping.h>
+#include <boost/endian/conversion.hpp>
+#include <boost/json.hpp>
+
+#include <charconv>
+
+namespace dandeliontack::standins
+{
+
+namespace json = boost::json;
+namespace http = boost::beast::http;
+
+namespace
+{
+
+constexpr std::size_t remembered_answers = 5;
+
+std::uint64_t number(const std::string& target, std::string_view name)
+{
+    const auto text = query_value(target, name);
+    std::uint64_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+http_response answer(http::status status, const json::object& body)
+{
+    return make_response(status, "application/json", json::serialize(body));
+}
+
+template <class Integer>
+void put_number(std::string& out, Integer value)
+{
+    const auto big = boost::endian::native_to_big(value);
+    out.append(reinterpret_cast<const char*>(&big), sizeof big);
+}
+
+} // namespace
+
+keyed_store::partition& keyed_store::place(const std::string& target)
+{
+    return partitions_
+        [query_value(target, "topic") + "/" + query_value(target, "part")];
+}
+
+http_response keyed_store::append(const http_request& request)
+{
+    const std::string target(request.target());
+    auto& part = place(target);
+    const auto producer = query_value(target, "producer");
+    const auto sequence = number(target, "sequence");
+    if (!producer.empty())
+    {
+        auto& writer = part.writers[producer];
+        const auto epoch = number(target, "epoch");
+        if (epoch < writer.epoch)
+            return answer(http::status::conflict, {{"reason", "fenced"}});
+        if (epoch > writer.epoch)
+            writer = {epoch, sequence - 1, {}};
+        for (const auto& [old, body] : writer.answers)
+            if (old == sequence)
+                return make_response(
+                    http::status::ok, "application/json", body);
+        if (sequence != writer.sequence + 1)
+            return answer(
+                http::status::conflict,
+                {{"reason", "seq"}, {"sequence", writer.sequence + 1}});
+        writer.sequence = sequence;
+    }
+    const auto at = query_value(target, "at");
+    if (!at.empty() && number(target, "at") != part.records.size())
+        return answer(
+            http::status::precondition_failed,
+            {{"endOffset", part.records.size()}});
+    const auto offset = part.records.size();
+    std::string_view body = request.body();
+    while (body.size() > sizeof(std::uint32_t))
+    {
+        std::uint32_t size = 0;
+        std::copy_n(body.data(), sizeof size, reinterpret_cast<char*>(&size));
+        size = boost::endian::big_to_native(size);
+        const auto content = body.substr(sizeof size, size);
+        const auto key = static_cast<unsigned char>(content.front());
+        part.records.push_back(
+            {std::string(content.substr(1, key)),
+             std::string(content.substr(1 + key))});
+        body.remove_prefix(sizeof size + size);
+    }
+    const auto text = json::serialize(json::object{
+        {"offset", offset}, {"endOffset", part.records.size()}});
+    if (!producer.empty())
+    {
+        auto& answers = part.writers[producer].answers;
+        answers.emplace_back(sequence, text);
+        if (answers.size() > remembered_answers)
+            answers.pop_front();
+    }
+    return make_response(http::status::ok, "application/json", text);
+}
+
+std::optional<http_response> keyed_store::read(const http_request& request)
+{
+    const std::string target(request.target());
+    const auto& part = place(target);
+    const auto from = number(target, "from");
+    if (from >= part.records.size() && number(target, "waitMs") > 0)
+        return std::nullopt;
+    std::string body;
+    put_number(body, std::uint64_t{part.records.size()});
+    put_number(body, std::uint64_t{0});
+    for (auto i = from; i < part.records.size(); ++i)
+    {
+        const auto& item = part.records[i];
+        put_number(
+            body, static_cast<std::uint32_t>(
+                      1 + item.key.size() + item.value.size()));
+        body.push_back(static_cast<char>(item.key.size()));
+        body += item.key + item.value;
+    }
+    return make_response(
+        http::status::ok, "application/octet-stream", std::move(body));
+}
+
+http_response keyed_store::newest(const http_request& request)
+{
+    const auto& part = place(std::string(request.target()));
+    std::map<std::string, std::pair<std::size_t, const record*>> keys;
+    for (std::size_t i = 0; i < part.records.size(); ++i)
+    {
+        const auto& item = part.records[i];
+        if (item.value.empty())
+            keys.erase(item.key);
+        else
+            keys[item.key] = {i, &item};
+    }
+    json::array items;
+    for (const auto& [key, item] : keys)
+        items.push_back(
+            {{"key", key},
+             {"value", absl::Base64Escape(item.second->value)},
+             {"offset", item.first}});
+    return answer(
+        http::status::ok, {{"items", std::move(items)},
+                           {"hasMore", false},
+                           {"endOffset", part.records.size()}});
+}
+
+void keyed_store::put(
+    const std::string& topic, std::string key, std::string value)
+{
+    partitions_[topic + "/0"].records.push_back(
+        {std::move(key), std::move(value)});
+}
+
+std::vector<std::string>
+keyed_store::history(const std::string& topic, const std::string& key) const
+{
+    std::vector<std::string> out;
+    const auto found = partitions_.find(topic + "/0");
+    if (found != partitions_.end())
+        for (const auto& item : found->second.records)
+            if (item.key == key)
+                out.push_back(item.value);
+    return out;
+}
+
+} // namespace dandeliontack::standins
--- /dev/null
+++ b/testsuite/standins/fleet/main.cpp
@@ -0,0 +1,244 @@
+// Takes the place of the platform that nodes run on: the store, the list of
+// machines, and hosts that run tasks. Beside the platform's calls:
+//   POST /configuration          puts the body into force
+//   POST /fault?mode=MODE        none, down (503) or lose-answers (appends)
+//   GET  /runs                   every run of every host
+//   GET  /records?topic=&key=    how many records were written under a key
+
+#include "keyed_store.hpp"
+#include "task_host.hpp"
+#include <dandeliontack/http_server.hpp>
+#include <dandeliontack/pause.hpp>
+#include <dandeliontack/program.hpp>
+
+#include <absl/flags/flag.h>
+#include <boost/asio.hpp>
+
+#include <algorithm>
+#include <memory>
+
+ABSL_FLAG(std::string, listen, "127.0.0.1:0", "Where to serve.");
+ABSL_FLAG(std::string, pool, "pool", "The pool that the hosts belong to.");
+ABSL_FLAG(std::uint32_t, hosts, 3, "How many hosts run.");
+
+namespace
+{
+
+using namespace dandeliontack;
+using standins::keyed_store;
+using standins::task_host;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+
+constexpr auto poll_interval = 5ms;
+constexpr auto beat_interval = 500ms;
+
+// Throwing this makes the server close the connection without an answer.
+struct no_answer : std::exception
+{
+};
+
+std::chrono::milliseconds wait_of(const std::string& text)
+{
+    return std::chrono::milliseconds(text.empty() ? 0 : std::stol(text));
+}
+
+struct running_host
+{
+    running_host(
+        asio::any_io_executor executor, metric_registry& metrics,
+        const std::string& id)
+        : host(id),
+          server(executor, {}, metrics, [this](http_request request) {
+              return handle(std::move(request));
+          })
+    {
+        address = to_string(server.listen({"127.0.0.1", 0}));
+    }
+
+    asio::awaitable<http_response> handle(http_request request)
+    {
+        const std::string target(request.target());
+        if (request["Dandeliontack-Target-Instance"] != host.id())
+            co_return make_response(
+                http::status::misdirected_request, "text/plain", {});
+        if (target == "/run-start")
+            co_return host.start(request);
+        if (target == "/run-stop")
+            co_return host.stop(request);
+        if (target != "/hold")
+            co_return make_response(http::status::not_found, "text/plain", {});
+        const auto body = json::parse(request.body()).as_object();
+        const auto* wait = body.if_contains("waitMs");
+        const auto until =
+            std::chrono::steady_clock::now() +
+            std::chrono::milliseconds(
+                wait ? wait->to_number<std::int64_t>() : 0);
+        const auto executor = co_await asio::this_coro::executor;
+        while (!host.has_ends() && std::chrono::steady_clock::now() < until)
+            co_await pause_for(executor, poll_interval);
+        co_return host.hold(request);
+    }
+
+    task_host host;
+    http_server server;
+    std::string address;
+};
+
+class fleet
+{
+public:
+    explicit fleet(asio::any_io_executor executor) : executor_(executor)
+    {
+        for (std::uint32_t i = 0; i < absl::GetFlag(FLAGS_hosts); ++i)
+            hosts_.push_back(std::make_unique<running_host>(
+                executor, metrics_, "i-" + std::to_string(i)));
+    }
+
+    asio::awaitable<void> beat()
+    {
+        std::uint64_t sequence = 0;
+        while (true)
+        {
+            ++sequence;
+            for (const auto& item : hosts_)
+                store_.put(
+                    "keyed.servers", item->host.id(),
+                    item->host.entry(
+                        absl::GetFlag(FLAGS_pool), item->address, sequence));
+            co_await pause_for(executor_, beat_interval);
+        }
+    }
+
+    asio::awaitable<http_response> handle(http_request request)
+    {
+        const std::string target(request.target());
+        const std::string path(target_path(target));
+        if (path.starts_with("/log-") && fault_ == "down")
+            co_return plain(http::status::service_unavailable);
+        if (path == "/log-append")
+        {
+            auto response = store_.append(request);
+            if (fault_ == "lose-answers")
+                throw no_answer();
+            co_return response;
+        }
+        if (path == "/log-newest")
+            co_return store_.newest(request);
+        if (path == "/log-read")
+            co_return co_await read(std::move(request));
+        if (path == "/machines")
+            co_return machines();
+        if (path == "/runs")
+            co_return runs();
+        if (path == "/records")
+            co_return plain(
+                http::status::ok,
+                std::to_string(store_
+                                   .history(
+                                       query_value(target, "topic"),
+                                       query_value(target, "key"))
+                                   .size()));
+        if (path == "/configuration")
+            store_.put("keyed.op", "config", request.body());
+        else if (path == "/fault")
+            fault_ = query_value(target, "mode");
+        else
+            co_return plain(http::status::not_found);
+        co_return plain(http::status::ok);
+    }
+
+private:
+    static http_response plain(http::status status, std::string text = {})
+    {
+        return make_response(status, "text/plain", std::move(text));
+    }
+
+    asio::awaitable<http_response> read(http_request request)
+    {
+        const auto wait =
+            wait_of(query_value(std::string(request.target()), "waitMs"));
+        const auto until = std::chrono::steady_clock::now() + wait;
+        auto found = store_.read(request);
+        while (!found && std::chrono::steady_clock::now() < until)
+        {
+            co_await pause_for(executor_, poll_interval);
+            found = store_.read(request);
+        }
+        if (found)
+            co_return std::move(*found);
+        std::string target(request.target());
+        target.erase(target.find("&waitMs="));
+        request.target(target);
+        co_return *store_.read(request);
+    }
+
+    http_response machines() const
+    {
+        json::array list;
+        for (const auto& item : hosts_)
+            list.push_back(
+                {{"machine", "m-" + item->host.id()},
+                 {"pool", absl::GetFlag(FLAGS_pool)},
+                 {"state", "up"},
+                 {"zone", "dc-1"},
+                 {"labels", json::array{"a", "r1"}},
+                 {"capacity", {{"cpu", 8000}, {"memMb", 8000}}},
+                 {"id", item->host.id()}});
+        return make_response(
+            http::status::ok, "application/json",
+            json::serialize(json::object{
+                {"machines", std::move(list)}, {"nextToken", nullptr}}));
+    }
+
+    http_response runs() const
+    {
+        json::array all;
+        for (const auto& item : hosts_)
+        {
+            item->host.advance();
+            for (const auto& row : item->host.history())
+                all.push_back(row);
+        }
+        return make_response(
+            http::status::ok, "application/json",
+            json::serialize(json::object{{"runs", std::move(all)}}));
+    }
+
+    asio::any_io_executor executor_;
+    metric_registry metrics_;
+    keyed_store store_;
+    std::vector<std::unique_ptr<running_host>> hosts_;
+    std::string fault_ = "none";
+};
+
+int run()
+{
+    asio::io_context context(1);
+    metric_registry metrics;
+    fleet world(context.get_executor());
+    http_server server(
+        context.get_executor(), {}, metrics, [&](http_request request) {
+            return world.handle(std::move(request));
+        });
+    const auto where = parse_endpoint(absl::GetFlag(FLAGS_listen));
+    if (!where)
+        return exit_bad_input;
+    announce("platform", server.listen(*where));
+    asio::co_spawn(context, world.beat(), asio::detached);
+    asio::co_spawn(
+        context, wait_for_stop_signal(),
+        [&](std::exception_ptr) { context.stop(); });
+    context.run();
+    return exit_ok;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    parse_flags(argc, argv, "Takes the platform's place in tests of nodes.");
+    return run_guarded(run);
+}
