Keep hosts empty until their upkeep is ordered

Change: a host that waits is asked again each round; an order or a move is sent only within 1.8 s of the answer, and a repeated move asks again.

--- a/src/include/dandeliontack/fleet_duty.hpp
+++ b/src/include/dandeliontack/fleet_duty.hpp
@@ -58,6 +58,8 @@
     tell_ended(std::string pool, std::string host);
     boost::asio::awaitable<std::vector<pool_demand>> collect_demands();
     std::set<std::string> kept_machines() const;
+    bool is_kept_empty(
+        const std::string& host, std::chrono::milliseconds age) const;
     bool is_rested(const std::string& machine) const;
     bool has_right() const;
     void lose(std::string_view reason);
@@ -81,7 +83,8 @@
     fenced_writer registry_writer_;
     std::map<std::string, wave_state> waves_;
     std::vector<listed_machine> machines_;
-    std::map<std::string, bool> empty_;
+    /// When the owners of hosts were asked that said they are kept empty.
+    std::map<std::string, boot_time> empty_since_;
     std::set<std::string> emptying_;
     /// Hosts that ran nothing when their owners were asked last.
     std::set<std::string> idle_;
--- a/src/libnode/fleet_duty.cpp
+++ b/src/libnode/fleet_duty.cpp
@@ -30,6 +30,10 @@
 constexpr auto idle_interval = 400ms;
 // A move that the platform has not answered is ordered again for this long.
 constexpr int move_tries = 4;
+// Owners keep a host empty for 3 s after they were asked: until when that is
+// enough to plan by, and to send an order by.
+constexpr auto fresh_empty = 900ms;
+constexpr auto still_locked = 1800ms;
 // What emptying a host takes on the whole.
 constexpr auto emptying_time = 2000ms;
 constexpr auto ask_patience = 600ms;
@@ -233,6 +237,16 @@
     return append(std::move(records));
 }
 
+// Whether the host's owner said, at most `age` ago, that it is empty and will
+// be kept so.
+bool fleet_duty::is_kept_empty(
+    const std::string& host, std::chrono::milliseconds age) const
+{
+    const auto found = empty_since_.find(host);
+    return found != empty_since_.end() &&
+           read_clocks().steady - found->second < age;
+}
+
 bool fleet_duty::is_rested(const std::string& machine) const
 {
     return !lately_ordered_.contains(machine) ||
@@ -310,8 +324,7 @@
         seconds_of(context_.settings.machines.upkeep_seconds) + emptying_time;
     const auto step = plan_upkeep(
         wave.request, wave.progress, machines_, [&](const std::string& host) {
-            const auto found = empty_.find(host);
-            if (found != empty_.end() && found->second)
+            if (is_kept_empty(host, fresh_empty))
                 return host_use_state::emptied;
             return idle_.contains(host) ? host_use_state::idle
                                         : host_use_state::busy;
@@ -331,7 +344,9 @@
     for (const auto& machine : step.order)
         if (!lost_ && is_rested(machine.name) &&
             waves_[name].ordering.insert(machine.name).second)
-            co_await order_upkeep(name, machine);
+            asio::co_spawn(
+                context_.executor, order_upkeep(name, machine),
+                asio::detached);
 }
 
 asio::awaitable<void> fleet_duty::empty_host(listed_machine machine)
@@ -341,9 +356,12 @@
         shard_call::verb::evacuate,
         shard_of(machine.pool, context_.settings.store.partitions), 0,
         machine.host, {}};
+    const auto asked = read_clocks().steady;
     const auto answer = co_await router_.ask(call, ask_patience, ask_patience);
-    if (answer.outcome == shard_outcome::done)
-        empty_[machine.host] = answer.value == "empty";
+    if (answer.outcome == shard_outcome::done && answer.value == "empty")
+        empty_since_[machine.host] = asked;
+    else
+        empty_since_.erase(machine.host);
     emptying_.erase(machine.host);
 }
 
@@ -360,7 +378,12 @@
     bool noted = false;
     if (saved)
         noted = co_await note_orders(std::move(names));
-    if (noted && has_right())
+    // Its owner keeps the host empty for a while only.
+    const bool still_empty =
+        machine.host.empty() || is_kept_empty(machine.host, still_locked);
+    if (noted && has_right() && !still_empty)
+        waves_[name].progress.unanswered.erase(machine.name);
+    if (noted && has_right() && still_empty)
     {
         const auto answer = co_await platform_.upkeep(
             machine.name, name, writer_.epoch());
@@ -394,7 +417,7 @@
         {
             lose("a higher fencing token was used for a machine");
         }
-        empty_.erase(machine.host);
+        empty_since_.erase(machine.host);
         // A repeated order may have been carried out long ago: then the host
         // that lives there now goes on.
         if (first && answer == machine_answer::accepted &&
@@ -510,28 +533,24 @@
 {
     const auto self = shared_from_this();
     const auto& machine = order.machine;
-    bool empty = machine.host.empty();
     const bool is_off = std::ranges::any_of(
         table_->pools, [&](const pool_entry& pool) {
             return pool.standby && pool.name == machine.pool;
         });
-    if (!empty && !is_off)
-    {
-        shard_call call{
-            shard_call::verb::evacuate,
-            shard_of(machine.pool, context_.settings.store.partitions), 0,
-            machine.host, {}};
-        const auto answer =
-            co_await router_.ask(call, ask_patience, ask_patience);
-        empty = answer.outcome == shard_outcome::done &&
-                answer.value == "empty";
-    }
-    auto answer = machine_answer::refused;
-    for (int tries = 0; tries < move_tries && (empty || is_off) &&
-                        has_right() &&
-                        (tries == 0 || answer == machine_answer::unknown);
+    bool empty = true;
+    auto answer = machine_answer::unknown;
+    for (int tries = 0; tries < move_tries && has_right() &&
+                        answer == machine_answer::unknown;
          ++tries)
     {
+        if (!machine.host.empty() && !is_off)
+        {
+            co_await empty_host(machine);
+            empty = is_kept_empty(machine.host, still_locked);
+            empty_since_.erase(machine.host);
+        }
+        if (!empty)
+            break;
         answer = co_await platform_.move(
             machine.name, order.to_pool, writer_.epoch());
     }
--- a/src/libsched/upkeep_plan.cpp
+++ b/src/libsched/upkeep_plan.cpp
@@ -82,6 +82,11 @@
                 out.order.push_back(*c.machine);
                 ++ordered;
             }
+            else if (!c.machine->host.empty())
+            {
+                // It has to be kept empty until its turn.
+                out.evacuate.push_back(*c.machine);
+            }
             continue;
         }
         // What is idle is locked at once, as far as its turn can come soon.
--- a/src/libsched/upkeep_plan_test.cpp
+++ b/src/libsched/upkeep_plan_test.cpp
@@ -98,6 +98,19 @@
                     .completed);
 }
 
+// Found by the bench on trouble-3: an emptied host that waited for its turn was
+// no longer kept empty, and its upkeep ended a lasting task.
+TEST(upkeep_plan, keeps_a_host_empty_until_its_turn)
+{
+    const auto step = plan_upkeep(
+        wave({"a", "b"}, 1), {},
+        {machine("a", machine_state::upkeep), machine("b")},
+        everything_empty);
+    EXPECT_TRUE(step.order.empty());
+    ASSERT_EQ(step.evacuate.size(), 1U);
+    EXPECT_EQ(step.evacuate[0].name, "b");
+}
+
 // Found by the bench on trouble-2: a successor repeated an order that had been
 // carried out, while tasks ran on the machine's new host.
 TEST(upkeep_plan, empties_a_host_before_it_repeats_an_order)
