Refuse new submissions at once while the store takes nothing

Change: an owner whose append has failed for 500 ms refuses what it does not hold yet, with a Retry-After of 1 to 3 s in turn; nothing of it is kept, so the refusal stays true.

--- a/src/include/dandeliontack/store_client.hpp
+++ b/src/include/dandeliontack/store_client.hpp
@@ -73,6 +73,8 @@
     /// Whether the append under way, or the one that was given up, may have
     /// been stored.
     bool is_unclear() const;
+    /// Since when the append under way has failed; nothing while none does.
+    std::optional<boot_time> failing_since() const;
     std::uint64_t epoch() const;
     state standing() const;
     /// When the last append that was stored had been sent.
@@ -90,6 +92,7 @@
     std::uint64_t sequence_ = 0;
     state state_ = state::idle;
     bool unclear_ = false;
+    std::optional<boot_time> failing_since_;
     boot_time confirmed_;
 };
 
--- a/src/libnode/caller_front.cpp
+++ b/src/libnode/caller_front.cpp
@@ -25,7 +25,10 @@
 // How long a request waits for a shard without an owner that can be reached.
 // A takeover takes longer at times; the caller is then told when to return.
 constexpr auto reach_patience = 700ms;
-constexpr std::string_view retry_after_seconds = "1";
+// Callers come back after one of these times, in seconds, so that they don't
+// all return at once.
+constexpr std::uint64_t retry_after_least = 1;
+constexpr std::uint64_t retry_after_choices = 3;
 
 http_response refusal(
     http::status status, outcome result, std::string_view title,
@@ -39,7 +42,10 @@
 {
     auto response = refusal(
         http::status::service_unavailable, outcome::not_run, title, detail);
-    response.set(http::field::retry_after, retry_after_seconds);
+    static std::uint64_t refusals = 0;
+    response.set(
+        http::field::retry_after,
+        std::to_string(retry_after_least + refusals++ % retry_after_choices));
     return response;
 }
 
--- a/src/libnode/shard_owner.cpp
+++ b/src/libnode/shard_owner.cpp
@@ -38,6 +38,9 @@
 constexpr auto store_wait = 250ms;
 // How long a caller's request waits for the store before it is asked again.
 constexpr auto answer_wait = 800ms;
+// A store that has not taken a record for this long makes new submissions
+// wait longer than callers do.
+constexpr auto store_patience = 500ms;
 constexpr std::uint32_t orders_at_once = 3;
 constexpr auto advice_timeout = 1500ms;
 constexpr auto evacuation_time = 3000ms;
@@ -765,6 +768,22 @@
     if (!may_speak())
         co_return shard_answer{shard_outcome::not_owner, {}};
     const auto id = record.id;
+    const auto failing = writer_.failing_since();
+    if (!engine_->find(id) && failing &&
+        read_clocks().steady - *failing > store_patience)
+    {
+        // Nothing of it is kept, so that the refusal stays true.
+        context_.log.write(
+            "owner", "submission_refused",
+            log_line()
+                .add("submission", submission_name(id))
+                .add("shard", shard_)
+                .add("reason", "the store does not take records")
+                .add(
+                    "failing_ms",
+                    (read_clocks().steady - *failing).count()));
+        co_return shard_answer{shard_outcome::rejected, {}};
+    }
     if (!engine_->find(id))
     {
         record.accepted = read_clocks().wall;
--- a/src/libnode/store_client.cpp
+++ b/src/libnode/store_client.cpp
@@ -165,6 +165,11 @@
     return state_;
 }
 
+std::optional<boot_time> fenced_writer::failing_since() const
+{
+    return failing_since_;
+}
+
 bool fenced_writer::is_unclear() const
 {
     return unclear_;
@@ -197,12 +202,14 @@
         case append_outcome::stored:
             confirmed_ = sent;
             unclear_ = false;
+            failing_since_.reset();
             co_return answer.outcome;
         case append_outcome::fenced:
         case append_outcome::wrong_sequence:
         case append_outcome::not_at_end:
             co_return answer.outcome;
         default:
+            failing_since_ = failing_since_.value_or(sent);
             unclear_ = unclear_ || answer.outcome == append_outcome::unknown;
             if (now_steady() - began > patience)
                 co_return answer.outcome;
