Clear hosts of tasks that fail everywhere, and end waves with more haste

Change: a task that fails on a second host clears the first; a wave is planned to end in half of its time; machines on their way are left alone.

--- a/src/include/dandeliontack/pool_engine.hpp
+++ b/src/include/dandeliontack/pool_engine.hpp
@@ -128,7 +128,10 @@
         submission_state& s, std::uint32_t occurrence, std::uint32_t step);
     void finish(submission_state& s, submission_phase phase);
     void stop_everything(submission_state& s, std::string_view reason);
-    void blame(host_state& h, std::uint64_t submission);
+    void blame(
+        host_state& h, const task_ref& task,
+        const std::set<std::string>& failed_on);
+    void clear_of(host_state& h, std::uint64_t submission);
     void begin_life(host_state& h, std::chrono::milliseconds born);
     void check_host(host_state& h);
     void check_runs(host_state& h);
--- a/src/libsched/pool_engine.cpp
+++ b/src/libsched/pool_engine.cpp
@@ -587,7 +587,7 @@
         ++t.failures;
         t.failed_on.insert(h.entry.id);
         t.ended_done = false;
-        blame(h, row.task.submission);
+        blame(h, row.task, t.failed_on);
         break;
     default:
         t.phase = task_phase::waiting;
@@ -599,25 +599,55 @@
     return true;
 }
 
-void pool_engine::blame(host_state& h, std::uint64_t submission)
+// A task that fails on one host only speaks against that host; one that fails
+// on a second speaks against itself, and the first host is cleared of it.
+void pool_engine::blame(
+    host_state& h, const task_ref& task, const std::set<std::string>& failed_on)
 {
-    ++h.health.failures;
-    h.health.failed_submissions.insert(submission);
-    if (h.health.failures < failures_to_suspend ||
-        h.health.failed_submissions.size() < submissions_to_suspend)
+    for (const auto& id : failed_on)
+        if (const auto other = hosts_.find(id);
+            id != h.entry.id && other != hosts_.end())
+            clear_of(other->second, task.submission);
+    if (failed_on.size() > 1)
         return;
-    const auto pause = std::min<std::chrono::milliseconds>(
-        first_suspension * (1U << std::min(h.health.suspensions, 4U)),
-        longest_suspension);
-    h.health.avoid_until = now_.steady + pause;
-    ++h.health.suspensions;
-    // One more failure after the pause suspends it again.
-    h.health.failures = failures_to_suspend - 1;
+    auto& health = h.health;
+    ++health.failures;
+    health.failed_submissions.insert(task.submission);
+    const bool on_probation = health.suspensions > 0;
+    if (!on_probation &&
+        (health.failures < failures_to_suspend ||
+         health.failed_submissions.size() < submissions_to_suspend))
+        return;
+    health.avoid_until =
+        now_.steady +
+        std::min<std::chrono::milliseconds>(
+            first_suspension * (1U << std::min(health.suspensions, 4U)),
+            longest_suspension);
+    ++health.suspensions;
     effects_.emplace_back(pool_effect::decided{
         "host_suspended", {}, {}, 0, h.entry.id,
         "tasks of different submissions failed there"});
 }
 
+void pool_engine::clear_of(host_state& h, std::uint64_t submission)
+{
+    auto& health = h.health;
+    if (health.failed_submissions.erase(submission) == 0)
+        return;
+    health.failures = std::min<std::uint32_t>(
+        health.failures - 1,
+        static_cast<std::uint32_t>(
+            health.failed_submissions.size() * failures_to_suspend));
+    if (health.suspensions == 0 ||
+        health.failed_submissions.size() >= submissions_to_suspend)
+        return;
+    health.suspensions = 0;
+    health.avoid_until = now_.steady;
+    effects_.emplace_back(pool_effect::decided{
+        "host_cleared", {}, {}, 0, h.entry.id,
+        "what failed there fails on other hosts too"});
+}
+
 void pool_engine::take_running(host_state& h, const running_row& row)
 {
     auto held = h.runs.find(row.task);
@@ -911,8 +941,10 @@
     for (const auto& task : hung)
     {
         if (auto* t = find_task(task))
+        {
             t->failed_on.insert(h.entry.id);
-        blame(h, task.submission);
+            blame(h, task, t->failed_on);
+        }
         order_stop(h, task, "it makes no progress");
     }
 }
--- a/src/libsched/pool_hosts_test.cpp
+++ b/src/libsched/pool_hosts_test.cpp
@@ -150,6 +150,36 @@
         EXPECT_EQ(d.engine.find(id)->phase, submission_phase::completed);
 }
 
+// Pattern of load: submissions that can never be done. They fail on every host
+// and speak against none.
+TEST(pool_hosts, suspends_no_host_for_tasks_that_fail_everywhere)
+{
+    pool_driver d;
+    d.ready({"a", "b", "c"});
+    std::map<std::string, std::uint64_t> numbers;
+    for (std::uint64_t id = 1; id <= 12; ++id)
+        d.submit(pool_driver::record(1, id));
+    std::size_t suspended = 0;
+    for (int round = 0; round < 6; ++round)
+    {
+        const auto effects = d.tick();
+        d.answer_starts(effects);
+        d.advance(20ms);
+        for (const auto& order : d.only<pool_effect::start>(effects))
+            d.hold(order.host, {}, {{++numbers[order.host], order.task,
+                                     order.run, run_outcome::failed, {}}});
+        d.store();
+        for (const auto* id : {"a", "b", "c"})
+            d.hold(id);
+        suspended = 0;
+        for (const auto& [id, h] : d.engine.hosts())
+            suspended += h.health.avoid_until > d.now.steady ? 1 : 0;
+    }
+    EXPECT_EQ(suspended, 0U);
+    for (std::uint64_t id = 1; id <= 12; ++id)
+        EXPECT_EQ(d.engine.find(id)->phase, submission_phase::failed);
+}
+
 TEST(pool_hosts, takes_no_second_task_while_one_is_on_a_silent_host)
 {
     pool_driver d;
--- a/src/libsched/upkeep_plan.cpp
+++ b/src/libsched/upkeep_plan.cpp
@@ -9,8 +9,9 @@
 namespace
 {
 
-// How much sooner than asked for a wave is planned to end.
-constexpr double haste = 1.4;
+// How much sooner than asked for a wave is planned to end: the store or the
+// holder of the duty may be away for a third of its time.
+constexpr double haste = 2.0;
 
 // How many machines have to be away at once for the wave to end in time.
 std::size_t
@@ -35,6 +36,7 @@
 {
     upkeep_step out;
     std::size_t down = 0;
+    std::size_t on_the_way = 0;
     struct choice
     {
         const listed_machine* machine;
@@ -59,9 +61,16 @@
         else if (
             !progress.begun.contains(name) &&
             found->state != machine_state::upkeep)
-            left.push_back(c);
+        {
+            // One that is on its way to another pool has its turn later.
+            if (found->state == machine_state::moving)
+                ++on_the_way;
+            else
+                left.push_back(c);
+        }
     }
-    out.completed = left.empty() && again.empty() && down == 0;
+    out.completed =
+        left.empty() && again.empty() && down == 0 && on_the_way == 0;
     // An order that was lost may never have been carried out: tasks may run
     // there again by now.
     for (const auto& c : again)
