--- a/src/include/dandeliontack/boot_clock.hpp
+++ b/src/include/dandeliontack/boot_clock.hpp
@@ -18,7 +18,8 @@
     static time_point now() noexcept;
 };
 
-using boot_time = std::chrono::time_point<boot_clock, std::chrono::milliseconds>;
+using boot_time =
+    std::chrono::time_point<boot_clock, std::chrono::milliseconds>;
 using wall_time = std::chrono::sys_time<std::chrono::milliseconds>;
 
 /// One reading of both clocks. The time of day may jump; it serves only for
--- a/src/include/dandeliontack/event_log.hpp
+++ b/src/include/dandeliontack/event_log.hpp
@@ -45,8 +45,8 @@
 
     /// Writes a line with time, node, part and event. A `reason` and the like
     /// are members of `line`.
-    void write(
-        std::string_view part, std::string_view event, const log_line& line);
+    void
+    write(std::string_view part, std::string_view event, const log_line& line);
 
     /// Writes what waits, as far as that is possible at once.
     void flush();
--- a/src/include/dandeliontack/fleet_balance.hpp
+++ b/src/include/dandeliontack/fleet_balance.hpp
@@ -48,8 +48,8 @@
     std::vector<machine_move> plan(
         const std::vector<pool_demand>& demands,
         const std::vector<listed_machine>& machines,
-        const std::set<std::string>& standby,
-        const std::set<std::string>& kept, boot_time now);
+        const std::set<std::string>& standby, const std::set<std::string>& kept,
+        boot_time now);
 
     /// The platform does not let machines of this pool join the other one.
     void forbid(const std::string& from, const std::string& to);
--- a/src/include/dandeliontack/fleet_duty.hpp
+++ b/src/include/dandeliontack/fleet_duty.hpp
@@ -46,20 +46,18 @@
     boost::asio::awaitable<void> advance(std::string wave);
     boost::asio::awaitable<bool> save(std::string wave);
     boost::asio::awaitable<bool> append(std::vector<keyed_record> records);
-    boost::asio::awaitable<bool>
-    note_orders(std::vector<std::string> machines);
+    boost::asio::awaitable<bool> note_orders(std::vector<std::string> machines);
     boost::asio::awaitable<void> report(std::string wave, bool completed);
     boost::asio::awaitable<void>
     order_upkeep(std::string wave, listed_machine machine);
     boost::asio::awaitable<void> empty_host(listed_machine machine);
     boost::asio::awaitable<void> balance();
     boost::asio::awaitable<void> move(machine_move order);
-    boost::asio::awaitable<bool>
-    tell_ended(std::string pool, std::string host);
+    boost::asio::awaitable<bool> tell_ended(std::string pool, std::string host);
     boost::asio::awaitable<std::vector<pool_demand>> collect_demands();
     std::set<std::string> kept_machines() const;
-    bool is_kept_empty(
-        const std::string& host, std::chrono::milliseconds age) const;
+    bool
+    is_kept_empty(const std::string& host, std::chrono::milliseconds age) const;
     bool is_rested(const std::string& machine) const;
     bool has_right() const;
     void lose(std::string_view reason);
--- a/src/include/dandeliontack/pool_engine.hpp
+++ b/src/include/dandeliontack/pool_engine.hpp
@@ -121,8 +121,8 @@
     void release(host_state& h, const task_ref& task, std::string_view reason);
     void release_all(host_state& h, std::string_view reason);
     void forget_run(host_state& h, const task_ref& task);
-    void order_stop(
-        host_state& h, const task_ref& task, std::string_view reason);
+    void
+    order_stop(host_state& h, const task_ref& task, std::string_view reason);
     void settle_recorded(submission_state& s);
     void settle_step(
         submission_state& s, std::uint32_t occurrence, std::uint32_t step);
@@ -150,8 +150,8 @@
     task_state* find_task(const task_ref& task);
     const step_spec* spec_of(const task_ref& task) const;
     std::uint32_t next_run(const task_ref& task, const task_state& t) const;
-    void say(
-        std::string_view name, const task_ref& task, std::uint32_t run,
+    void
+    say(std::string_view name, const task_ref& task, std::uint32_t run,
         const std::string& host, std::string reason = {});
 
     pool_terms terms_;
--- a/src/include/dandeliontack/pool_events.hpp
+++ b/src/include/dandeliontack/pool_events.hpp
@@ -163,7 +163,8 @@
     boot_time until;
 };
 struct tick
-{};
+{
+};
 
 } // namespace pool_event
 
--- a/src/include/dandeliontack/shard_router.hpp
+++ b/src/include/dandeliontack/shard_router.hpp
@@ -51,8 +51,8 @@
     /// Asks the owner, again where it moved or did not answer, until
     /// `patience` has passed; `reach` bounds the time without an owner that
     /// can be reached. `rejected` means that nothing was sent to any owner.
-    boost::asio::awaitable<shard_answer> ask(
-        shard_call call, std::chrono::milliseconds patience,
+    boost::asio::awaitable<shard_answer>
+    ask(shard_call call, std::chrono::milliseconds patience,
         std::chrono::milliseconds reach);
 
     /// Answers a call of another node.
--- a/src/include/dandeliontack/shard_service.hpp
+++ b/src/include/dandeliontack/shard_service.hpp
@@ -51,11 +51,9 @@
     /// The value is the phase's name.
     virtual boost::asio::awaitable<shard_answer> state(std::uint64_t id) = 0;
     /// The value is a number.
-    virtual boost::asio::awaitable<shard_answer>
-    pending(std::string route) = 0;
+    virtual boost::asio::awaitable<shard_answer> pending(std::string route) = 0;
     /// Asks for a host to be emptied; the value is `empty` or `busy`.
-    virtual boost::asio::awaitable<shard_answer>
-    evacuate(std::string host) = 0;
+    virtual boost::asio::awaitable<shard_answer> evacuate(std::string host) = 0;
     /// The platform has ended a host's life.
     virtual boost::asio::awaitable<shard_answer>
     host_ended(std::string host) = 0;
--- a/src/include/dandeliontack/store_client.hpp
+++ b/src/include/dandeliontack/store_client.hpp
@@ -81,8 +81,8 @@
     boot_time confirmed() const;
 
 private:
-    boost::asio::awaitable<append_outcome> settle(
-        append_call call, std::chrono::milliseconds patience);
+    boost::asio::awaitable<append_outcome>
+    settle(append_call call, std::chrono::milliseconds patience);
 
     node_context& context_;
     store_client& store_;
--- a/src/include/dandeliontack/stored_records.hpp
+++ b/src/include/dandeliontack/stored_records.hpp
@@ -80,7 +80,8 @@
 std::string encode(const std::vector<pool_demand>& demands);
 
 /// Each returns nothing where the bytes are not such a record.
-std::optional<submission_record> decode_submission_record(std::string_view bytes);
+std::optional<submission_record>
+decode_submission_record(std::string_view bytes);
 std::optional<progress_record>
 decode_progress(std::uint64_t submission, std::string_view bytes);
 std::optional<host_use> decode_host_use(std::string_view bytes);
--- a/src/libnode/caller_front.cpp
+++ b/src/libnode/caller_front.cpp
@@ -1,8 +1,7 @@
 #include <dandeliontack/caller_front.hpp>
 
-#include <platform/submission_calls.hpp>
-
 #include <boost/asio.hpp>
+#include <platform/submission_calls.hpp>
 
 #include <algorithm>
 #include <charconv>
@@ -37,8 +36,7 @@
     return make_problem(status, result, title, detail);
 }
 
-http_response
-retry_later(std::string_view title, std::string_view detail)
+http_response retry_later(std::string_view title, std::string_view detail)
 {
     auto response = refusal(
         http::status::service_unavailable, outcome::not_run, title, detail);
@@ -71,8 +69,7 @@
 } // namespace
 
 caller_front::caller_front(node_context& context, shard_router& router)
-    : context_(context),
-      router_(router)
+    : context_(context), router_(router)
 {}
 
 void caller_front::set_table(std::shared_ptr<const queue_table> table)
@@ -114,8 +111,7 @@
         co_return refusal(
             http::status::not_found, outcome::not_run, "no such queue", path);
     subject what{
-        *queue,
-        shard_of(queue->terms.pool, context_.settings.store.partitions),
+        *queue, shard_of(queue->terms.pool, context_.settings.store.partitions),
         path.substr(queue->path_prefix.size()),
         platform::decode_patience(request).value_or(default_patience) -
             answer_margin};
@@ -163,9 +159,8 @@
 {
     if (answer.outcome == shard_outcome::rejected)
         return retry_later(
-            "no owner",
-            "no node can decide for pool " + what.queue.terms.pool +
-                " at the moment");
+            "no owner", "no node can decide for pool " + what.queue.terms.pool +
+                            " at the moment");
     return refusal(
         http::status::gateway_timeout, outcome::unknown, "no answer",
         "the owner of pool " + what.queue.terms.pool +
@@ -183,8 +178,8 @@
     auto decoded = platform::decode_submission(request.body());
     if (const auto* wrong = std::get_if<findings>(&decoded))
         co_return refusal(
-            http::status::bad_request, outcome::not_run,
-            "malformed submission", to_string(*wrong));
+            http::status::bad_request, outcome::not_run, "malformed submission",
+            to_string(*wrong));
     auto& spec = std::get<submission_spec>(decoded);
     const auto faults = check_submission(spec);
     if (!faults.empty())
@@ -194,8 +189,8 @@
     shard_call call{shard_call::verb::submit, what.shard, *id, {}, {}};
     call.record = submission_record{
         *id, std::move(spec), what.queue.terms, read_clocks().wall, 0};
-    const auto answer = co_await router_.ask(
-        std::move(call), what.patience, reach_patience);
+    const auto answer =
+        co_await router_.ask(std::move(call), what.patience, reach_patience);
     if (answer.outcome == shard_outcome::done)
         co_return make_response(http::status::ok, "application/json", "{}");
     co_return unserved(answer, what);
@@ -209,8 +204,8 @@
             http::status::gone, outcome::not_run, "no such submission",
             "an id is 16 hexadecimal digits");
     shard_call call{shard_call::verb::state, what.shard, *id, {}, {}};
-    const auto answer = co_await router_.ask(
-        std::move(call), what.patience, reach_patience);
+    const auto answer =
+        co_await router_.ask(std::move(call), what.patience, reach_patience);
     const auto phase = phase_of(answer.value);
     if (answer.outcome == shard_outcome::done && phase)
         co_return platform::encode_state(*phase);
@@ -229,8 +224,8 @@
             http::status::gone, outcome::not_run, "no such submission",
             "an id is 16 hexadecimal digits");
     shard_call call{shard_call::verb::cancel, what.shard, *id, {}, {}};
-    const auto answer = co_await router_.ask(
-        std::move(call), what.patience, reach_patience);
+    const auto answer =
+        co_await router_.ask(std::move(call), what.patience, reach_patience);
     if (answer.outcome == shard_outcome::done)
         co_return make_response(http::status::ok, "application/json", "{}");
     if (answer.outcome == shard_outcome::not_found)
@@ -244,8 +239,8 @@
 {
     shard_call call{
         shard_call::verb::pending, what.shard, 0, what.queue.terms.route, {}};
-    const auto answer = co_await router_.ask(
-        std::move(call), what.patience, reach_patience);
+    const auto answer =
+        co_await router_.ask(std::move(call), what.patience, reach_patience);
     std::size_t number = 0;
     const auto* end = answer.value.data() + answer.value.size();
     const auto parsed = std::from_chars(answer.value.data(), end, number);
--- a/src/libnode/fleet_duty.cpp
+++ b/src/libnode/fleet_duty.cpp
@@ -1,10 +1,9 @@
 #include <dandeliontack/fleet_duty.hpp>
-
 #include <dandeliontack/pause.hpp>
-#include <platform/operator_records.hpp>
-#include <platform/store_codec.hpp>
 
 #include <boost/asio.hpp>
+#include <platform/operator_records.hpp>
+#include <platform/store_codec.hpp>
 
 #include <algorithm>
 #include <charconv>
@@ -107,8 +106,8 @@
 {
     const auto self = shared_from_this();
     owner_record mine{
-        context_.settings.node.name, context_.peer_address,
-        context_.life, writer_.epoch(), released};
+        context_.settings.node.name, context_.peer_address, context_.life,
+        writer_.epoch(), released};
     std::vector<keyed_record> records{
         {owner_key(fleet_shard), encode(mine), 0}};
     if (registry_writer_.standing() != fenced_writer::state::idle)
@@ -121,8 +120,8 @@
 {
     const auto self = shared_from_this();
     owner_record mine{
-        context_.settings.node.name, context_.peer_address,
-        context_.life, last + 1, false};
+        context_.settings.node.name, context_.peer_address, context_.life,
+        last + 1, false};
     std::vector<keyed_record> records{
         {std::string(shard_owner_key), encode(mine), 0}};
     const bool claimed =
@@ -202,7 +201,8 @@
         name,
         {wave.progress.begun.begin(), wave.progress.begun.end()},
         {wave.progress.unanswered.begin(), wave.progress.unanswered.end()},
-        wave.completed, wave.began};
+        wave.completed,
+        wave.began};
     std::vector<keyed_record> records{
         {std::string(progress_prefix) + name, encode(record), 0}};
     co_return co_await append(std::move(records));
@@ -262,14 +262,12 @@
         if (age < renewal_interval || appending_)
         {
             co_await pause_for(
-                context_.executor,
-                std::max<std::chrono::milliseconds>(
-                    renewal_interval - age, retry_pause));
+                context_.executor, std::max<std::chrono::milliseconds>(
+                                       renewal_interval - age, retry_pause));
             continue;
         }
         owner_record mine{
-            context_.settings.node.name,
-            context_.peer_address, context_.life,
+            context_.settings.node.name, context_.peer_address, context_.life,
             writer_.epoch(), false};
         std::vector<keyed_record> records{
             {std::string(shard_owner_key), encode(mine), 0}};
@@ -345,8 +343,7 @@
         if (!lost_ && is_rested(machine.name) &&
             waves_[name].ordering.insert(machine.name).second)
             asio::co_spawn(
-                context_.executor, order_upkeep(name, machine),
-                asio::detached);
+                context_.executor, order_upkeep(name, machine), asio::detached);
 }
 
 asio::awaitable<void> fleet_duty::empty_host(listed_machine machine)
@@ -354,8 +351,10 @@
     const auto self = shared_from_this();
     shard_call call{
         shard_call::verb::evacuate,
-        shard_of(machine.pool, context_.settings.store.partitions), 0,
-        machine.host, {}};
+        shard_of(machine.pool, context_.settings.store.partitions),
+        0,
+        machine.host,
+        {}};
     const auto asked = read_clocks().steady;
     const auto answer = co_await router_.ask(call, ask_patience, ask_patience);
     if (answer.outcome == shard_outcome::done && answer.value == "empty")
@@ -385,8 +384,8 @@
         waves_[name].progress.unanswered.erase(machine.name);
     if (noted && has_right() && still_empty)
     {
-        const auto answer = co_await platform_.upkeep(
-            machine.name, name, writer_.epoch());
+        const auto answer =
+            co_await platform_.upkeep(machine.name, name, writer_.epoch());
         context_.log.write(
             "fleet", "upkeep_ordered",
             log_line()
@@ -432,12 +431,14 @@
     table_ = std::move(table);
 }
 
-asio::awaitable<bool>
-fleet_duty::tell_ended(std::string pool, std::string host)
+asio::awaitable<bool> fleet_duty::tell_ended(std::string pool, std::string host)
 {
     shard_call call{
         shard_call::verb::host_ended,
-        shard_of(pool, context_.settings.store.partitions), 0, host, {}};
+        shard_of(pool, context_.settings.store.partitions),
+        0,
+        host,
+        {}};
     const auto answer = co_await router_.ask(call, ask_patience, ask_patience);
     co_return answer.outcome == shard_outcome::done;
 }
@@ -462,9 +463,8 @@
         if (!demands)
             continue;
         std::ranges::copy_if(
-            *demands, std::back_inserter(all), [&](const auto& demand) {
-                return serving.contains(demand.pool);
-            });
+            *demands, std::back_inserter(all),
+            [&](const auto& demand) { return serving.contains(demand.pool); });
     }
     co_return all;
 }
@@ -510,8 +510,7 @@
             machine.state = machine_state::moving;
         }
     const auto moves = balance_.plan(
-        demands, machines_, standby, kept_machines(),
-        read_clocks().steady);
+        demands, machines_, standby, kept_machines(), read_clocks().steady);
     if (moves.empty())
         co_return;
     std::vector<std::string> names;
@@ -533,14 +532,14 @@
 {
     const auto self = shared_from_this();
     const auto& machine = order.machine;
-    const bool is_off = std::ranges::any_of(
-        table_->pools, [&](const pool_entry& pool) {
+    const bool is_off =
+        std::ranges::any_of(table_->pools, [&](const pool_entry& pool) {
             return pool.standby && pool.name == machine.pool;
         });
     bool empty = true;
     auto answer = machine_answer::unknown;
-    for (int tries = 0; tries < move_tries && has_right() &&
-                        answer == machine_answer::unknown;
+    for (int tries = 0;
+         tries < move_tries && has_right() && answer == machine_answer::unknown;
          ++tries)
     {
         if (!machine.host.empty() && !is_off)
@@ -568,8 +567,7 @@
         balance_.forbid(machine.pool, order.to_pool);
     if (answer == machine_answer::fenced)
         lose("a higher fencing token was used for a machine");
-    if (answer == machine_answer::accepted && !is_off &&
-        !machine.host.empty())
+    if (answer == machine_answer::accepted && !is_off && !machine.host.empty())
         co_await tell_ended(machine.pool, machine.host);
     // The next list shows the move.
     co_await pause_for(context_.executor, look_interval);
--- a/src/libnode/machine_client.cpp
+++ b/src/libnode/machine_client.cpp
@@ -1,8 +1,7 @@
 #include <dandeliontack/machine_client.hpp>
 
-#include <platform/machine_calls.hpp>
-
 #include <boost/asio.hpp>
+#include <platform/machine_calls.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -21,8 +20,7 @@
 } // namespace
 
 machine_client::machine_client(node_context& context)
-    : context_(context),
-      address_(to_string(context.settings.machines.address))
+    : context_(context), address_(to_string(context.settings.machines.address))
 {}
 
 asio::awaitable<std::optional<std::vector<listed_machine>>>
@@ -76,8 +74,8 @@
     return order(platform::encode_upkeep(address_, holder, machine, wave));
 }
 
-asio::awaitable<machine_answer> machine_client::move(
-    std::string machine, std::string pool, std::uint64_t fence)
+asio::awaitable<machine_answer>
+machine_client::move(std::string machine, std::string pool, std::uint64_t fence)
 {
     const platform::machine_holder holder{context_.settings.node.name, fence};
     return order(platform::encode_move(address_, holder, machine, pool));
--- a/src/libnode/shard_map.cpp
+++ b/src/libnode/shard_map.cpp
@@ -74,9 +74,7 @@
     return out;
 }
 
-shard_map::shard_map(takeover_terms terms)
-    : terms_(terms)
-{}
+shard_map::shard_map(takeover_terms terms) : terms_(terms) {}
 
 bool shard_map::take(const keyed_record& record, boot_time now)
 {
@@ -188,8 +186,7 @@
     {
         std::ranges::sort(nodes, {}, [&](const node_announcement& node) {
             const auto cpu = std::max<std::uint32_t>(node.cpu_milli, 1);
-            const double share =
-                static_cast<double>(load[node.name] + 1) / cpu;
+            const double share = static_cast<double>(load[node.name] + 1) / cpu;
             return std::tuple(
                 share, stable_hash(node.name + std::to_string(shard)));
         });
--- a/src/libnode/shard_map_test.cpp
+++ b/src/libnode/shard_map_test.cpp
@@ -28,13 +28,14 @@
         map.take({announcement_key(said.name), encode(said), 0}, now);
     }
 
-    void own(
-        shard_id shard, const node_announcement& by, std::uint64_t epoch,
+    void
+    own(shard_id shard, const node_announcement& by, std::uint64_t epoch,
         bool released = false)
     {
         map.take(
             {owner_key(shard),
-             encode(owner_record{by.name, by.address, by.life, epoch, released}),
+             encode(
+                 owner_record{by.name, by.address, by.life, epoch, released}),
              0},
             now);
     }
--- a/src/libnode/shard_owner.cpp
+++ b/src/libnode/shard_owner.cpp
@@ -1,10 +1,9 @@
-#include <dandeliontack/shard_owner.hpp>
-
 #include <dandeliontack/machine_client.hpp>
 #include <dandeliontack/pause.hpp>
-#include <platform/host_calls.hpp>
+#include <dandeliontack/shard_owner.hpp>
 
 #include <boost/asio.hpp>
+#include <platform/host_calls.hpp>
 
 #include <algorithm>
 #include <array>
@@ -96,8 +95,8 @@
 
 bool shard_owner::has_right() const
 {
-    return !lost_ && read_clocks().steady - writer_.confirmed() <
-                         terms_.leases.right;
+    return !lost_ &&
+           read_clocks().steady - writer_.confirmed() < terms_.leases.right;
 }
 
 bool shard_owner::may_speak() const
@@ -110,8 +109,8 @@
     const auto self = shared_from_this();
     const auto began = read_clocks().steady;
     owner_record mine{
-        context_.settings.node.name, context_.peer_address,
-        context_.life, 0, false};
+        context_.settings.node.name, context_.peer_address, context_.life, 0,
+        false};
     mine.epoch = last + 1;
     std::vector<keyed_record> records{
         {std::string(shard_owner_key), encode(mine), 0}};
@@ -155,8 +154,8 @@
 {
     const auto self = shared_from_this();
     owner_record mine{
-        context_.settings.node.name, context_.peer_address,
-        context_.life, epoch(), released};
+        context_.settings.node.name, context_.peer_address, context_.life,
+        epoch(), released};
     std::vector<keyed_record> records{{owner_key(shard_), encode(mine), 0}};
     if (registry_writer_.standing() != fenced_writer::state::idle)
         co_return co_await registry_writer_.append(std::move(records));
@@ -240,11 +239,10 @@
         const auto row = progress.find(id);
         if (row != progress.end() && row->second.finished)
             continue;
-        engine_->restore(
-            std::move(submission), now, [&](submission_state& s) {
-                if (row != progress.end())
-                    apply_progress(row->second, s);
-            });
+        engine_->restore(std::move(submission), now, [&](submission_state& s) {
+            if (row != progress.end())
+                apply_progress(row->second, s);
+        });
     }
     if (unreadable > 0)
         context_.log.write(
@@ -295,8 +293,7 @@
     std::ranges::copy_if(
         entries, std::back_inserter(listed.entries),
         [&](const host_entry& entry) {
-            return shard_of(
-                       entry.pool, context_.settings.store.partitions) ==
+            return shard_of(entry.pool, context_.settings.store.partitions) ==
                    shard_;
         });
     apply(listed);
@@ -368,8 +365,7 @@
     context_.log.write("pool", decision.name, line);
     context_.metrics
         .get_counter(
-            "tack_decisions_total{name=\"" + std::string(decision.name) +
-            "\"}")
+            "tack_decisions_total{name=\"" + std::string(decision.name) + "\"}")
         .add();
 }
 
@@ -453,9 +449,8 @@
         if (records.empty())
         {
             owner_record mine{
-                context_.settings.node.name,
-                context_.peer_address, context_.life,
-                epoch(), false};
+                context_.settings.node.name, context_.peer_address,
+                context_.life, epoch(), false};
             records.push_back({std::string(shard_owner_key), encode(mine), 0});
         }
         appending_ = true;
@@ -560,8 +555,7 @@
             continue;
         }
         const auto born = host.entry.born;
-        const platform::host_address address{
-            id, host.entry.address, epoch()};
+        const platform::host_address address{id, host.entry.address, epoch()};
         // The first answer brings the host's clock; only then can a lease be
         // given. With ends that wait for the store it would answer at once.
         const bool wait =
@@ -571,12 +565,12 @@
         auto request = platform::encode_hold(
             address, host.ack_cursor, lease_end, wait ? hold_wait : 0ms);
         auto result = co_await context_.connections.exchange(
-            *peer, std::move(request), order_timeout + (wait ? hold_wait : 0ms));
+            *peer, std::move(request),
+            order_timeout + (wait ? hold_wait : 0ms));
         if (lost_)
             co_return;
         const auto* response = std::get_if<http_response>(&result);
-        if (!response ||
-            response->result() != boost::beast::http::status::ok)
+        if (!response || response->result() != boost::beast::http::status::ok)
         {
             if (response)
             {
@@ -596,14 +590,14 @@
         {
             context_.log.write(
                 "owner", "host_unreadable",
-                log_line().add("host", id).add(
-                    "reason", to_string(wrong->front())));
+                log_line()
+                    .add("host", id)
+                    .add("reason", to_string(wrong->front())));
             co_await pause_for(context_.executor, hold_retry);
             continue;
         }
         apply(pool_event::host_held{
-            id, born, sent.steady,
-            std::move(std::get<hold_report>(report))});
+            id, born, sent.steady, std::move(std::get<hold_report>(report))});
         const auto now = engine_->hosts().find(id);
         if (now != engine_->hosts().end() && !now->second.unstored_ends.empty())
         {
@@ -648,8 +642,8 @@
         const auto host = engine_->hosts().find(order.host);
         const auto* s = engine_->state_of(order.task.submission);
         // Before the first try nothing has been sent: the start is withdrawn.
-        if (!has_right() || stopping_ || !s ||
-            host == engine_->hosts().end() || !engine_->is_wanted(order))
+        if (!has_right() || stopping_ || !s || host == engine_->hosts().end() ||
+            !engine_->is_wanted(order))
         {
             if (tries == 0)
                 answered.answer = start_answer::refused;
@@ -779,9 +773,7 @@
                 .add("submission", submission_name(id))
                 .add("shard", shard_)
                 .add("reason", "the store does not take records")
-                .add(
-                    "failing_ms",
-                    (read_clocks().steady - *failing).count()));
+                .add("failing_ms", (read_clocks().steady - *failing).count()));
         co_return shard_answer{shard_outcome::rejected, {}};
     }
     if (!engine_->find(id))
@@ -837,8 +829,8 @@
     apply(pool_event::evacuation_wanted{
         host, read_clocks().steady + evacuation_time});
     co_return shard_answer{
-        shard_outcome::done, engine_->is_empty(host, read_clocks()) ? "empty"
-                                                              : "busy"};
+        shard_outcome::done,
+        engine_->is_empty(host, read_clocks()) ? "empty" : "busy"};
 }
 
 asio::awaitable<shard_answer> shard_owner::host_ended(std::string host)
--- a/src/libnode/shard_router.cpp
+++ b/src/libnode/shard_router.cpp
@@ -81,8 +81,8 @@
     const auto* end = parts[1].data() + parts[1].size();
     const auto id = parse_submission_name(parts[2]);
     const auto parsed = std::from_chars(parts[1].data(), end, call.shard);
-    if (verb == verbs.end() || parsed.ec != std::errc() ||
-        parsed.ptr != end || !id)
+    if (verb == verbs.end() || parsed.ec != std::errc() || parsed.ptr != end ||
+        !id)
         return std::nullopt;
     call.what = verb->what;
     call.submission = *id;
@@ -109,9 +109,7 @@
 } // namespace
 
 shard_router::shard_router(node_context& context, shard_map& shards)
-    : context_(context),
-      shards_(shards),
-      changed_(context.executor)
+    : context_(context), shards_(shards), changed_(context.executor)
 {}
 
 void shard_router::own(std::shared_ptr<shard_owner> owner)
@@ -208,8 +206,8 @@
         else if (const auto owner = shards_.owner(call.shard);
                  owner && owner->life != context_.life)
         {
-            const auto timeout = std::clamp<std::chrono::milliseconds>(
-                left, 1ms, try_timeout);
+            const auto timeout =
+                std::clamp<std::chrono::milliseconds>(left, 1ms, try_timeout);
             const auto record = *owner;
             answer = co_await ask_remote(record, call, timeout);
         }
@@ -226,10 +224,10 @@
             break;
         }
         const auto spent = read_clocks().steady - began;
-        if (spent + try_pause >= (unclear ? patience : std::min(reach, patience)))
+        if (spent + try_pause >=
+            (unclear ? patience : std::min(reach, patience)))
             co_return shard_answer{
-                unclear ? shard_outcome::unknown : shard_outcome::rejected,
-                {}};
+                unclear ? shard_outcome::unknown : shard_outcome::rejected, {}};
         co_await changed_.wait(try_pause);
     }
 }
--- a/src/libnode/store_client.cpp
+++ b/src/libnode/store_client.cpp
@@ -1,9 +1,8 @@
-#include <dandeliontack/store_client.hpp>
-
 #include <dandeliontack/pause.hpp>
-#include <platform/store_codec.hpp>
+#include <dandeliontack/store_client.hpp>
 
 #include <boost/asio.hpp>
+#include <platform/store_codec.hpp>
 
 #include <algorithm>
 #include <random>
@@ -50,8 +49,7 @@
 } // namespace
 
 store_client::store_client(node_context& context)
-    : context_(context),
-      address_(to_string(context.settings.store.address))
+    : context_(context), address_(to_string(context.settings.store.address))
 {}
 
 boot_time store_client::last_success() const
@@ -254,8 +252,10 @@
         co_return false;
     ++sequence_;
     append_call call{
-        place_, std::move(records),
-        append_writer{producer_, epoch_, sequence_}, {}};
+        place_,
+        std::move(records),
+        append_writer{producer_, epoch_, sequence_},
+        {}};
     constexpr auto without_end = std::chrono::hours(24);
     const auto result = co_await settle(std::move(call), without_end);
     if (result == append_outcome::stored)
--- a/src/libnode/stored_records.cpp
+++ b/src/libnode/stored_records.cpp
@@ -1,6 +1,5 @@
-#include <dandeliontack/stored_records.hpp>
-
 #include "submission.pb.h"
+#include <dandeliontack/stored_records.hpp>
 
 #include <algorithm>
 
@@ -116,7 +115,8 @@
     return out.SerializeAsString();
 }
 
-std::optional<submission_record> decode_submission_record(std::string_view bytes)
+std::optional<submission_record>
+decode_submission_record(std::string_view bytes)
 {
     const auto in = parse<stored::Submission>(bytes);
     if (!in)
@@ -203,9 +203,9 @@
     const auto in = parse<stored::HostUse>(bytes);
     if (!in || in->id().empty())
         return std::nullopt;
-    host_use use{
-        in->id(),      milliseconds(in->born_ms()), in->pool(), in->address(),
-        in->closed(), {}};
+    host_use use{in->id(),     milliseconds(in->born_ms()),
+                 in->pool(),   in->address(),
+                 in->closed(), {}};
     for (const auto& row : in->tasks())
         use.tasks.push_back(
             {row.submission(), row.occurrence(), row.step(), row.index()});
@@ -230,13 +230,12 @@
     const auto in = parse<stored::Node>(bytes);
     if (!in || in->name().empty())
         return std::nullopt;
-    return node_announcement{
-        in->name(),
-        in->address(),
-        {in->incarnation_high(), in->incarnation_low()},
-        in->beat(),
-        in->leaving(),
-        in->cpu_milli()};
+    return node_announcement{in->name(),
+                             in->address(),
+                             {in->incarnation_high(), in->incarnation_low()},
+                             in->beat(),
+                             in->leaving(),
+                             in->cpu_milli()};
 }
 
 std::string encode(const owner_record& record)
--- a/src/libnode/stored_records_test.cpp
+++ b/src/libnode/stored_records_test.cpp
@@ -25,7 +25,8 @@
     step.may_miss = 1;
     out.spec.steps = {step, step};
     out.spec.steps[1].after = {0};
-    out.terms = {"route", "pool", 1, 3, 1.6, 600ms, advice_terms{1ms, 2ms, 3ms}};
+    out.terms = {
+        "route", "pool", 1, 3, 1.6, 600ms, advice_terms{1ms, 2ms, 3ms}};
     out.accepted = wall_time(1'700'000'000'000ms);
     out.epoch = 4;
     return out;
@@ -54,8 +55,8 @@
     steps[0].tasks[2].failures = 1;
     steps[0].tasks[2].recorded_run = 1;
     steps[0].tasks[2].checkpoint = "c";
-    const auto stored = decode_progress(
-        before.record.id, encode(progress_of(before)));
+    const auto stored =
+        decode_progress(before.record.id, encode(progress_of(before)));
     ASSERT_TRUE(stored);
     submission_state after;
     after.record = record();
@@ -70,8 +71,7 @@
 
 TEST(stored_records, keep_what_may_run_on_a_host)
 {
-    const host_use use{"i-1", 5ms, "pool", "127.0.0.1:1", true,
-                       {{7, 0, 1, 2}}};
+    const host_use use{"i-1", 5ms, "pool", "127.0.0.1:1", true, {{7, 0, 1, 2}}};
     const auto back = decode_host_use(encode(use));
     ASSERT_TRUE(back);
     EXPECT_TRUE(back->closed);
--- a/src/libnode/tack_node.cpp
+++ b/src/libnode/tack_node.cpp
@@ -1,13 +1,12 @@
-#include <dandeliontack/tack_node.hpp>
-
 #include <dandeliontack/pause.hpp>
 #include <dandeliontack/program.hpp>
+#include <dandeliontack/tack_node.hpp>
+
+#include <boost/asio.hpp>
 #include <platform/host_calls.hpp>
 #include <platform/operator_records.hpp>
 #include <platform/store_codec.hpp>
 
-#include <boost/asio.hpp>
-
 #include <algorithm>
 #include <utility>
 
@@ -95,8 +94,7 @@
           }),
       metrics_(
           context.executor, {}, context.metrics,
-          admin_pages(
-              context.metrics, [this] { return is_ready(); }, {})),
+          admin_pages(context.metrics, [this] { return is_ready(); }, {})),
       announce_now_(context.executor)
 {}
 
@@ -158,8 +156,7 @@
         if (writer.standing() == fenced_writer::state::held)
             done = co_await writer.append(std::move(records));
         else
-            done =
-                co_await writer.claim(last, std::move(records), patience);
+            done = co_await writer.claim(last, std::move(records), patience);
         if (!done)
             last = std::max(last, writer.epoch());
         co_await announce_now_.wait(
@@ -280,10 +277,10 @@
         drop_lost_shards();
         if (leaving_ || !front_.table())
             continue;
-        const auto wanted = wanted_shards(
-            *front_.table(), context_.settings.store.partitions);
-        const auto mine = shards_.to_claim(
-            wanted, announcement(), read_clocks().steady);
+        const auto wanted =
+            wanted_shards(*front_.table(), context_.settings.store.partitions);
+        const auto mine =
+            shards_.to_claim(wanted, announcement(), read_clocks().steady);
         for (const auto shard : mine)
         {
             const bool held = shard == fleet_shard
@@ -328,7 +325,8 @@
     const auto duty = std::make_shared<fleet_duty>(context_, store_, router_);
     for (const auto& [name, wave] : waves_)
         duty->request(wave);
-    const bool taken = co_await duty->take_over(shards_.last_epoch(fleet_shard));
+    const bool taken =
+        co_await duty->take_over(shards_.last_epoch(fleet_shard));
     if (taken && !leaving_)
     {
         for (const auto& [name, wave] : waves_)
@@ -343,8 +341,7 @@
     claiming_.erase(fleet_shard);
 }
 
-asio::awaitable<void>
-tack_node::hand_over_all(std::shared_ptr<bool> done)
+asio::awaitable<void> tack_node::hand_over_all(std::shared_ptr<bool> done)
 {
     if (duty_)
         co_await duty_->hand_over();
--- a/src/libsched/fleet_balance.cpp
+++ b/src/libsched/fleet_balance.cpp
@@ -18,9 +18,7 @@
 
 } // namespace
 
-fleet_balance::fleet_balance(balance_terms terms)
-    : terms_(terms)
-{}
+fleet_balance::fleet_balance(balance_terms terms) : terms_(terms) {}
 
 void fleet_balance::forbid(const std::string& from, const std::string& to)
 {
@@ -99,8 +97,8 @@
         const auto* machine = take(off, needy->first);
         if (!machine)
         {
-            const auto giver = std::ranges::max_element(
-                surplus, {}, [&](const auto& item) {
+            const auto giver =
+                std::ranges::max_element(surplus, {}, [&](const auto& item) {
                     return pools[item.first].idle.empty() ? std::int64_t{0}
                                                           : item.second;
                 });
--- a/src/libsched/fleet_balance_test.cpp
+++ b/src/libsched/fleet_balance_test.cpp
@@ -153,17 +153,15 @@
                         ++hosts;
                         members.push_back(m);
                     }
-                const double served =
-                    std::min(waiting[name], hosts * step_s);
+                const double served = std::min(waiting[name], hosts * step_s);
                 waiting[name] -= served;
-                const auto used = static_cast<std::size_t>(
-                    std::ceil(served / step_s));
+                const auto used =
+                    static_cast<std::size_t>(std::ceil(served / step_s));
                 sum += waiting[name];
                 members.erase(
                     members.begin(),
-                    members.begin() +
-                        static_cast<std::ptrdiff_t>(
-                            std::min(used, members.size())));
+                    members.begin() + static_cast<std::ptrdiff_t>(
+                                          std::min(used, members.size())));
                 demands.push_back(demand(
                     name, served / step_s, waiting[name] * 1000, members));
             }
--- a/src/libsched/host_lease.cpp
+++ b/src/libsched/host_lease.cpp
@@ -15,8 +15,8 @@
 
 milliseconds lease_terms::takeover_wait() const
 {
-    const auto on_slow_clock =
-        slow_milliseconds(lease) / slowest_host_clock + slow_milliseconds(right);
+    const auto on_slow_clock = slow_milliseconds(lease) / slowest_host_clock +
+                               slow_milliseconds(right);
     return std::chrono::ceil<milliseconds>(on_slow_clock) + margin;
 }
 
@@ -60,9 +60,9 @@
 {
     if (!clock_)
         return std::nullopt;
-    return *clock_ + std::chrono::floor<milliseconds>(
-                         slow_milliseconds(now - received_) *
-                         slowest_host_clock);
+    return *clock_ +
+           std::chrono::floor<milliseconds>(
+               slow_milliseconds(now - received_) * slowest_host_clock);
 }
 
 } // namespace dandeliontack
--- a/src/libsched/pool_driver.hpp
+++ b/src/libsched/pool_driver.hpp
@@ -178,9 +178,9 @@
     return {task(index), run, {}, percent, 0};
 }
 
-inline ended_row
-ended(std::uint64_t number, std::uint32_t index, std::uint32_t run,
-      run_outcome outcome)
+inline ended_row ended(
+    std::uint64_t number, std::uint32_t index, std::uint32_t run,
+    run_outcome outcome)
 {
     return {number, task(index), run, outcome, {}};
 }
--- a/src/libsched/pool_engine.cpp
+++ b/src/libsched/pool_engine.cpp
@@ -1,5 +1,4 @@
 #include "pool_planner.hpp"
-
 #include <dandeliontack/pool_engine.hpp>
 
 #include <algorithm>
@@ -101,9 +100,8 @@
 std::string_view to_string(start_answer answer)
 {
     constexpr std::array<std::string_view, 10> names{
-        "started",        "fenced",    "run too low", "too late",
-        "no room",        "no ticket", "malformed",   "refused",
-        "another life",   "unknown"};
+        "started",   "fenced",    "run too low", "too late",     "no room",
+        "no ticket", "malformed", "refused",     "another life", "unknown"};
     return names.at(static_cast<std::size_t>(answer));
 }
 
@@ -121,8 +119,7 @@
 }
 
 pool_engine::pool_engine(pool_terms terms, std::uint64_t epoch)
-    : terms_(terms),
-      epoch_(epoch)
+    : terms_(terms), epoch_(epoch)
 {}
 
 void pool_engine::restore(
@@ -271,8 +268,8 @@
         }
         auto& h = found->second;
         if (!h.entry.draining && entry.draining)
-            effects_.emplace_back(pool_effect::decided{
-                "host_drains", {}, {}, 0, entry.id, {}});
+            effects_.emplace_back(
+                pool_effect::decided{"host_drains", {}, {}, 0, entry.id, {}});
         // The list may be older than what the host has said itself.
         const auto born = std::max(h.entry.born, entry.born);
         h.entry = entry;
@@ -379,9 +376,8 @@
         break;
     case start_answer::ticket_refused:
         if (auto* s = active_submission(e.task.submission))
-            s->occurrences[e.task.occurrence]
-                .steps[e.task.step]
-                .tickets.erase(e.host);
+            s->occurrences[e.task.occurrence].steps[e.task.step].tickets.erase(
+                e.host);
         break;
     default:
         break;
@@ -499,8 +495,7 @@
         if (s.record.spec.repetitions > 0 && s.accepted_in == 0)
             open_occurrences(s);
     std::erase_if(finished_, [&](const auto& item) {
-        const bool old =
-            now_.steady - item.second.since > terms_.keep_finished;
+        const bool old = now_.steady - item.second.since > terms_.keep_finished;
         if (old)
             changes_.forgotten.push_back(item.first);
         return old;
@@ -514,8 +509,8 @@
 // so its next answers say which runs are gone.
 void pool_engine::begin_life(host_state& h, std::chrono::milliseconds born)
 {
-    effects_.emplace_back(pool_effect::decided{
-        "host_restarted", {}, {}, 0, h.entry.id, {}});
+    effects_.emplace_back(
+        pool_effect::decided{"host_restarted", {}, {}, 0, h.entry.id, {}});
     h.entry.born = born;
     h.lease.begin_life(now_.steady, terms_.longest_hold);
     h.contacted = false;
@@ -625,7 +620,11 @@
             longest_suspension);
     ++health.suspensions;
     effects_.emplace_back(pool_effect::decided{
-        "host_suspended", {}, {}, 0, h.entry.id,
+        "host_suspended",
+        {},
+        {},
+        0,
+        h.entry.id,
         "tasks of different submissions failed there"});
 }
 
@@ -644,7 +643,11 @@
     health.suspensions = 0;
     health.avoid_until = now_.steady;
     effects_.emplace_back(pool_effect::decided{
-        "host_cleared", {}, {}, 0, h.entry.id,
+        "host_cleared",
+        {},
+        {},
+        0,
+        h.entry.id,
         "what failed there fails on other hosts too"});
 }
 
@@ -720,14 +723,13 @@
 }
 
 // Runs that the host neither lists nor has listed as ended.
-void pool_engine::find_missing(
-    host_state& h, const pool_event::host_held& e)
+void pool_engine::find_missing(host_state& h, const pool_event::host_held& e)
 {
     std::vector<task_ref> gone;
     for (auto& [task, run] : h.runs)
     {
-        const bool listed = std::ranges::any_of(
-            e.report.running, [&](const running_row& row) {
+        const bool listed =
+            std::ranges::any_of(e.report.running, [&](const running_row& row) {
                 return row.task == task && row.run == run.run;
             });
         if (listed)
@@ -797,8 +799,8 @@
         t && t->host == h.entry.id && t->run == run.run &&
         (t->phase == task_phase::starting || t->phase == task_phase::running))
         t->phase = task_phase::stopping;
-    effects_.emplace_back(pool_effect::stop{
-        h.entry.id, h.entry.born, task, run.run, reason});
+    effects_.emplace_back(
+        pool_effect::stop{h.entry.id, h.entry.born, task, run.run, reason});
     say("stop_ordered", task, run.run, h.entry.id, std::string(reason));
 }
 
@@ -817,22 +819,21 @@
             {
                 if (t.phase == task_phase::recording)
                 {
-                    t.phase = t.ended_done ? task_phase::done
-                                           : task_phase::waiting;
+                    t.phase =
+                        t.ended_done ? task_phase::done : task_phase::waiting;
                     gang_done = gang_done || t.ended_done;
                 }
                 gang_failures += t.failures;
-                has_failed = has_failed ||
-                             (limits_attempts(spec) &&
-                              t.failures >= s.record.terms.max_attempts &&
-                              t.phase != task_phase::done);
+                has_failed =
+                    has_failed || (limits_attempts(spec) &&
+                                   t.failures >= s.record.terms.max_attempts &&
+                                   t.phase != task_phase::done);
             }
             if (spec.gang)
             {
-                has_failed =
-                    has_failed || (limits_attempts(spec) && !gang_done &&
-                                   gang_failures >=
-                                       s.record.terms.max_attempts);
+                has_failed = has_failed ||
+                             (limits_attempts(spec) && !gang_done &&
+                              gang_failures >= s.record.terms.max_attempts);
                 if (gang_done)
                     for (auto& t : step.tasks)
                         t.phase = task_phase::done;
@@ -848,8 +849,8 @@
     s.occurrences_done = 0;
     for (auto& [k, occurrence] : s.occurrences)
     {
-        occurrence.steps_done = static_cast<std::uint32_t>(std::ranges::count_if(
-            occurrence.steps, [](const step_state& step) {
+        occurrence.steps_done = static_cast<std::uint32_t>(
+            std::ranges::count_if(occurrence.steps, [](const step_state& step) {
                 return step.done == step.tasks.size();
             }));
         if (occurrence.steps_done == occurrence.steps.size())
@@ -872,8 +873,7 @@
     active_.erase(id);
 }
 
-void pool_engine::stop_everything(
-    submission_state& s, std::string_view reason)
+void pool_engine::stop_everything(submission_state& s, std::string_view reason)
 {
     const auto id = s.record.id;
     for (auto& [name, h] : hosts_)
@@ -930,8 +930,8 @@
         if (step->gang)
             continue;
         if (h.last_answer > t->progressed &&
-            still > std::max<std::chrono::milliseconds>(
-                        hang_least, step->estimate))
+            still >
+                std::max<std::chrono::milliseconds>(hang_least, step->estimate))
             hung.push_back(task);
     }
     for (const auto& task : again)
@@ -1070,7 +1070,11 @@
         settled_at_ = settled_at_.value_or(now_.steady);
         let_go_inherited();
         effects_.emplace_back(pool_effect::decided{
-            "takeover_settled", {}, {}, 0, {},
+            "takeover_settled",
+            {},
+            {},
+            0,
+            {},
             over ? "the leases of unreachable hosts have ended"
                  : "every host has answered or left a list"});
     }
@@ -1112,8 +1116,8 @@
 
 host_use pool_engine::use_of(const host_state& h) const
 {
-    host_use use{
-        h.entry.id, h.entry.born, h.entry.pool, h.entry.address, h.closed, {}};
+    host_use use{h.entry.id,      h.entry.born, h.entry.pool,
+                 h.entry.address, h.closed,     {}};
     if (h.closed)
         for (const auto& [task, run] : h.runs)
             use.tasks.push_back(task);
@@ -1199,8 +1203,8 @@
     if (found == hosts_.end() || found->second.entry.born != order.born)
         return false;
     const auto run = found->second.runs.find(order.task);
-    return run != found->second.runs.end() &&
-           run->second.run == order.run && !run->second.stop_ordered;
+    return run != found->second.runs.end() && run->second.run == order.run &&
+           !run->second.stop_ordered;
 }
 
 bool pool_engine::is_empty(const std::string& host, moment now) const
@@ -1212,8 +1216,7 @@
     if (found == hosts_.end())
         return true;
     const auto& h = found->second;
-    return h.runs.empty() &&
-           (h.contacted || h.lease.has_ended(now.steady));
+    return h.runs.empty() && (h.contacted || h.lease.has_ended(now.steady));
 }
 
 std::vector<std::string> pool_engine::unmet_hosts() const
@@ -1264,8 +1267,7 @@
         hosts.try_emplace(h.entry.pool, typical_host(h.entry.pool));
         if (!h.listed || !h.contacted)
             continue;
-        const bool leaving =
-            h.entry.draining || h.evacuate_until > now.steady;
+        const bool leaving = h.entry.draining || h.evacuate_until > now.steady;
         ++(leaving ? demand.leaving : demand.hosts);
         if (h.runs.empty() && !leaving)
             demand.idle.push_back(id);
@@ -1299,12 +1301,11 @@
                 {
                     demand.lasting += share;
                     // One host more lets a task move before its host leaves.
-                    const auto spread =
-                        spec.most_per_host == 0
-                            ? 1
-                            : (spec.count + spec.most_per_host - 1) /
-                                      spec.most_per_host +
-                                  1;
+                    const auto spread = spec.most_per_host == 0
+                                            ? 1
+                                            : (spec.count + spec.most_per_host -
+                                               1) / spec.most_per_host +
+                                                  1;
                     demand.lasting_hosts =
                         std::max(demand.lasting_hosts, spread);
                     if (waiting > 0)
@@ -1321,8 +1322,8 @@
     {
         demand.pool = pool;
         if (const auto sum = arrivals_.find(pool); sum != arrivals_.end())
-            demand.arriving_ms = sum->second.host_ms *
-                                 decay(now.steady - sum->second.at);
+            demand.arriving_ms =
+                sum->second.host_ms * decay(now.steady - sum->second.at);
         list.push_back(std::move(demand));
     }
     return list;
--- a/src/libsched/pool_hosts_test.cpp
+++ b/src/libsched/pool_hosts_test.cpp
@@ -53,7 +53,11 @@
     ASSERT_EQ(first.size(), 1U);
     const auto& order = first[0];
     auto effects = d.apply(pool_event::start_answered{
-        order.host, order.born, order.task, order.run, start_answer::unknown,
+        order.host,
+        order.born,
+        order.task,
+        order.run,
+        start_answer::unknown,
         {}});
     ASSERT_EQ(d.only<pool_effect::stop>(effects).size(), 1U);
     EXPECT_TRUE(d.only<pool_effect::start>(d.tick()).empty());
@@ -75,12 +79,10 @@
     d.advance(1s);
     d.hold("a", {}, {ended(1, 0, 1, run_outcome::done)});
     EXPECT_EQ(d.engine.hosts().at("a").ack_cursor, 0U);
-    EXPECT_NE(
-        d.engine.find(submission_id)->phase, submission_phase::completed);
+    EXPECT_NE(d.engine.find(submission_id)->phase, submission_phase::completed);
     d.store();
     EXPECT_EQ(d.engine.hosts().at("a").ack_cursor, 1U);
-    EXPECT_EQ(
-        d.engine.find(submission_id)->phase, submission_phase::completed);
+    EXPECT_EQ(d.engine.find(submission_id)->phase, submission_phase::completed);
 }
 
 TEST(pool_hosts, releases_everything_of_a_host_whose_address_lives_on)
@@ -131,11 +133,21 @@
             {
                 d.advance(20ms);
                 if (order.host == "bad")
-                    d.hold("bad", {}, {{++number, order.task, order.run,
-                                        run_outcome::failed, {}}});
+                    d.hold(
+                        "bad", {},
+                        {{++number,
+                          order.task,
+                          order.run,
+                          run_outcome::failed,
+                          {}}});
                 else
-                    d.hold("good", {}, {{++number, order.task, order.run,
-                                         run_outcome::done, {}}});
+                    d.hold(
+                        "good", {},
+                        {{++number,
+                          order.task,
+                          order.run,
+                          run_outcome::done,
+                          {}}});
                 d.store();
             }
             d.hold("bad");
@@ -166,8 +178,13 @@
         d.answer_starts(effects);
         d.advance(20ms);
         for (const auto& order : d.only<pool_effect::start>(effects))
-            d.hold(order.host, {}, {{++numbers[order.host], order.task,
-                                     order.run, run_outcome::failed, {}}});
+            d.hold(
+                order.host, {},
+                {{++numbers[order.host],
+                  order.task,
+                  order.run,
+                  run_outcome::failed,
+                  {}}});
         d.store();
         for (const auto* id : {"a", "b", "c"})
             d.hold(id);
@@ -208,12 +225,10 @@
         d.advance(500ms);
         d.hold(starts[1].host, {row(starts[1])});
     }
-    d.apply(pool_event::evacuation_wanted{
-        starts[1].host, d.now.steady + 3s});
+    d.apply(pool_event::evacuation_wanted{starts[1].host, d.now.steady + 3s});
     EXPECT_TRUE(d.only<pool_effect::stop>(d.all).empty());
     d.hold(starts[0].host, {row(starts[0])});
-    d.apply(pool_event::evacuation_wanted{
-        starts[1].host, d.now.steady + 3s});
+    d.apply(pool_event::evacuation_wanted{starts[1].host, d.now.steady + 3s});
     EXPECT_EQ(d.only<pool_effect::stop>(d.all).size(), 1U);
 }
 
@@ -229,7 +244,11 @@
     ASSERT_EQ(first.size(), 1U);
     const auto& order = first[0];
     d.apply(pool_event::start_answered{
-        order.host, order.born, order.task, order.run, start_answer::unknown,
+        order.host,
+        order.born,
+        order.task,
+        order.run,
+        start_answer::unknown,
         {}});
     const auto take_stops = [&](const pool_effects& effects) {
         for (const auto& stop : d.only<pool_effect::stop>(effects))
--- a/src/libsched/pool_planner.cpp
+++ b/src/libsched/pool_planner.cpp
@@ -43,8 +43,7 @@
 }
 
 pool_planner::pool_planner(pool_engine& engine)
-    : engine_(engine),
-      now_(engine.now_)
+    : engine_(engine), now_(engine.now_)
 {}
 
 void pool_planner::plan()
@@ -160,8 +159,7 @@
     const auto factor = engine_.estimate_factor_.contains(terms.route)
                             ? engine_.estimate_factor_.at(terms.route)
                             : 1.0;
-    const double left =
-        factor * static_cast<double>(chain_from(s, o).count());
+    const double left = factor * static_cast<double>(chain_from(s, o).count());
     occurrence_state fresh;
     fresh.steps.resize(o.steps.size());
     for (auto& f : fresh.steps)
@@ -170,8 +168,7 @@
         factor * static_cast<double>(chain_from(s, fresh).count());
     const double objective =
         terms.stretch * chain + static_cast<double>(terms.target.count());
-    const double age =
-        static_cast<double>((now_.steady - o.due).count());
+    const double age = static_cast<double>((now_.steady - o.due).count());
     const bool started = std::ranges::any_of(o.steps, [](const auto& item) {
         return std::ranges::any_of(item.tasks, [](const task_state& t) {
             return t.phase != task_phase::waiting;
@@ -230,8 +227,7 @@
     if (h.health.suspensions > 0)
         cost += cost_on_probation;
     const auto neighbours = std::ranges::count_if(h.runs, [&](const auto& r) {
-        return spec.fills ? r.second.serves
-                          : r.second.serves || r.second.fills;
+        return spec.fills ? r.second.serves : r.second.serves || r.second.fills;
     });
     if (spec.fills || spec.long_running)
         cost += cost_neighbour * static_cast<double>(neighbours);
@@ -273,8 +269,7 @@
 
 std::string pool_planner::rack_in_use(const candidate& c) const
 {
-    const auto& step =
-        c.submission->occurrences.at(c.occurrence).steps[c.step];
+    const auto& step = c.submission->occurrences.at(c.occurrence).steps[c.step];
     for (const auto& t : step.tasks)
         if (!t.host.empty())
             if (const auto h = engine_.hosts_.find(t.host);
@@ -297,8 +292,7 @@
     step.tickets.clear();
     step.asking = true;
     step.asked = now_.steady;
-    pool_effect::advise ask{
-        {s.record.id, c.occurrence, c.step, 0}, {}};
+    pool_effect::advise ask{{s.record.id, c.occurrence, c.step, 0}, {}};
     auto& hosts = hosts_[s.record.terms.pool];
     std::ranges::sort(hosts, std::greater<>{}, [](const host_state* h) {
         return h->entry.capacity.cpu_milli - h->used.cpu_milli;
@@ -328,8 +322,10 @@
             return;
         if (rack.empty() && spec.same_rack)
             rack = h->entry.rack;
-        start(c, i, *h, engine_.next_run({c.submission->record.id,
-            c.occurrence, c.step, i}, t));
+        start(
+            c, i, *h,
+            engine_.next_run(
+                {c.submission->record.id, c.occurrence, c.step, i}, t));
     }
 }
 
@@ -404,7 +400,8 @@
     engine_.effects_.emplace_back(pool_effect::start{
         h.entry.id, h.entry.born, task, run, t.checkpoint,
         ticket == step.tickets.end() ? std::string() : ticket->second});
-    engine_.say("start_ordered", task, run, h.entry.id,
+    engine_.say(
+        "start_ordered", task, run, h.entry.id,
         c.rank >= rank_late ? "late" : "in time");
 }
 
--- a/src/libsched/pool_planner.hpp
+++ b/src/libsched/pool_planner.hpp
@@ -34,9 +34,10 @@
 
     void collect_hosts();
     std::vector<candidate> collect_candidates();
-    candidate ranked(
-        submission_state& s, std::uint32_t occurrence, std::uint32_t step);
-    bool is_ready(const submission_state& s, const occurrence_state& o,
+    candidate
+    ranked(submission_state& s, std::uint32_t occurrence, std::uint32_t step);
+    bool is_ready(
+        const submission_state& s, const occurrence_state& o,
         std::uint32_t step) const;
     bool may_start(const task_state& t) const;
     void place_tasks(const candidate& c);
@@ -44,12 +45,13 @@
     host_state* best_host(
         const candidate& c, const step_spec& spec, const task_state& t,
         const std::string& rack);
-    bool takes(
-        const host_state& h, const candidate& c, const step_spec& spec) const;
+    bool
+    takes(const host_state& h, const candidate& c, const step_spec& spec) const;
     double cost_of(
         const host_state& h, const step_spec& spec, const task_state& t,
         const std::string& rack) const;
-    void start(const candidate& c, std::uint32_t index, host_state& h,
+    void start(
+        const candidate& c, std::uint32_t index, host_state& h,
         std::uint32_t run);
     bool has_advice(const candidate& c);
     std::string rack_in_use(const candidate& c) const;
--- a/src/libsched/pool_takeover_test.cpp
+++ b/src/libsched/pool_takeover_test.cpp
@@ -33,7 +33,11 @@
     EXPECT_TRUE(d.only<pool_effect::stop>(d.all).empty());
     EXPECT_TRUE(d.only<pool_effect::start>(d.all).empty());
     EXPECT_EQ(
-        d.engine.state_of(submission_id)->occurrences.at(0).steps[0].tasks[0].run,
+        d.engine.state_of(submission_id)
+            ->occurrences.at(0)
+            .steps[0]
+            .tasks[0]
+            .run,
         1U);
 }
 
@@ -73,7 +77,8 @@
     {
         d.hold("a");
         d.tick();
-        ASSERT_TRUE(d.only<pool_effect::start>(d.all).empty()) << waited.count();
+        ASSERT_TRUE(d.only<pool_effect::start>(d.all).empty())
+            << waited.count();
         d.advance(500ms);
     }
     d.hold("a");
@@ -214,8 +219,7 @@
     d.hold("a", {}, {ended(7, 0, 1, run_outcome::failed)});
     d.store();
     EXPECT_EQ(d.engine.hosts().at("a").ack_cursor, 7U);
-    EXPECT_EQ(
-        d.engine.find(submission_id)->phase, submission_phase::running);
+    EXPECT_EQ(d.engine.find(submission_id)->phase, submission_phase::running);
     d.tick();
     ASSERT_EQ(d.only<pool_effect::start>(d.all).size(), 1U);
     EXPECT_GT(d.only<pool_effect::start>(d.all)[0].run, 1U);
--- a/src/libsched/upkeep_plan_test.cpp
+++ b/src/libsched/upkeep_plan_test.cpp
@@ -11,8 +11,8 @@
 namespace
 {
 
-listed_machine machine(
-    const std::string& name, machine_state state = machine_state::up)
+listed_machine
+machine(const std::string& name, machine_state state = machine_state::up)
 {
     listed_machine out;
     out.name = name;
@@ -104,8 +104,7 @@
 {
     const auto step = plan_upkeep(
         wave({"a", "b"}, 1), {},
-        {machine("a", machine_state::upkeep), machine("b")},
-        everything_empty);
+        {machine("a", machine_state::upkeep), machine("b")}, everything_empty);
     EXPECT_TRUE(step.order.empty());
     ASSERT_EQ(step.evacuate.size(), 1U);
     EXPECT_EQ(step.evacuate[0].name, "b");
@@ -165,8 +164,8 @@
             progress.unanswered.insert(names.back());
         down += state == 0 || state == 2 ? 1 : 0;
     }
-    const auto step = plan_upkeep(
-        wave(names, most), progress, machines, everything_empty);
+    const auto step =
+        plan_upkeep(wave(names, most), progress, machines, everything_empty);
     const auto fresh = static_cast<std::size_t>(
         std::ranges::count_if(step.order, [&](const listed_machine& m) {
             return !progress.unanswered.contains(m.name);
--- a/src/libutil/event_log.cpp
+++ b/src/libutil/event_log.cpp
@@ -1,10 +1,11 @@
 #include <dandeliontack/event_log.hpp>
 
+#include <fcntl.h>
+#include <unistd.h>
+
 #include <array>
 #include <chrono>
 #include <cstdio>
-#include <fcntl.h>
-#include <unistd.h>
 #include <utility>
 
 namespace dandeliontack
@@ -91,9 +92,7 @@
 }
 
 event_log::event_log(std::string node, int descriptor, limits bounds)
-    : node_(std::move(node)),
-      descriptor_(descriptor),
-      limits_(bounds)
+    : node_(std::move(node)), descriptor_(descriptor), limits_(bounds)
 {
     const int flags = ::fcntl(descriptor_, F_GETFL);
     ::fcntl(descriptor_, F_SETFL, flags | O_NONBLOCK);
--- a/src/libutil/http_pool.cpp
+++ b/src/libutil/http_pool.cpp
@@ -10,8 +10,7 @@
 namespace asio = boost::asio;
 
 http_pool::http_pool(asio::any_io_executor executor, limits bounds)
-    : executor_(std::move(executor)),
-      limits_(bounds)
+    : executor_(std::move(executor)), limits_(bounds)
 {}
 
 asio::awaitable<exchange_result> http_pool::exchange(
@@ -19,9 +18,8 @@
 {
     const auto now = std::chrono::steady_clock::now();
     auto& idle = idle_[peer];
-    while (!idle.empty() &&
-           (now - idle.front().since > limits_.longest_idle ||
-            !idle.front().connection.reusable()))
+    while (!idle.empty() && (now - idle.front().since > limits_.longest_idle ||
+                             !idle.front().connection.reusable()))
         idle.pop_front();
     std::optional<http_connection> connection;
     if (idle.empty())
--- a/src/libutil/wake_signal.cpp
+++ b/src/libutil/wake_signal.cpp
@@ -15,8 +15,7 @@
 
 asio::awaitable<void> wake_signal::wait(std::chrono::milliseconds longest)
 {
-    const auto place =
-        waiting_.emplace(waiting_.end(), executor_, longest);
+    const auto place = waiting_.emplace(waiting_.end(), executor_, longest);
     co_await place->async_wait(asio::as_tuple(asio::use_awaitable));
     waiting_.erase(place);
 }
--- a/src/tack-node/main.cpp
+++ b/src/tack-node/main.cpp
@@ -3,10 +3,10 @@
 
 #include <absl/flags/flag.h>
 #include <boost/asio.hpp>
+#include <unistd.h>
 
 #include <csignal>
 #include <cstdlib>
-#include <unistd.h>
 
 ABSL_FLAG(
     std::string, settings, "",
@@ -57,8 +57,8 @@
     }
 }
 
-asio::awaitable<void> run_until_stopped(
-    tack_node& node, const tack_node_settings& settings)
+asio::awaitable<void>
+run_until_stopped(tack_node& node, const tack_node_settings& settings)
 {
     co_await wait_for_stop_signal();
     const auto grace = std::chrono::round<std::chrono::milliseconds>(
@@ -75,7 +75,7 @@
     http_pool connections(context.get_executor(), {});
     node_context shared{
         context.get_executor(), settings, log, metrics, connections,
-        make_incarnation(), {}};
+        make_incarnation(),     {}};
     tack_node node(shared);
     node.start();
     log.write(
--- a/testsuite/fleet_nodes/fleet_nodes_test.cpp
+++ b/testsuite/fleet_nodes/fleet_nodes_test.cpp
@@ -64,7 +64,8 @@
                 "\ndata_centre = dc-1\n"
                 "[listen]\ncallers = 127.0.0.1:0\nreadiness = 127.0.0.1:0\n"
                 "metrics = 127.0.0.1:0\npeers = 127.0.0.1:0\n"
-                "[store]\naddress = " + to_string(platform_address_) +
+                "[store]\naddress = " +
+                to_string(platform_address_) +
                 "\n[machines]\naddress = " + to_string(platform_address_) +
                 "\n[bounds]\ngrace_seconds = 4\n");
         nodes_.erase(name);
@@ -92,8 +93,8 @@
         }));
     }
 
-    http_response ask(
-        const std::string& node, http::verb verb, const std::string& target,
+    http_response
+    ask(const std::string& node, http::verb verb, const std::string& target,
         std::string body = {})
     {
         http_request request(verb, target, 11);
@@ -202,8 +203,7 @@
     start_nodes();
     for (unsigned i = 0; i < 12; ++i)
         ASSERT_TRUE(hand_in(
-            i % 2 == 0 ? "n1" : "n2", id_of(i),
-            submission("100", 3, false)));
+            i % 2 == 0 ? "n1" : "n2", id_of(i), submission("100", 3, false)));
     // The same submission again changes nothing.
     EXPECT_TRUE(hand_in("n3", id_of(0), submission("100", 3, false)));
     for (unsigned i = 0; i < 12; ++i)
@@ -291,6 +291,27 @@
     check_runs();
 }
 
+TEST_F(node_fleet, refuses_at_once_while_the_store_is_down)
+{
+    start_nodes();
+    ASSERT_TRUE(hand_in("n1", id_of(1), submission("lasting", 1, true)));
+    post(platform_address_, "/fault?mode=down");
+    // The first answers may still wait for the store; then they come at once.
+    http_response refused;
+    EXPECT_TRUE(eventually([&] {
+        refused =
+            ask("n1", http::verb::post, "/checks/" + id_of(2),
+                submission("100", 1, false));
+        return refused.result() == http::status::service_unavailable;
+    }));
+    EXPECT_FALSE(refused[http::field::retry_after].empty());
+    EXPECT_NE(refused.body().find("not-run"), std::string::npos);
+    post(platform_address_, "/fault?mode=none");
+    EXPECT_TRUE(hand_in("n2", id_of(3), submission("100", 1, false)));
+    EXPECT_TRUE(reaches("n3", id_of(3), "completed"));
+    check_runs();
+}
+
 TEST_F(node_fleet, refuses_bad_input_and_stores_nothing)
 {
     start_nodes();
--- a/testsuite/standins/fleet/keyed_store.cpp
+++ b/testsuite/standins/fleet/keyed_store.cpp
@@ -88,8 +88,8 @@
              std::string(content.substr(1 + key))});
         body.remove_prefix(sizeof size + size);
     }
-    const auto text = json::serialize(json::object{
-        {"offset", offset}, {"endOffset", part.records.size()}});
+    const auto text = json::serialize(
+        json::object{{"offset", offset}, {"endOffset", part.records.size()}});
     if (!producer.empty())
     {
         auto& answers = part.writers[producer].answers;
--- a/testsuite/standins/fleet/main.cpp
+++ b/testsuite/standins/fleet/main.cpp
@@ -50,8 +50,7 @@
     running_host(
         asio::any_io_executor executor, metric_registry& metrics,
         const std::string& id)
-        : host(id),
-          server(executor, {}, metrics, [this](http_request request) {
+        : host(id), server(executor, {}, metrics, [this](http_request request) {
               return handle(std::move(request));
           })
     {
@@ -72,10 +71,9 @@
             co_return make_response(http::status::not_found, "text/plain", {});
         const auto body = json::parse(request.body()).as_object();
         const auto* wait = body.if_contains("waitMs");
-        const auto until =
-            std::chrono::steady_clock::now() +
-            std::chrono::milliseconds(
-                wait ? wait->to_number<std::int64_t>() : 0);
+        const auto until = std::chrono::steady_clock::now() +
+                           std::chrono::milliseconds(
+                               wait ? wait->to_number<std::int64_t>() : 0);
         const auto executor = co_await asio::this_coro::executor;
         while (!host.has_ends() && std::chrono::steady_clock::now() < until)
             co_await pause_for(executor, poll_interval);
@@ -220,17 +218,16 @@
     metric_registry metrics;
     fleet world(context.get_executor());
     http_server server(
-        context.get_executor(), {}, metrics, [&](http_request request) {
-            return world.handle(std::move(request));
-        });
+        context.get_executor(), {}, metrics,
+        [&](http_request request) { return world.handle(std::move(request)); });
     const auto where = parse_endpoint(absl::GetFlag(FLAGS_listen));
     if (!where)
         return exit_bad_input;
     announce("platform", server.listen(*where));
     asio::co_spawn(context, world.beat(), asio::detached);
-    asio::co_spawn(
-        context, wait_for_stop_signal(),
-        [&](std::exception_ptr) { context.stop(); });
+    asio::co_spawn(context, wait_for_stop_signal(), [&](std::exception_ptr) {
+        context.stop();
+    });
     context.run();
     return exit_ok;
 }
--- a/testsuite/standins/fleet/task_host.cpp
+++ b/testsuite/standins/fleet/task_host.cpp
@@ -161,8 +161,8 @@
     if (is_fenced(body))
         return answer(409, {{"reason", "fence"}});
     const auto cursor = body.at("ackCursor").to_number<std::uint64_t>();
-    const auto* first = std::ranges::find_if(
-        finished_, [&](const json::value& row) {
+    const auto* first =
+        std::ranges::find_if(finished_, [&](const json::value& row) {
             return row.as_array()[0].to_number<std::uint64_t>() > cursor;
         });
     finished_.erase(finished_.begin(), first);
