--- a/src/include/dandeliontack/node_context.hpp
+++ b/src/include/dandeliontack/node_context.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <dandeliontack/boot_clock.hpp>
 #include <dandeliontack/event_log.hpp>
 #include <dandeliontack/http_pool.hpp>
 #include <dandeliontack/incarnation.hpp>
@@ -25,6 +26,10 @@
     incarnation life;
     /// Where other nodes reach this one; set once it listens.
     std::string peer_address;
+    /// When the last announcement of this node that was stored had been sent.
+    /// Others take over from it once its announcements stay out; it gives no
+    /// order by then.
+    boot_time announced;
 };
 
 } // namespace dandeliontack
--- a/src/include/dandeliontack/pool_engine.hpp
+++ b/src/include/dandeliontack/pool_engine.hpp
@@ -115,6 +115,8 @@
     bool end_current(
         host_state& h, submission_state& s, task_state& t,
         const ended_row& row);
+    std::map<task_ref, host_run>::iterator
+    hold_run(host_state& h, const running_row& row, const step_spec* step);
     void take_running(host_state& h, const running_row& row);
     void find_missing(host_state& h, const pool_event::host_held& e);
     void advance_cursor(host_state& h);
--- a/src/include/dandeliontack/shard_map.hpp
+++ b/src/include/dandeliontack/shard_map.hpp
@@ -32,8 +32,9 @@
 /// When a node counts as lost and how successors take turns.
 struct takeover_terms
 {
-    /// A node whose announcements stay out this long is lost.
-    std::chrono::milliseconds silence{2000};
+    /// A node whose announcements stay out this long is lost. More than the
+    /// right of an owner (`lease_terms`), which ends before.
+    std::chrono::milliseconds silence{2400};
     /// What this node waits after its first look before it claims anything,
     /// so that nodes which start together see each other.
     std::chrono::milliseconds settle{1000};
--- a/src/libnode/fleet_duty.cpp
+++ b/src/libnode/fleet_duty.cpp
@@ -82,7 +82,9 @@
 
 bool fleet_duty::has_right() const
 {
-    return !lost_ && read_clocks().steady - writer_.confirmed() < right;
+    const auto now = read_clocks().steady;
+    return !lost_ && now - writer_.confirmed() < right &&
+           now - context_.announced < right;
 }
 
 void fleet_duty::request(wave_request wave)
--- a/src/libnode/shard_owner.cpp
+++ b/src/libnode/shard_owner.cpp
@@ -93,10 +93,14 @@
     return engine_.get();
 }
 
+// A successor claims the shard only after this node's announcements have
+// stayed out for longer than the right lasts.
 bool shard_owner::has_right() const
 {
-    return !lost_ &&
-           read_clocks().steady - writer_.confirmed() < terms_.leases.right;
+    const auto now = read_clocks().steady;
+    const auto right = terms_.leases.right;
+    return !lost_ && now - writer_.confirmed() < right &&
+           now - context_.announced < right;
 }
 
 bool shard_owner::may_speak() const
--- a/src/libnode/shard_router.cpp
+++ b/src/libnode/shard_router.cpp
@@ -208,8 +208,7 @@
         {
             const auto timeout =
                 std::clamp<std::chrono::milliseconds>(left, 1ms, try_timeout);
-            const auto record = *owner;
-            answer = co_await ask_remote(record, call, timeout);
+            answer = co_await ask_remote(*owner, call, timeout);
         }
         switch (answer.outcome)
         {
--- a/src/libnode/tack_node.cpp
+++ b/src/libnode/tack_node.cpp
@@ -157,7 +157,9 @@
             done = co_await writer.append(std::move(records));
         else
             done = co_await writer.claim(last, std::move(records), patience);
-        if (!done)
+        if (done)
+            context_.announced = writer.confirmed();
+        else
             last = std::max(last, writer.epoch());
         co_await announce_now_.wait(
             done ? std::chrono::milliseconds(announce_interval)
@@ -248,6 +250,7 @@
     if (!std::exchange(hosts_changed_, false))
         return;
     std::vector<host_entry> entries;
+    entries.reserve(hosts_.size());
     for (const auto& [id, entry] : hosts_)
         entries.push_back(entry);
     for (const auto& [shard, owner] : router_.owned())
--- a/src/libsched/pool_engine.cpp
+++ b/src/libsched/pool_engine.cpp
@@ -651,34 +651,49 @@
         "what failed there fails on other hosts too"});
 }
 
+// Takes room on the host for a run that it lists.
+std::map<task_ref, host_run>::iterator pool_engine::hold_run(
+    host_state& h, const running_row& row, const step_spec* step)
+{
+    host_run run;
+    run.run = row.run;
+    run.ordered = now_.steady;
+    if (step)
+    {
+        run.need = counted_room(*step);
+        run.serves = step->long_running && step->latency_objective > 0ms;
+        run.fills = step->fills;
+        run.lasts = step->long_running;
+        run.objective = step->latency_objective;
+    }
+    h.used = h.used + run.need;
+    return h.runs.emplace(row.task, run).first;
+}
+
 void pool_engine::take_running(host_state& h, const running_row& row)
 {
     auto held = h.runs.find(row.task);
     auto* s = active_submission(row.task.submission);
     auto* t = s ? find_task(row.task) : nullptr;
     const auto* step = spec_of(row.task);
+    const bool adopt = t && t->inherited && t->phase == task_phase::waiting &&
+                       row.run > t->recorded_run && s->cancelled_in == 0;
+    if (held != h.runs.end() && held->second.run != row.run && !adopt)
+    {
+        // Another run of a task that has one here: an order that was carried
+        // out late. What is known of the current one stays.
+        effects_.emplace_back(pool_effect::stop{
+            h.entry.id, h.entry.born, row.task, row.run,
+            "another run of the task is wanted"});
+        say("stop_ordered", row.task, row.run, h.entry.id,
+            "another run of the task is wanted");
+        return;
+    }
     if (held == h.runs.end() || held->second.run != row.run)
     {
-        host_run run;
-        run.run = row.run;
-        run.ordered = now_.steady;
-        if (step)
-        {
-            run.need = step->need;
-            run.serves = step->long_running && step->latency_objective > 0ms;
-            run.fills = step->fills;
-            run.lasts = step->long_running;
-            run.objective = step->latency_objective;
-            if (step->fills)
-                run.need.cpu_milli = 0;
-        }
         if (held != h.runs.end())
             forget_run(h, row.task);
-        held = h.runs.emplace(row.task, run).first;
-        h.used = h.used + run.need;
-        const bool adopt = t && t->inherited &&
-                           t->phase == task_phase::waiting &&
-                           row.run > t->recorded_run && s->cancelled_in == 0;
+        held = hold_run(h, row, step);
         if (adopt)
         {
             t->inherited = false;
