--- a/src/include/dandeliontack/fleet_balance.hpp
+++ b/src/include/dandeliontack/fleet_balance.hpp
@@ -58,6 +58,18 @@
     std::uint32_t wanted(const pool_demand& demand) const;
 
 private:
+    struct round;
+
+    round look(
+        const std::vector<pool_demand>& demands,
+        const std::vector<listed_machine>& machines,
+        const std::set<std::string>& standby,
+        const std::set<std::string>& kept) const;
+    const listed_machine*
+    take(std::vector<const listed_machine*>& from, const std::string& to) const;
+    void fill(round& now) const;
+    void release(round& now, const std::string& standby, boot_time time);
+
     balance_terms terms_;
     std::map<std::string, boot_time> surplus_since_;
     std::set<std::pair<std::string, std::string>> forbidden_;
--- a/src/libsched/fleet_balance.cpp
+++ b/src/libsched/fleet_balance.cpp
@@ -9,15 +9,42 @@
 namespace
 {
 
-// Machines of a pool, by what they are good for.
-struct pool_machines
+using machine_list = std::vector<const listed_machine*>;
+
+bool may_leave_standby(
+    const listed_machine& machine, const std::set<std::string>& kept)
 {
-    std::uint32_t present = 0;
-    std::vector<const listed_machine*> idle;
-};
+    return machine.state != machine_state::moving &&
+           machine.state != machine_state::upkeep &&
+           !kept.contains(machine.name);
+}
+
+// The machines of a pool that run nothing and may move.
+machine_list idle_of(
+    const pool_demand& demand, const std::vector<listed_machine>& machines,
+    const std::set<std::string>& kept)
+{
+    machine_list out;
+    for (const auto& machine : machines)
+        if (machine.pool == demand.pool && machine.state == machine_state::up &&
+            !kept.contains(machine.name) && !machine.host.empty() &&
+            std::ranges::find(demand.idle, machine.host) != demand.idle.end())
+            out.push_back(&machine);
+    return out;
+}
 
 } // namespace
 
+// What a round of planning looks at.
+struct fleet_balance::round
+{
+    /// Machines more than a pool needs; negative where it lacks some.
+    std::map<std::string, std::int64_t> surplus;
+    std::map<std::string, machine_list> idle;
+    machine_list off;
+    std::vector<machine_move> moves;
+};
+
 fleet_balance::fleet_balance(balance_terms terms) : terms_(terms) {}
 
 void fleet_balance::forbid(const std::string& from, const std::string& to)
@@ -38,102 +65,110 @@
            demand.leaving;
 }
 
-std::vector<machine_move> fleet_balance::plan(
+fleet_balance::round fleet_balance::look(
     const std::vector<pool_demand>& demands,
     const std::vector<listed_machine>& machines,
-    const std::set<std::string>& standby, const std::set<std::string>& kept,
-    boot_time now)
+    const std::set<std::string>& standby,
+    const std::set<std::string>& kept) const
 {
-    std::map<std::string, pool_machines> pools;
-    std::vector<const listed_machine*> off;
+    round out;
     for (const auto& machine : machines)
+        if (standby.contains(machine.pool) && may_leave_standby(machine, kept))
+            out.off.push_back(&machine);
+    for (const auto& demand : demands)
     {
-        auto& pool = pools[machine.pool];
-        if (machine.state == machine_state::up ||
-            machine.state == machine_state::moving)
-            ++pool.present;
-        if (standby.contains(machine.pool) &&
-            machine.state != machine_state::moving &&
-            machine.state != machine_state::upkeep &&
-            !kept.contains(machine.name))
-            off.push_back(&machine);
+        const auto present =
+            std::ranges::count_if(machines, [&](const listed_machine& m) {
+                return m.pool == demand.pool &&
+                       (m.state == machine_state::up ||
+                        m.state == machine_state::moving);
+            });
+        out.surplus[demand.pool] = present - std::int64_t{wanted(demand)};
+        out.idle[demand.pool] = idle_of(demand, machines, kept);
     }
-    for (const auto& demand : demands)
-        for (const auto& machine : machines)
-            if (machine.pool == demand.pool &&
-                machine.state == machine_state::up &&
-                !kept.contains(machine.name) && !machine.host.empty() &&
-                std::ranges::find(demand.idle, machine.host) !=
-                    demand.idle.end())
-                pools[demand.pool].idle.push_back(&machine);
+    return out;
+}
 
-    std::vector<machine_move> moves;
-    std::map<std::string, std::int64_t> surplus;
-    for (const auto& demand : demands)
-        surplus[demand.pool] =
-            std::int64_t{pools[demand.pool].present} - wanted(demand);
-    const auto may_move = [&](const listed_machine* machine,
-                              const std::string& to) {
+// Takes the first machine that may join the pool off the list; null where
+// there is none.
+const listed_machine* fleet_balance::take(
+    std::vector<const listed_machine*>& from, const std::string& to) const
+{
+    const auto found = std::ranges::find_if(from, [&](const auto* machine) {
         return !forbidden_.contains({machine->pool, to});
-    };
-    const auto take = [&](std::vector<const listed_machine*>& from,
-                          const std::string& to) -> const listed_machine* {
-        const auto found = std::ranges::find_if(
-            from, [&](const auto* m) { return may_move(m, to); });
-        if (found == from.end())
-            return nullptr;
-        const auto* machine = *found;
-        from.erase(found);
-        return machine;
-    };
-    // The pool that lacks most takes first, one machine at a time: from
-    // standby, else from the pool that has most to spare.
-    while (moves.size() < terms_.most_moves)
+    });
+    if (found == from.end())
+        return nullptr;
+    const auto* machine = *found;
+    from.erase(found);
+    return machine;
+}
+
+// The pool that lacks most takes first, one machine at a time: from standby,
+// else from the pool that has most to spare.
+void fleet_balance::fill(round& now) const
+{
+    while (now.moves.size() < terms_.most_moves)
     {
         const auto needy = std::ranges::min_element(
-            surplus, {}, [](const auto& item) { return item.second; });
-        if (needy == surplus.end() || needy->second >= 0)
-            break;
-        const auto* machine = take(off, needy->first);
+            now.surplus, {}, [](const auto& item) { return item.second; });
+        if (needy == now.surplus.end() || needy->second >= 0)
+            return;
+        const auto* machine = take(now.off, needy->first);
         if (!machine)
         {
-            const auto giver =
-                std::ranges::max_element(surplus, {}, [&](const auto& item) {
-                    return pools[item.first].idle.empty() ? std::int64_t{0}
-                                                          : item.second;
+            const auto giver = std::ranges::max_element(
+                now.surplus, {}, [&](const auto& item) {
+                    return now.idle[item.first].empty() ? std::int64_t{0}
+                                                        : item.second;
                 });
-            if (giver->second <= 0 || pools[giver->first].idle.empty())
-                break;
-            machine = take(pools[giver->first].idle, needy->first);
+            if (giver->second <= 0)
+                return;
+            machine = take(now.idle[giver->first], needy->first);
             if (!machine)
-                break;
+                return;
             --giver->second;
         }
-        moves.push_back({*machine, needy->first});
+        now.moves.push_back({*machine, needy->first});
         ++needy->second;
     }
-    if (standby.empty())
-        return moves;
-    for (auto& [pool, spare] : surplus)
+}
+
+// Sends to standby what has been more than enough for a while.
+void fleet_balance::release(
+    round& now, const std::string& standby, boot_time time)
+{
+    for (auto& [pool, spare] : now.surplus)
     {
         if (spare <= 0)
         {
             surplus_since_.erase(pool);
             continue;
         }
-        const auto since = surplus_since_.try_emplace(pool, now).first->second;
-        auto& idle = pools[pool].idle;
-        while (now - since >= terms_.surplus && spare > 0 && !idle.empty() &&
-               moves.size() < terms_.most_moves)
+        const auto since = surplus_since_.try_emplace(pool, time).first->second;
+        while (time - since >= terms_.surplus && spare > 0 &&
+               now.moves.size() < terms_.most_moves)
         {
-            const auto* machine = take(idle, *standby.begin());
+            const auto* machine = take(now.idle[pool], standby);
             if (!machine)
                 break;
-            moves.push_back({*machine, *standby.begin()});
+            now.moves.push_back({*machine, standby});
             --spare;
         }
     }
-    return moves;
+}
+
+std::vector<machine_move> fleet_balance::plan(
+    const std::vector<pool_demand>& demands,
+    const std::vector<listed_machine>& machines,
+    const std::set<std::string>& standby, const std::set<std::string>& kept,
+    boot_time now)
+{
+    auto current = look(demands, machines, standby, kept);
+    fill(current);
+    if (!standby.empty())
+        release(current, *standby.begin(), now);
+    return std::move(current.moves);
 }
 
 } // namespace dandeliontack
--- a/src/libsched/pool_engine.cpp
+++ b/src/libsched/pool_engine.cpp
@@ -182,6 +182,7 @@
     settling_ = true;
     bar_until_ = now.steady + terms_.leases.takeover_wait();
     std::vector<std::uint64_t> ids;
+    ids.reserve(active_.size());
     for (const auto& [id, s] : active_)
         ids.push_back(id);
     for (const auto id : ids)
@@ -749,11 +750,11 @@
             });
         if (listed)
             continue;
-        if (run.stop_taken && *run.stop_taken < e.sent)
-            gone.push_back(task);
-        else if (
-            run.confirmed && run.confirmed_at < e.sent &&
-            ++run.missed >= answers_that_miss)
+        const bool stopped = run.stop_taken && *run.stop_taken < e.sent;
+        const bool missed = !stopped && run.confirmed &&
+                            run.confirmed_at < e.sent &&
+                            ++run.missed >= answers_that_miss;
+        if (stopped || missed)
             gone.push_back(task);
     }
     for (const auto& task : gone)
@@ -792,6 +793,7 @@
 void pool_engine::release_all(host_state& h, std::string_view reason)
 {
     std::vector<task_ref> tasks;
+    tasks.reserve(h.runs.size());
     for (const auto& [task, run] : h.runs)
         tasks.push_back(task);
     for (const auto& task : tasks)
--- a/src/libsched/pool_planner.cpp
+++ b/src/libsched/pool_planner.cpp
@@ -348,22 +348,19 @@
         step.tasks, {}, [](const task_state& t) { return t.recorded_run; });
     const auto checkpoint = saved->checkpoint;
     std::vector<host_state*> places;
-    std::vector<room> before;
     auto rack = spec.rack;
-    for (std::size_t i = 0; i < step.tasks.size(); ++i)
+    for (const auto& t : step.tasks)
     {
-        auto* h = best_host(c, spec, step.tasks[i], rack);
+        auto* h = best_host(c, spec, t, rack);
         if (!h)
             break;
         if (rack.empty() && spec.same_rack)
             rack = h->entry.rack;
         places.push_back(h);
-        before.push_back(h->used);
         h->used = h->used + counted_room(spec);
     }
-    for (const auto i :
-         std::views::iota(std::size_t{0}, places.size()) | std::views::reverse)
-        places[i]->used = before[i];
+    for (auto* h : places)
+        h->used = h->used - counted_room(spec);
     if (places.size() < step.tasks.size())
         return;
     for (std::uint32_t i = 0; i < step.tasks.size(); ++i)
--- a/src/libsched/upkeep_plan.cpp
+++ b/src/libsched/upkeep_plan.cpp
@@ -27,23 +27,28 @@
         std::max<std::size_t>(most, 1));
 }
 
-} // namespace
+struct choice
+{
+    const listed_machine* machine;
+    host_use_state use;
+};
 
-upkeep_step plan_upkeep(
+// The machines of a wave by where they stand.
+struct wave_machines
+{
+    std::vector<choice> left;
+    /// Ordered without an answer.
+    std::vector<choice> again;
+    std::size_t down = 0;
+    std::size_t on_the_way = 0;
+};
+
+wave_machines look(
     const wave_request& wave, const wave_progress_view& progress,
     const std::vector<listed_machine>& machines,
     const std::function<host_use_state(const std::string& host)>& use_of)
 {
-    upkeep_step out;
-    std::size_t down = 0;
-    std::size_t on_the_way = 0;
-    struct choice
-    {
-        const listed_machine* machine;
-        host_use_state use;
-    };
-    std::vector<choice> left;
-    std::vector<choice> again;
+    wave_machines view;
     for (const auto& name : wave.machines)
     {
         const auto found =
@@ -53,58 +58,63 @@
         const choice c{
             &*found, found->host.empty() ? host_use_state::emptied
                                          : use_of(found->host)};
+        const bool in_upkeep = found->state == machine_state::upkeep;
         const bool unanswered = progress.unanswered.contains(name);
-        if (found->state == machine_state::upkeep || unanswered)
-            ++down;
+        if (in_upkeep || unanswered)
+            ++view.down;
         if (unanswered)
-            again.push_back(c);
-        else if (
-            !progress.begun.contains(name) &&
-            found->state != machine_state::upkeep)
-        {
-            // One that is on its way to another pool has its turn later.
-            if (found->state == machine_state::moving)
-                ++on_the_way;
-            else
-                left.push_back(c);
-        }
+            view.again.push_back(c);
+        else if (progress.begun.contains(name) || in_upkeep)
+            continue;
+        // One that is on its way to another pool has its turn later.
+        else if (found->state == machine_state::moving)
+            ++view.on_the_way;
+        else
+            view.left.push_back(c);
     }
-    out.completed =
-        left.empty() && again.empty() && down == 0 && on_the_way == 0;
+    std::ranges::stable_sort(view.left, {}, &choice::use);
+    return view;
+}
+
+} // namespace
+
+upkeep_step plan_upkeep(
+    const wave_request& wave, const wave_progress_view& progress,
+    const std::vector<listed_machine>& machines,
+    const std::function<host_use_state(const std::string& host)>& use_of)
+{
+    upkeep_step out;
+    const auto view = look(wave, progress, machines, use_of);
+    out.completed = view.left.empty() && view.again.empty() && view.down == 0 &&
+                    view.on_the_way == 0;
     // An order that was lost may never have been carried out: tasks may run
     // there again by now.
-    for (const auto& c : again)
+    for (const auto& c : view.again)
         (c.use == host_use_state::emptied ? out.order : out.evacuate)
             .push_back(*c.machine);
     const std::size_t most = wave.most_at_once;
-    const std::size_t free = most > down ? most - down : 0;
-    std::ranges::stable_sort(left, {}, &choice::use);
-    const auto pace = pace_of(progress, left.size(), most);
+    const std::size_t free = most > view.down ? most - view.down : 0;
+    const auto pace = pace_of(progress, view.left.size(), most);
     std::size_t ordered = 0;
     std::size_t emptying = 0;
-    for (const auto& c : left)
+    for (const auto& c : view.left)
     {
-        if (c.use == host_use_state::emptied)
+        const bool emptied = c.use == host_use_state::emptied;
+        if (emptied && view.again.empty() && ordered < free)
         {
-            if (again.empty() && ordered < free)
-            {
-                out.order.push_back(*c.machine);
-                ++ordered;
-            }
-            else if (!c.machine->host.empty())
-            {
-                // It has to be kept empty until its turn.
-                out.evacuate.push_back(*c.machine);
-            }
+            out.order.push_back(*c.machine);
+            ++ordered;
             continue;
         }
         // What is idle is locked at once, as far as its turn can come soon.
         const auto limit = c.use == host_use_state::idle ? most : pace;
-        if (down + ordered + emptying < limit || emptying == 0)
-        {
-            out.evacuate.push_back(*c.machine);
-            ++emptying;
-        }
+        const bool next =
+            view.down + ordered + emptying < limit || emptying == 0;
+        // An emptied host has to be kept empty until its turn.
+        if (c.machine->host.empty() || (!emptied && !next))
+            continue;
+        out.evacuate.push_back(*c.machine);
+        emptying += emptied ? 0 : 1;
     }
     return out;
 }
