--- a/src/libnode/fleet_duty.cpp
+++ b/src/libnode/fleet_duty.cpp
@@ -233,6 +233,7 @@
 {
     const auto now = read_clocks().wall.time_since_epoch().count();
     std::vector<keyed_record> records;
+    records.reserve(machines.size());
     for (const auto& machine : machines)
         records.push_back(
             {std::string(order_prefix) + machine, std::to_string(now), 0});
@@ -516,6 +517,7 @@
     if (moves.empty())
         co_return;
     std::vector<std::string> names;
+    names.reserve(moves.size());
     for (const auto& order : moves)
     {
         names.push_back(order.machine.name);
--- a/src/tack-node/main.cpp
+++ b/src/tack-node/main.cpp
@@ -23,7 +23,7 @@
 
 std::string settings_path()
 {
-    const auto given = absl::GetFlag(FLAGS_settings);
+    auto given = absl::GetFlag(FLAGS_settings);
     const char* named = std::getenv("DANDELIONTACK_NODE_FILE");
     if (given.empty() && named)
         return named;
