Withdraw no start that may still be carried out

Change: what the tries of a start say together is decided in one place (start_attempts): after an unanswered try only a run that is there, or the end of the host's life, settles it; else it is stopped. Ruled out: the host (it carried the order out late, as the platform may).

--- a/src/libnode/shard_owner.cpp
+++ b/src/libnode/shard_owner.cpp
@@ -1,3 +1,4 @@
+#include "start_attempts.hpp"
 #include <dandeliontack/machine_client.hpp>
 #include <dandeliontack/pause.hpp>
 #include <dandeliontack/shard_owner.hpp>
@@ -640,26 +641,20 @@
     pool_event::start_answered answered{
         order.host, order.born, order.task, order.run, start_answer::unknown,
         {}};
-    for (int tries = 0; tries < start_tries; ++tries)
+    start_attempts attempts;
+    std::optional<start_answer> settled;
+    for (int tries = 0; tries < start_tries && !settled; ++tries)
     {
         const auto now = read_clocks();
         const auto host = engine_->hosts().find(order.host);
         const auto* s = engine_->state_of(order.task.submission);
-        // Before the first try nothing has been sent: the start is withdrawn.
         if (!has_right() || stopping_ || !s || host == engine_->hosts().end() ||
             !engine_->is_wanted(order))
-        {
-            if (tries == 0)
-                answered.answer = start_answer::refused;
             break;
-        }
         const auto peer = parse_endpoint(host->second.entry.address);
         const auto lease_end = engine_->extend_lease(order.host, now);
         if (!peer || !lease_end)
-        {
-            answered.answer = start_answer::refused;
             break;
-        }
         const platform::host_address address{
             order.host, host->second.entry.address, epoch()};
         auto request = platform::encode_start(
@@ -672,26 +667,19 @@
             .record(read_clocks().steady - now.steady);
         if (const auto* error = std::get_if<exchange_error>(&result))
         {
-            if (error->result == outcome::not_run && tries == 0)
-            {
-                answered.answer = start_answer::refused;
+            if (error->result == outcome::not_run)
                 break;
-            }
+            attempts.unanswered();
             continue;
         }
         const auto decoded =
             platform::decode_order_answer(std::get<http_response>(result));
         answered.clock = decoded.clock;
-        // A repeat that the host rejects says nothing of the first, which may
-        // still be carried out.
-        if (decoded.answer != start_answer::unknown &&
-            (tries == 0 || decoded.answer == start_answer::started ||
-             decoded.answer == start_answer::other_life))
-        {
-            answered.answer = decoded.answer;
-            break;
-        }
+        if (decoded.answer == start_answer::unknown)
+            attempts.unanswered();
+        settled = attempts.settle(decoded.answer);
     }
+    answered.answer = settled.value_or(attempts.give_up());
     apply(answered);
 }
 
