Pass over epochs that a node took and never announced

Change: an announcement passes over epochs that the registry has seen; a claim that failed is tried again after 1.5 s, above the epoch that was tried. Ruled out: a store that refuses (the claims were answered as out of sequence).

--- a/src/include/dandeliontack/store_client.hpp
+++ b/src/include/dandeliontack/store_client.hpp
@@ -59,10 +59,11 @@
         std::string producer);
 
     /// Takes an epoch above `last` by appending `records`. False where another
-    /// node was first or the store refuses for longer than `patience`.
+    /// node was first or the store refuses for longer than `patience`. One
+    /// that insists passes over epochs that others took.
     boost::asio::awaitable<bool> claim(
         std::uint64_t last, std::vector<keyed_record> records,
-        std::chrono::milliseconds patience);
+        std::chrono::milliseconds patience, bool insists = false);
 
     /// Appends, repeating until stored or lost. False once lost.
     boost::asio::awaitable<bool> append(std::vector<keyed_record> records);
--- a/src/include/dandeliontack/tack_node.hpp
+++ b/src/include/dandeliontack/tack_node.hpp
@@ -40,6 +40,8 @@
     boost::asio::awaitable<void> claim_regularly();
     boost::asio::awaitable<void> claim(shard_id shard);
     boost::asio::awaitable<void> claim_duty();
+    std::uint64_t last_epoch(shard_id shard) const;
+    void note_claim(shard_id shard, std::uint64_t after, bool taken);
     boost::asio::awaitable<void> write_log_regularly();
     boost::asio::awaitable<void> hand_over_all(std::shared_ptr<bool> done);
     void take_operator_record(const keyed_record& record);
@@ -66,6 +68,8 @@
     bool hosts_followed_ = false;
     std::map<std::string, wave_request> waves_;
     std::set<shard_id> claiming_;
+    /// Claims that failed: the epoch that was tried, and when.
+    std::map<shard_id, std::pair<std::uint64_t, boot_time>> failed_claims_;
     std::shared_ptr<fleet_duty> duty_;
     std::uint64_t beat_ = 0;
     bool leaving_ = false;
--- a/src/libnode/fleet_duty.cpp
+++ b/src/libnode/fleet_duty.cpp
@@ -115,7 +115,7 @@
     if (registry_writer_.standing() != fenced_writer::state::idle)
         co_return co_await registry_writer_.append(std::move(records));
     co_return co_await registry_writer_.claim(
-        writer_.epoch() - 1, std::move(records), claim_patience);
+        writer_.epoch() - 1, std::move(records), claim_patience, true);
 }
 
 asio::awaitable<bool> fleet_duty::take_over(std::uint64_t last)
--- a/src/libnode/shard_owner.cpp
+++ b/src/libnode/shard_owner.cpp
@@ -165,8 +165,8 @@
     if (registry_writer_.standing() != fenced_writer::state::idle)
         co_return co_await registry_writer_.append(std::move(records));
     const bool done = co_await registry_writer_.claim(
-        epoch() - 1, std::move(records), claim_patience);
-    co_return done&& registry_writer_.epoch() == epoch();
+        epoch() - 1, std::move(records), claim_patience, true);
+    co_return done;
 }
 
 asio::awaitable<bool> shard_owner::load()
--- a/src/libnode/store_client.cpp
+++ b/src/libnode/store_client.cpp
@@ -23,7 +23,7 @@
 // Pauses between repeats of a call; they double up to the longest.
 constexpr auto first_pause = 30ms;
 constexpr auto longest_pause = 500ms;
-constexpr std::uint64_t most_epoch_steps = 6;
+constexpr std::uint64_t most_epoch_steps = 10;
 
 boot_time now_steady()
 {
@@ -221,7 +221,7 @@
 
 asio::awaitable<bool> fenced_writer::claim(
     std::uint64_t last, std::vector<keyed_record> records,
-    std::chrono::milliseconds patience)
+    std::chrono::milliseconds patience, bool insists)
 {
     state_ = state::idle;
     epoch_ = last;
@@ -240,7 +240,8 @@
             state_ = state::held;
             co_return true;
         }
-        if (result != append_outcome::fenced)
+        const bool taken = insists && result == append_outcome::wrong_sequence;
+        if (result != append_outcome::fenced && !taken)
             co_return false;
     }
     co_return false;
--- a/src/libnode/tack_node.cpp
+++ b/src/libnode/tack_node.cpp
@@ -25,6 +25,8 @@
 // one counts as lost.
 constexpr auto announce_interval = 600ms;
 constexpr auto claim_interval = 150ms;
+// After a claim that failed: whoever was first has announced itself by then.
+constexpr auto claim_again = 1500ms;
 // How long reads of the operator's topic wait: a connection that went silent
 // is noticed within this and the call's own timeout.
 constexpr auto operator_wait = 800ms;
@@ -289,7 +291,11 @@
             const bool held = shard == fleet_shard
                                   ? duty_ != nullptr
                                   : router_.owned().contains(shard);
-            if (held || !claiming_.insert(shard).second)
+            const auto failed = failed_claims_.find(shard);
+            const bool too_soon =
+                failed != failed_claims_.end() &&
+                read_clocks().steady - failed->second.second < claim_again;
+            if (held || too_soon || !claiming_.insert(shard).second)
                 continue;
             asio::co_spawn(
                 context_.executor,
@@ -299,14 +305,33 @@
     }
 }
 
+// The last epoch that is known: an epoch that another node took without ever
+// announcing itself is passed over.
+std::uint64_t tack_node::last_epoch(shard_id shard) const
+{
+    const auto failed = failed_claims_.find(shard);
+    return std::max(
+        shards_.last_epoch(shard),
+        failed == failed_claims_.end() ? 0 : failed->second.first);
+}
+
+void tack_node::note_claim(shard_id shard, std::uint64_t after, bool taken)
+{
+    if (taken)
+        failed_claims_.erase(shard);
+    else
+        failed_claims_[shard] = {after + 1, read_clocks().steady};
+}
+
 asio::awaitable<void> tack_node::claim(shard_id shard)
 {
     const auto owner = std::make_shared<shard_owner>(context_, store_, shard);
-    const auto last = shards_.last_epoch(shard);
+    const auto last = last_epoch(shard);
     context_.log.write(
         "node", "shard_claimed",
         log_line().add("shard", shard).add("after_epoch", last));
     const bool taken = co_await owner->take_over(last);
+    note_claim(shard, last, taken);
     if (taken && !leaving_)
     {
         router_.own(owner);
@@ -328,8 +353,9 @@
     const auto duty = std::make_shared<fleet_duty>(context_, store_, router_);
     for (const auto& [name, wave] : waves_)
         duty->request(wave);
-    const bool taken =
-        co_await duty->take_over(shards_.last_epoch(fleet_shard));
+    const auto last = last_epoch(fleet_shard);
+    const bool taken = co_await duty->take_over(last);
+    note_claim(fleet_shard, last, taken);
     if (taken && !leaving_)
     {
         for (const auto& [name, wave] : waves_)
--- a/testsuite/fleet_nodes/fleet_nodes_test.cpp
+++ b/testsuite/fleet_nodes/fleet_nodes_test.cpp
@@ -291,6 +291,24 @@
     check_runs();
 }
 
+// Found by the bench on mix --seed 291739160048: a node took an epoch and never
+// announced itself, and every other tried that same epoch for ever.
+TEST_F(node_fleet, passes_over_an_epoch_that_nobody_announced)
+{
+    const std::string record("\0\0\0\x03\x01ox", 7);
+    for (int topic = 0; topic < 8; ++topic)
+        for (int part = 0; part < 8; ++part)
+            post(
+                platform_address_,
+                "/log-append?topic=keyed.pools" + std::to_string(topic) +
+                    "&part=" + std::to_string(part) +
+                    "&producer=owner&epoch=1&sequence=5",
+                record);
+    start_nodes();
+    EXPECT_TRUE(hand_in("n1", id_of(1), submission("100", 1, false)));
+    EXPECT_TRUE(reaches("n2", id_of(1), "completed"));
+}
+
 TEST_F(node_fleet, refuses_at_once_while_the_store_is_down)
 {
     start_nodes();
