Let pools' owners and the fleet duty share one claim

Reading the change once more: the claim, the announcement to the registry, the renewal and the right stood twice, with their constants, in shard_owner and fleet_duty; shard_claim serves both now. The planner built an empty occurrence at each ranking only to measure a whole chain; it asks for that chain directly. Settings that nothing read (harm_ms, far_factor, host_beat_ms) are gone, the answer for an unknown submission is made in one place, and the platform's prefix of topics is spelled in platform/ only. Behaviour is as before.

--- a/src/include/dandeliontack/fleet_duty.hpp
+++ b/src/include/dandeliontack/fleet_duty.hpp
@@ -4,6 +4,7 @@
 #include <dandeliontack/machine_client.hpp>
 #include <dandeliontack/machine_list.hpp>
 #include <dandeliontack/queue_table.hpp>
+#include <dandeliontack/shard_claim.hpp>
 #include <dandeliontack/shard_router.hpp>
 #include <dandeliontack/store_client.hpp>
 #include <dandeliontack/upkeep_plan.hpp>
@@ -42,7 +43,6 @@
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<void> renew();
     boost::asio::awaitable<bool> load();
-    boost::asio::awaitable<bool> announce(bool released);
     boost::asio::awaitable<void> advance(std::string wave);
     boost::asio::awaitable<bool> save(std::string wave);
     boost::asio::awaitable<bool> append(std::vector<keyed_record> records);
@@ -77,8 +77,7 @@
     store_client& store_;
     shard_router& router_;
     machine_client platform_;
-    fenced_writer writer_;
-    fenced_writer registry_writer_;
+    shard_claim claim_;
     std::map<std::string, wave_state> waves_;
     std::vector<listed_machine> machines_;
     /// When the owners of hosts were asked that said they are kept empty.
--- a/src/include/dandeliontack/pool_engine.hpp
+++ b/src/include/dandeliontack/pool_engine.hpp
@@ -19,10 +19,6 @@
     std::chrono::milliseconds longest_hold{10'000};
     /// How long a finished submission stays known.
     std::chrono::milliseconds keep_finished{180'000};
-    /// How long filling tasks may press a serving task over its objective.
-    std::chrono::milliseconds harm_bound{4000};
-    /// How much slower a task is on a rack without its data.
-    double far_factor = 1.5;
 };
 
 /// What a caller may be told about a submission.
--- a/src/include/dandeliontack/shard_owner.hpp
+++ b/src/include/dandeliontack/shard_owner.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <dandeliontack/pool_engine.hpp>
+#include <dandeliontack/shard_claim.hpp>
 #include <dandeliontack/shard_map.hpp>
 #include <dandeliontack/shard_service.hpp>
 #include <dandeliontack/store_client.hpp>
@@ -60,7 +61,6 @@
 
     boost::asio::awaitable<bool> load();
     void restore(const std::vector<keyed_record>& records, moment now);
-    boost::asio::awaitable<bool> announce(bool released);
     boost::asio::awaitable<void> store_changes();
     boost::asio::awaitable<void> plan_regularly();
     boost::asio::awaitable<void> look_for_unmet_hosts();
@@ -87,8 +87,7 @@
     store_client& store_;
     shard_id shard_;
     pool_terms terms_;
-    fenced_writer writer_;
-    fenced_writer registry_writer_;
+    shard_claim claim_;
     std::unique_ptr<pool_engine> engine_;
     std::set<std::string> held_hosts_;
     std::map<std::string, host_queue> queues_;
--- a/src/include/dandeliontack/tack_node_settings.hpp
+++ b/src/include/dandeliontack/tack_node_settings.hpp
@@ -55,12 +55,9 @@
 {
     double stop_ms = 1000;
     double hold_max_ms = 10'000;
-    double harm_ms = 4000;
     double status_seconds = 120;
-    double far_factor = 1.5;
     double grace_seconds = 6;
     double lease_ms = 3000;
-    double host_beat_ms = 1500;
 };
 
 /// Section `[limits]`: what the machine gives the process.
--- a/src/libnode/caller_front.cpp
+++ b/src/libnode/caller_front.cpp
@@ -47,6 +47,12 @@
     return response;
 }
 
+http_response no_such_submission(std::string_view detail)
+{
+    return refusal(
+        http::status::gone, outcome::not_run, "no such submission", detail);
+}
+
 std::string all_faults(const std::vector<submission_fault>& faults)
 {
     std::string text;
@@ -200,9 +206,7 @@
 {
     const auto id = parse_submission_name(what.rest);
     if (!id)
-        co_return refusal(
-            http::status::gone, outcome::not_run, "no such submission",
-            "an id is 16 hexadecimal digits");
+        co_return no_such_submission("an id is 16 hexadecimal digits");
     shard_call call{shard_call::verb::state, what.shard, *id, {}, {}};
     const auto answer =
         co_await router_.ask(std::move(call), what.patience, reach_patience);
@@ -210,8 +214,7 @@
     if (answer.outcome == shard_outcome::done && phase)
         co_return platform::encode_state(*phase);
     if (answer.outcome == shard_outcome::not_found)
-        co_return refusal(
-            http::status::gone, outcome::not_run, "no such submission",
+        co_return no_such_submission(
             "it was never accepted, or ended long ago");
     co_return unserved(answer, what);
 }
@@ -220,17 +223,14 @@
 {
     const auto id = parse_submission_name(what.rest);
     if (!id)
-        co_return refusal(
-            http::status::gone, outcome::not_run, "no such submission",
-            "an id is 16 hexadecimal digits");
+        co_return no_such_submission("an id is 16 hexadecimal digits");
     shard_call call{shard_call::verb::cancel, what.shard, *id, {}, {}};
     const auto answer =
         co_await router_.ask(std::move(call), what.patience, reach_patience);
     if (answer.outcome == shard_outcome::done)
         co_return make_response(http::status::ok, "application/json", "{}");
     if (answer.outcome == shard_outcome::not_found)
-        co_return refusal(
-            http::status::gone, outcome::not_run, "no such submission",
+        co_return no_such_submission(
             "it was never accepted, or ended long ago");
     co_return unserved(answer, what);
 }
--- a/src/libnode/fleet_duty.cpp
+++ b/src/libnode/fleet_duty.cpp
@@ -20,8 +20,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr auto renewal_interval = 900ms;
-constexpr auto claim_patience = 2500ms;
 constexpr auto retry_pause = 150ms;
 // How often the machines and the pools' demand are looked at, and while the
 // duty has no right to order.
@@ -42,10 +40,6 @@
 // a recent one.
 constexpr auto recent_order = 10'000ms;
 
-// A right that has not been confirmed for this long may have passed to
-// another node; the same bound as that of a pool's owner.
-const auto right = lease_terms().right;
-
 // Keeps the machine of a noted order if that may be recent.
 void note_past_order(
     const keyed_record& record, moment now, std::set<std::string>& recent)
@@ -66,12 +60,7 @@
       store_(store),
       router_(router),
       platform_(context),
-      writer_(
-          context, store,
-          place_of(fleet_shard, context.settings.store.partitions), "owner"),
-      registry_writer_(
-          context, store, registry_place(),
-          "own" + std::to_string(fleet_shard)),
+      claim_(context, store, fleet_shard),
       append_ended_(context.executor)
 {}
 
@@ -82,9 +71,7 @@
 
 bool fleet_duty::has_right() const
 {
-    const auto now = read_clocks().steady;
-    return !lost_ && now - writer_.confirmed() < right &&
-           now - context_.announced < right;
+    return !lost_ && claim_.has_right();
 }
 
 void fleet_duty::request(wave_request wave)
@@ -98,36 +85,16 @@
 {
     if (std::exchange(lost_, true))
         return;
-    writer_.abandon();
+    claim_.abandon();
     context_.log.write(
         "fleet", "duty_lost",
-        log_line().add("epoch", writer_.epoch()).add("reason", reason));
-}
-
-asio::awaitable<bool> fleet_duty::announce(bool released)
-{
-    const auto self = shared_from_this();
-    owner_record mine{
-        context_.settings.node.name, context_.peer_address, context_.life,
-        writer_.epoch(), released};
-    std::vector<keyed_record> records{
-        {owner_key(fleet_shard), encode(mine), 0}};
-    if (registry_writer_.standing() != fenced_writer::state::idle)
-        co_return co_await registry_writer_.append(std::move(records));
-    co_return co_await registry_writer_.claim(
-        writer_.epoch() - 1, std::move(records), claim_patience, true);
+        log_line().add("epoch", claim_.epoch()).add("reason", reason));
 }
 
 asio::awaitable<bool> fleet_duty::take_over(std::uint64_t last)
 {
     const auto self = shared_from_this();
-    owner_record mine{
-        context_.settings.node.name, context_.peer_address, context_.life,
-        last + 1, false};
-    std::vector<keyed_record> records{
-        {std::string(shard_owner_key), encode(mine), 0}};
-    const bool claimed =
-        co_await writer_.claim(last, std::move(records), claim_patience);
+    const bool claimed = co_await claim_.take(last);
     if (!claimed)
     {
         lost_ = true;
@@ -137,12 +104,12 @@
     if (!loaded)
     {
         lose("the duty's records can't be read");
-        co_await announce(true);
+        co_await claim_.announce(true);
         co_return false;
     }
-    co_await announce(false);
+    co_await claim_.announce(false);
     context_.log.write(
-        "fleet", "duty_taken", log_line().add("epoch", writer_.epoch()));
+        "fleet", "duty_taken", log_line().add("epoch", claim_.epoch()));
     asio::co_spawn(context_.executor, renew(), asio::detached);
     asio::co_spawn(context_.executor, run(), asio::detached);
     co_return true;
@@ -152,7 +119,7 @@
 {
     const auto self = shared_from_this();
     if (!lost_)
-        co_await announce(true);
+        co_await claim_.announce(true);
     lose("the duty was handed over");
 }
 
@@ -216,13 +183,13 @@
     while (appending_)
         co_await append_ended_.wait(retry_pause);
     appending_ = true;
-    const bool stored = co_await writer_.append(std::move(records));
+    const bool stored = co_await claim_.append(std::move(records));
     appending_ = false;
     append_ended_.notify();
     if (!stored && !lost_)
     {
         lose("another node took the duty over");
-        co_await announce(true);
+        co_await claim_.announce(true);
     }
     co_return stored;
 }
@@ -261,20 +228,13 @@
     const auto self = shared_from_this();
     while (!lost_)
     {
-        const auto age = read_clocks().steady - writer_.confirmed();
-        if (age < renewal_interval || appending_)
-        {
+        const auto left = claim_.until_renewal();
+        if (left > 0ms || appending_)
             co_await pause_for(
-                context_.executor, std::max<std::chrono::milliseconds>(
-                                       renewal_interval - age, retry_pause));
-            continue;
-        }
-        owner_record mine{
-            context_.settings.node.name, context_.peer_address, context_.life,
-            writer_.epoch(), false};
-        std::vector<keyed_record> records{
-            {std::string(shard_owner_key), encode(mine), 0}};
-        co_await append(std::move(records));
+                context_.executor,
+                std::max<std::chrono::milliseconds>(left, retry_pause));
+        else
+            co_await append({});
     }
 }
 
@@ -388,14 +348,14 @@
     if (noted && has_right() && still_empty)
     {
         const auto answer =
-            co_await platform_.upkeep(machine.name, name, writer_.epoch());
+            co_await platform_.upkeep(machine.name, name, claim_.epoch());
         context_.log.write(
             "fleet", "upkeep_ordered",
             log_line()
                 .add("wave", name)
                 .add("machine", machine.name)
                 .add("host", machine.host)
-                .add("epoch", writer_.epoch())
+                .add("epoch", claim_.epoch())
                 .add("answer", to_string(answer)));
         auto& progress = waves_[name].progress;
         if (answer == machine_answer::accepted ||
@@ -555,7 +515,7 @@
         if (!empty)
             break;
         answer = co_await platform_.move(
-            machine.name, order.to_pool, writer_.epoch());
+            machine.name, order.to_pool, claim_.epoch());
     }
     context_.log.write(
         "fleet", "move_ordered",
@@ -564,7 +524,7 @@
             .add("host", machine.host)
             .add("from", machine.pool)
             .add("to", order.to_pool)
-            .add("epoch", writer_.epoch())
+            .add("epoch", claim_.epoch())
             .add("empty", empty)
             .add("answer", to_string(answer)));
     if (answer == machine_answer::unknown_machine)
@@ -597,7 +557,7 @@
     }
     context_.log.write(
         "fleet", completed ? "wave_completed" : "wave_running",
-        log_line().add("wave", name).add("epoch", writer_.epoch()));
+        log_line().add("wave", name).add("epoch", claim_.epoch()));
 }
 
 } // namespace dandeliontack
--- a/src/libnode/shard_map.cpp
+++ b/src/libnode/shard_map.cpp
@@ -1,5 +1,7 @@
 #include <dandeliontack/shard_map.hpp>
 
+#include <platform/store_codec.hpp>
+
 #include <algorithm>
 #include <charconv>
 #include <ranges>
@@ -17,6 +19,12 @@
 // A gap between two reads of the registry after which silence counts anew.
 constexpr auto longest_read_gap = std::chrono::milliseconds(1500);
 
+// A topic of ours that keeps the newest record of each key.
+store_place topic_of(const std::string& name, std::uint32_t partition)
+{
+    return {std::string(platform::keyed_prefix) + name, partition};
+}
+
 // FNV-1a; the same on every node and in every version.
 std::uint64_t stable_hash(std::string_view text)
 {
@@ -34,16 +42,16 @@
 
 store_place registry_place()
 {
-    return {"keyed.nodes", 0};
+    return topic_of("nodes", 0);
 }
 
 store_place place_of(shard_id shard, std::uint64_t partitions)
 {
     if (shard == fleet_shard)
-        return {"keyed.fleet", 0};
-    return {
-        "keyed.pools" + std::to_string(shard / partitions),
-        static_cast<std::uint32_t>(shard % partitions)};
+        return topic_of("fleet", 0);
+    return topic_of(
+        "pools" + std::to_string(shard / partitions),
+        static_cast<std::uint32_t>(shard % partitions));
 }
 
 shard_id shard_of(std::string_view pool, std::uint64_t partitions)
--- a/src/libnode/shard_owner.cpp
+++ b/src/libnode/shard_owner.cpp
@@ -20,13 +20,10 @@
 
 using namespace std::chrono_literals;
 
-// The right to the shard is confirmed this often while nothing is stored.
-constexpr auto renewal_interval = 900ms;
 // Changes gather this long before they are stored together.
 constexpr auto gather_time = 10ms;
 constexpr auto plan_delay = 8ms;
 constexpr auto plan_interval = 200ms;
-constexpr auto claim_patience = 2500ms;
 // How long a host may take for an order, and how often a start is repeated
 // before it is stopped instead.
 constexpr auto order_timeout = 500ms;
@@ -64,11 +61,7 @@
       store_(store),
       shard_(shard),
       terms_(pool_terms_of(context.settings)),
-      writer_(
-          context, store, place_of(shard, context.settings.store.partitions),
-          "owner"),
-      registry_writer_(
-          context, store, registry_place(), "own" + std::to_string(shard)),
+      claim_(context, store, shard),
       stored_(context.executor),
       changed_(context.executor),
       planned_(context.executor)
@@ -81,7 +74,7 @@
 
 std::uint64_t shard_owner::epoch() const
 {
-    return writer_.epoch();
+    return claim_.epoch();
 }
 
 shard_id shard_owner::shard() const
@@ -94,14 +87,9 @@
     return engine_.get();
 }
 
-// A successor claims the shard only after this node's announcements have
-// stayed out for longer than the right lasts.
 bool shard_owner::has_right() const
 {
-    const auto now = read_clocks().steady;
-    const auto right = terms_.leases.right;
-    return !lost_ && now - writer_.confirmed() < right &&
-           now - context_.announced < right;
+    return !lost_ && claim_.has_right();
 }
 
 bool shard_owner::may_speak() const
@@ -113,14 +101,7 @@
 {
     const auto self = shared_from_this();
     const auto began = read_clocks().steady;
-    owner_record mine{
-        context_.settings.node.name, context_.peer_address, context_.life, 0,
-        false};
-    mine.epoch = last + 1;
-    std::vector<keyed_record> records{
-        {std::string(shard_owner_key), encode(mine), 0}};
-    const bool claimed =
-        co_await writer_.claim(last, std::move(records), claim_patience);
+    const bool claimed = co_await claim_.take(last);
     if (!claimed)
     {
         lost_ = true;
@@ -130,7 +111,7 @@
     if (!loaded)
     {
         lose("the shard's records can't be read");
-        co_await announce(true);
+        co_await claim_.announce(true);
         co_return false;
     }
     engine_->begin(read_clocks());
@@ -141,7 +122,7 @@
     for (const auto& [id, host] : engine_->hosts())
         if (held_hosts_.insert(id).second)
             asio::co_spawn(context_.executor, hold_host(id), asio::detached);
-    const bool announced = co_await announce(false);
+    const bool announced = co_await claim_.announce(false);
     context_.log.write(
         "owner", "shard_taken",
         log_line()
@@ -155,20 +136,6 @@
     co_return true;
 }
 
-asio::awaitable<bool> shard_owner::announce(bool released)
-{
-    const auto self = shared_from_this();
-    owner_record mine{
-        context_.settings.node.name, context_.peer_address, context_.life,
-        epoch(), released};
-    std::vector<keyed_record> records{{owner_key(shard_), encode(mine), 0}};
-    if (registry_writer_.standing() != fenced_writer::state::idle)
-        co_return co_await registry_writer_.append(std::move(records));
-    const bool done = co_await registry_writer_.claim(
-        epoch() - 1, std::move(records), claim_patience, true);
-    co_return done;
-}
-
 asio::awaitable<bool> shard_owner::load()
 {
     const auto place = place_of(shard_, context_.settings.store.partitions);
@@ -269,7 +236,7 @@
            (engine_->has_changes() || appending_))
         co_await stored_.wait(gather_time);
     if (!lost_)
-        co_await announce(true);
+        co_await claim_.announce(true);
     lose("the shard was handed over");
 }
 
@@ -278,7 +245,7 @@
     if (std::exchange(lost_, true))
         return;
     serving_ = false;
-    writer_.abandon();
+    claim_.abandon();
     context_.log.write(
         "owner", "shard_lost",
         log_line()
@@ -440,10 +407,10 @@
     {
         if (!engine_->has_changes())
         {
-            const auto age = read_clocks().steady - writer_.confirmed();
-            if (age < renewal_interval)
+            const auto left = claim_.until_renewal();
+            if (left > 0ms)
             {
-                co_await changed_.wait(renewal_interval - age);
+                co_await changed_.wait(left);
                 if (engine_->has_changes())
                     co_await pause_for(context_.executor, gather_time);
                 continue;
@@ -451,22 +418,15 @@
         }
         const auto changes = engine_->take_changes();
         auto records = encode_changes(changes);
-        if (records.empty())
-        {
-            owner_record mine{
-                context_.settings.node.name, context_.peer_address,
-                context_.life, epoch(), false};
-            records.push_back({std::string(shard_owner_key), encode(mine), 0});
-        }
         appending_ = true;
-        const bool stored = co_await writer_.append(std::move(records));
+        const bool stored = co_await claim_.append(std::move(records));
         appending_ = false;
         if (!stored)
         {
             const bool ended_here = lost_;
             lose("another node took the shard over");
             if (!ended_here)
-                co_await announce(true);
+                co_await claim_.announce(true);
             co_return;
         }
         stored_batch_ = changes.batch;
@@ -485,8 +445,8 @@
         co_return shard_outcome::done;
     // Where the shard was lost and nothing that was sent can have been stored,
     // the next owner does not know of it.
-    co_return lost_ && !writer_.is_unclear() ? shard_outcome::not_owner
-                                             : shard_outcome::unknown;
+    co_return lost_ && !claim_.writer().is_unclear() ? shard_outcome::not_owner
+                                                     : shard_outcome::unknown;
 }
 
 asio::awaitable<void> shard_owner::plan_regularly()
@@ -754,7 +714,7 @@
     if (!may_speak())
         co_return shard_answer{shard_outcome::not_owner, {}};
     const auto id = record.id;
-    const auto failing = writer_.failing_since();
+    const auto failing = claim_.writer().failing_since();
     if (!engine_->find(id) && failing &&
         read_clocks().steady - *failing > store_patience)
     {
--- a/src/libnode/tack_node_settings.cpp
+++ b/src/libnode/tack_node_settings.cpp
@@ -78,21 +78,13 @@
             .member = &s::hold_max_ms,
             .least = 1000,
             .most = longest_ms},
-        row{.key = "harm_ms", .member = &s::harm_ms, .most = longest_ms},
         row{.key = "status_seconds",
             .member = &s::status_seconds,
             .most = longest_seconds},
-        row{.key = "far_factor",
-            .member = &s::far_factor,
-            .least = 1,
-            .most = 1000},
         row{.key = "grace_seconds",
             .member = &s::grace_seconds,
             .most = longest_seconds},
-        row{.key = "lease_ms", .member = &s::lease_ms, .most = longest_ms},
-        row{.key = "host_beat_ms",
-            .member = &s::host_beat_ms,
-            .most = longest_ms}};
+        row{.key = "lease_ms", .member = &s::lease_ms, .most = longest_ms}};
     return table;
 }
 
@@ -164,8 +156,6 @@
     terms.longest_hold = milliseconds_of(bounds.hold_max_ms);
     terms.leases.lease = std::min(terms.leases.lease, terms.longest_hold);
     terms.stop_bound = milliseconds_of(bounds.stop_ms);
-    terms.harm_bound = milliseconds_of(bounds.harm_ms);
-    terms.far_factor = bounds.far_factor;
     terms.keep_finished =
         std::chrono::round<std::chrono::milliseconds>(
             std::chrono::duration<double>(bounds.status_seconds)) +
--- a/src/libsched/pool_planner.cpp
+++ b/src/libsched/pool_planner.cpp
@@ -124,20 +124,22 @@
     return out;
 }
 
-// The longest chain of work that is left, by the learned run times.
-std::chrono::milliseconds pool_planner::chain_from(
-    const submission_state& s, const occurrence_state& o) const
+// The longest chain of estimates; without the steps that are done where
+// `left_of` is given.
+std::chrono::milliseconds pool_planner::chain_of(
+    const submission_spec& spec, const occurrence_state* left_of)
 {
     std::vector<std::chrono::milliseconds> ends;
     std::chrono::milliseconds longest{0};
-    for (std::uint32_t i = 0; i < o.steps.size(); ++i)
+    for (std::size_t i = 0; i < spec.steps.size(); ++i)
     {
-        const auto& spec = s.record.spec.steps[i];
+        const auto& step = spec.steps[i];
         std::chrono::milliseconds begin{0};
-        for (const auto earlier : spec.after)
+        for (const auto earlier : step.after)
             begin = std::max(begin, ends[earlier]);
-        const bool done = o.steps[i].done == o.steps[i].tasks.size();
-        ends.push_back(begin + (done ? 0ms : spec.estimate));
+        const bool done =
+            left_of && left_of->steps[i].done == left_of->steps[i].tasks.size();
+        ends.push_back(begin + (done ? 0ms : step.estimate));
         longest = std::max(longest, ends.back());
     }
     return longest;
@@ -159,13 +161,11 @@
     const auto factor = engine_.estimate_factor_.contains(terms.route)
                             ? engine_.estimate_factor_.at(terms.route)
                             : 1.0;
-    const double left = factor * static_cast<double>(chain_from(s, o).count());
-    occurrence_state fresh;
-    fresh.steps.resize(o.steps.size());
-    for (auto& f : fresh.steps)
-        f.tasks.resize(1);
+    const auto& whole = s.record.spec;
+    const double left =
+        factor * static_cast<double>(chain_of(whole, &o).count());
     const double chain =
-        factor * static_cast<double>(chain_from(s, fresh).count());
+        factor * static_cast<double>(chain_of(whole, nullptr).count());
     const double objective =
         terms.stretch * chain + static_cast<double>(terms.target.count());
     const double age = static_cast<double>((now_.steady - o.due).count());
