Take no lasting task away that finds no other place

Cause: two hosts of a pool were emptied for a wave at once. A lasting task was taken away though no other host of the pool could take it, and while it was away nothing else of its step could leave, so neither host came free; the pool lacked one machine and a burst elsewhere, which lacked thirty, got all. Change: a lasting task leaves a host that is being emptied only where another host takes it; a machine that lasting tasks need goes before a burst's. What makes a host eligible and what fits it is asked in one place by the planner and by this check. Two older tests get a third host that answers, as the place to go to; their assertions are as they were.

--- a/src/include/dandeliontack/fleet_balance.hpp
+++ b/src/include/dandeliontack/fleet_balance.hpp
@@ -60,6 +60,8 @@
 private:
     struct round;
 
+    std::uint32_t floor_of(const pool_demand& demand) const;
+
     round look(
         const std::vector<pool_demand>& demands,
         const std::vector<listed_machine>& machines,
--- a/src/include/dandeliontack/pool_engine.hpp
+++ b/src/include/dandeliontack/pool_engine.hpp
@@ -143,6 +143,14 @@
     void count_arrival(const submission_record& record);
     bool is_at_work(const task_state& t) const;
     bool may_take_away(const task_ref& task) const;
+    bool has_place_elsewhere(
+        const host_state& from, const task_ref& task,
+        const step_spec& spec) const;
+    /// Whether the host may get new tasks at all.
+    bool is_eligible(const host_state& h) const;
+    /// Whether a task of the step fits the host, its labels and its spread.
+    bool has_room_for(
+        const host_state& h, const task_ref& step, const step_spec& spec) const;
     void note_progress(std::uint64_t submission);
     submission_state* active_submission(std::uint64_t id);
     task_state* find_task(const task_ref& task);
--- a/src/libsched/fleet_balance.cpp
+++ b/src/libsched/fleet_balance.cpp
@@ -40,6 +40,8 @@
 {
     /// Machines more than a pool needs; negative where it lacks some.
     std::map<std::string, std::int64_t> surplus;
+    /// Machines more than a pool needs for its lasting tasks alone.
+    std::map<std::string, std::int64_t> floor_surplus;
     std::map<std::string, machine_list> idle;
     machine_list off;
     std::vector<machine_move> moves;
@@ -52,6 +54,11 @@
     forbidden_.emplace(from, to);
 }
 
+std::uint32_t fleet_balance::floor_of(const pool_demand& demand) const
+{
+    return std::max(demand.lasting_hosts, terms_.least) + demand.leaving;
+}
+
 std::uint32_t fleet_balance::wanted(const pool_demand& demand) const
 {
     constexpr double second_ms = 1000;
@@ -61,8 +68,7 @@
     const double busy = std::max(backlog, demand.arriving_ms / second_ms);
     const auto machines = static_cast<std::uint32_t>(
         std::ceil((busy + demand.lasting) * terms_.fragmentation));
-    return std::max({machines, demand.lasting_hosts, terms_.least}) +
-           demand.leaving;
+    return std::max(machines + demand.leaving, floor_of(demand));
 }
 
 fleet_balance::round fleet_balance::look(
@@ -84,6 +90,8 @@
                         m.state == machine_state::moving);
             });
         out.surplus[demand.pool] = present - std::int64_t{wanted(demand)};
+        out.floor_surplus[demand.pool] =
+            present - std::int64_t{floor_of(demand)};
         out.idle[demand.pool] = idle_of(demand, machines, kept);
     }
     return out;
@@ -104,14 +112,19 @@
     return machine;
 }
 
-// The pool that lacks most takes first, one machine at a time: from standby,
-// else from the pool that has most to spare.
+// One machine at a time, from standby, else from the pool that has most to
+// spare: pools without a place for their lasting tasks take first, which wait
+// for no turn, then the pool that lacks most.
 void fleet_balance::fill(round& now) const
 {
     while (now.moves.size() < terms_.most_moves)
     {
-        const auto needy = std::ranges::min_element(
-            now.surplus, {}, [](const auto& item) { return item.second; });
+        const auto needy =
+            std::ranges::min_element(now.surplus, {}, [&](const auto& item) {
+                return std::pair(
+                    std::min<std::int64_t>(now.floor_surplus[item.first], 0),
+                    item.second);
+            });
         if (needy == now.surplus.end() || needy->second >= 0)
             return;
         const auto* machine = take(now.off, needy->first);
@@ -131,6 +144,7 @@
         }
         now.moves.push_back({*machine, needy->first});
         ++needy->second;
+        ++now.floor_surplus[needy->first];
     }
 }
 
--- a/src/libsched/fleet_balance_test.cpp
+++ b/src/libsched/fleet_balance_test.cpp
@@ -109,6 +109,22 @@
     EXPECT_EQ(fleet_balance{balance_terms{}}.wanted(need), 6U);
 }
 
+// Pattern of load: a burst takes every machine while another pool's lasting
+// task has no place.
+TEST(fleet_balance, gives_lasting_tasks_a_place_before_a_burst)
+{
+    auto lasting = demand("lasting", 0, 0);
+    lasting.lasting_hosts = 3;
+    const auto moves = fleet_balance{balance_terms{}}.plan(
+        {demand("busy", 8, 90'000), lasting},
+        join(
+            join(machines("busy", 8), machines("lasting", 2)),
+            machines("off", 1, true)),
+        standby, {}, boot_time(1h));
+    ASSERT_EQ(moves.size(), 1U);
+    EXPECT_EQ(moves[0].to_pool, "lasting");
+}
+
 TEST(fleet_balance, tries_no_move_that_the_platform_refused)
 {
     const auto calm = machines("calm", 6);
--- a/src/libsched/pool_engine.cpp
+++ b/src/libsched/pool_engine.cpp
@@ -982,12 +982,51 @@
     for (const auto& task : tasks)
     {
         const auto* step = spec_of(task);
-        if (step->long_running && !h.entry.draining && !may_take_away(task))
+        if (step->long_running && !h.entry.draining &&
+            !(may_take_away(task) && has_place_elsewhere(h, task, *step)))
             continue;
         order_stop(h, task, "the host is being emptied");
     }
 }
 
+bool pool_engine::is_eligible(const host_state& h) const
+{
+    const auto now = now_.steady;
+    return h.listed && !h.entry.draining && h.contacted && h.recorded_in == 0 &&
+           !h.closed && h.evacuate_until <= now && h.blocked_until <= now &&
+           h.health.avoid_until <= now && !is_silent(h, now) &&
+           !h.lease.has_ended(now);
+}
+
+bool pool_engine::has_room_for(
+    const host_state& h, const task_ref& step, const step_spec& spec) const
+{
+    if (!fits(counted_room(spec), h.entry.capacity - h.used))
+        return false;
+    if (!spec.label.empty() &&
+        std::ranges::find(h.entry.labels, spec.label) == h.entry.labels.end())
+        return false;
+    if (spec.most_per_host == 0)
+        return true;
+    const auto first = h.runs.lower_bound(
+        task_ref{step.submission, step.occurrence, step.step, 0});
+    const auto last = h.runs.lower_bound(
+        task_ref{step.submission, step.occurrence, step.step + 1, 0});
+    return std::distance(first, last) < spec.most_per_host;
+}
+
+// A lasting task that finds no other host at once would be away for as long
+// as its pool gets none.
+bool pool_engine::has_place_elsewhere(
+    const host_state& from, const task_ref& task, const step_spec& spec) const
+{
+    return std::ranges::any_of(hosts_, [&](const auto& item) {
+        const auto& h = item.second;
+        return &h != &from && h.entry.pool == from.entry.pool &&
+               is_eligible(h) && has_room_for(h, task, spec);
+    });
+}
+
 bool pool_engine::may_take_away(const task_ref& task) const
 {
     const auto found = active_.find(task.submission);
--- a/src/libsched/pool_hosts_test.cpp
+++ b/src/libsched/pool_hosts_test.cpp
@@ -221,11 +221,18 @@
         for (const auto& order : starts)
             d.hold(order.host, {row(order)});
     }
+    const std::string third = [&] {
+        for (const auto* id : {"a", "b"})
+            if (id != starts[0].host && id != starts[1].host)
+                return id;
+        return "c";
+    }();
     // The first host falls silent; the second is to be emptied.
     for (int i = 0; i < 4; ++i)
     {
         d.advance(500ms);
         d.hold(starts[1].host, {row(starts[1])});
+        d.hold(third);
     }
     d.apply(pool_event::evacuation_wanted{starts[1].host, d.now.steady + 3s});
     EXPECT_TRUE(d.only<pool_effect::stop>(d.all).empty());
@@ -277,4 +284,37 @@
     EXPECT_EQ(starts, 1U);
 }
 
+// Found by the bench on quiet-1 --seed 402649453402: a lasting task was taken
+// away from its host while its pool had no other place for it, and was away
+// for thirteen seconds.
+TEST(pool_hosts, takes_no_lasting_task_away_that_finds_no_other_place)
+{
+    pool_driver d;
+    auto submission = pool_driver::record(2);
+    submission.spec.steps[0].long_running = true;
+    submission.spec.steps[0].may_miss = 1;
+    submission.spec.steps[0].most_per_host = 1;
+    d.ready({"a", "b"});
+    d.submit(submission);
+    const auto starts = d.only<pool_effect::start>(d.tick());
+    ASSERT_EQ(starts.size(), 2U);
+    for (const auto& order : starts)
+        d.answer_starts({order});
+    const auto hold_both = [&] {
+        for (const auto& order : starts)
+            d.hold(order.host, {{order.task, order.run, {}, 100, 0}});
+    };
+    for (int i = 0; i < 5; ++i)
+    {
+        d.advance(500ms);
+        hold_both();
+    }
+    d.apply(pool_event::evacuation_wanted{starts[0].host, d.now.steady + 3s});
+    EXPECT_TRUE(d.only<pool_effect::stop>(d.all).empty());
+    d.ready({"a", "b", "c"});
+    hold_both();
+    d.apply(pool_event::evacuation_wanted{starts[0].host, d.now.steady + 3s});
+    EXPECT_EQ(d.only<pool_effect::stop>(d.all).size(), 1U);
+}
+
 } // namespace dandeliontack::test
--- a/src/libsched/pool_planner.cpp
+++ b/src/libsched/pool_planner.cpp
@@ -67,16 +67,8 @@
 void pool_planner::collect_hosts()
 {
     for (auto& [id, h] : engine_.hosts_)
-    {
-        const auto now = now_.steady;
-        const bool eligible =
-            h.listed && !h.entry.draining && h.contacted &&
-            h.recorded_in == 0 && !h.closed && h.evacuate_until <= now &&
-            h.blocked_until <= now && h.health.avoid_until <= now &&
-            !is_silent(h, now) && !h.lease.has_ended(now);
-        if (eligible)
+        if (engine_.is_eligible(h))
             hosts_[h.entry.pool].push_back(&h);
-    }
 }
 
 bool pool_planner::may_start(const task_state& t) const
@@ -190,27 +182,13 @@
 bool pool_planner::takes(
     const host_state& h, const candidate& c, const step_spec& spec) const
 {
-    if (!fits(counted_room(spec), h.entry.capacity - h.used))
+    const task_ref step{c.submission->record.id, c.occurrence, c.step, 0};
+    if (!engine_.has_room_for(h, step, spec))
         return false;
-    if (!spec.label.empty() &&
-        std::ranges::find(h.entry.labels, spec.label) == h.entry.labels.end())
-        return false;
-    const auto id = c.submission->record.id;
-    if (spec.most_per_host > 0)
-    {
-        const auto first =
-            h.runs.lower_bound(task_ref{id, c.occurrence, c.step, 0});
-        const auto last =
-            h.runs.lower_bound(task_ref{id, c.occurrence, c.step + 1, 0});
-        if (std::distance(first, last) >= spec.most_per_host)
-            return false;
-    }
     if (c.submission->record.terms.advice)
-    {
-        const auto& step =
-            c.submission->occurrences.at(c.occurrence).steps[c.step];
-        return step.tickets.contains(h.entry.id);
-    }
+        return c.submission->occurrences.at(c.occurrence)
+            .steps[c.step]
+            .tickets.contains(h.entry.id);
     // One run at a time tries a host that was suspended.
     return h.health.suspensions == 0 || h.runs.empty() || spec.long_running;
 }
--- a/src/libsched/pool_takeover_test.cpp
+++ b/src/libsched/pool_takeover_test.cpp
@@ -170,6 +170,7 @@
     d.advance(1000ms);
     d.hold("a", {runs(0, 1)});
     d.hold("b", {runs(1, 1)});
+    d.hold("c");
     d.apply(pool_event::evacuation_wanted{"a", d.now.steady + 3s});
     EXPECT_EQ(d.only<pool_effect::stop>(d.all).size(), 1U);
 }
