Make records of the fleet duty at their turn, and count what the list does not show

Cause, by reading: orders of upkeep run beside each other since hosts are kept empty until theirs. (1) A record of the wave was made before it waited for its turn, and an append that came later could pass it: the newest record then hid an order from a successor. (2) A list of machines that was asked for before an order was answered showed the machine as up, and another was taken in its place. Change: append_queue makes what is stored at its turn; a machine whose upkeep began after the list was asked for counts as down.

--- a/src/include/dandeliontack/fleet_duty.hpp
+++ b/src/include/dandeliontack/fleet_duty.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <dandeliontack/append_queue.hpp>
 #include <dandeliontack/fleet_balance.hpp>
 #include <dandeliontack/machine_client.hpp>
 #include <dandeliontack/machine_list.hpp>
@@ -45,7 +46,8 @@
     boost::asio::awaitable<bool> load();
     boost::asio::awaitable<void> advance(std::string wave);
     boost::asio::awaitable<bool> save(std::string wave);
-    boost::asio::awaitable<bool> append(std::vector<keyed_record> records);
+    boost::asio::awaitable<bool>
+    append(std::function<append_queue::record_list()> make);
     boost::asio::awaitable<bool> note_orders(std::vector<std::string> machines);
     boost::asio::awaitable<void> report(std::string wave, bool completed);
     boost::asio::awaitable<void>
@@ -93,9 +95,9 @@
     /// this one may.
     std::set<std::string> lately_ordered_;
     boot_time rested_at_;
-    /// Appends go one after the other.
-    bool appending_ = false;
-    wake_signal append_ended_;
+    append_queue appends_;
+    /// When the upkeep of machines began that the list may not show yet.
+    std::map<std::string, boot_time> begun_lately_;
     bool lost_ = false;
 };
 
--- a/src/include/dandeliontack/upkeep_plan.hpp
+++ b/src/include/dandeliontack/upkeep_plan.hpp
@@ -19,6 +19,8 @@
     std::set<std::string> begun;
     /// Machines whose upkeep was ordered without an answer.
     std::set<std::string> unanswered;
+    /// Of `begun`, those that the list of machines may still show as up.
+    std::set<std::string> begun_lately;
     /// What is left of the time in which the wave is to end.
     std::chrono::milliseconds time_left{0};
     /// How long a machine is away with the emptying of its host.
--- a/src/libnode/fleet_duty.cpp
+++ b/src/libnode/fleet_duty.cpp
@@ -61,7 +61,9 @@
       router_(router),
       platform_(context),
       claim_(context, store, fleet_shard),
-      append_ended_(context.executor)
+      appends_(context.executor, [this](append_queue::record_list records) {
+          return claim_.append(std::move(records));
+      })
 {}
 
 bool fleet_duty::is_lost() const
@@ -164,28 +166,25 @@
 
 asio::awaitable<bool> fleet_duty::save(std::string name)
 {
-    const auto self = shared_from_this();
-    const auto& wave = waves_[name];
-    wave_record record{
-        name,
-        {wave.progress.begun.begin(), wave.progress.begun.end()},
-        {wave.progress.unanswered.begin(), wave.progress.unanswered.end()},
-        wave.completed,
-        wave.began};
-    std::vector<keyed_record> records{
-        {std::string(progress_prefix) + name, encode(record), 0}};
-    co_return co_await append(std::move(records));
+    const auto make = [this, name] {
+        const auto& wave = waves_[name];
+        const wave_record record{
+            name,
+            {wave.progress.begun.begin(), wave.progress.begun.end()},
+            {wave.progress.unanswered.begin(), wave.progress.unanswered.end()},
+            wave.completed,
+            wave.began};
+        return append_queue::record_list{
+            {std::string(progress_prefix) + name, encode(record), 0}};
+    };
+    return append(make);
 }
 
-asio::awaitable<bool> fleet_duty::append(std::vector<keyed_record> records)
+asio::awaitable<bool>
+fleet_duty::append(std::function<append_queue::record_list()> make)
 {
     const auto self = shared_from_this();
-    while (appending_)
-        co_await append_ended_.wait(retry_pause);
-    appending_ = true;
-    const bool stored = co_await claim_.append(std::move(records));
-    appending_ = false;
-    append_ended_.notify();
+    const bool stored = co_await appends_.append(std::move(make));
     if (!stored && !lost_)
     {
         lose("another node took the duty over");
@@ -198,13 +197,16 @@
 // leaves them alone until two holders no longer take turns too fast.
 asio::awaitable<bool> fleet_duty::note_orders(std::vector<std::string> machines)
 {
-    const auto now = read_clocks().wall.time_since_epoch().count();
-    std::vector<keyed_record> records;
-    records.reserve(machines.size());
-    for (const auto& machine : machines)
-        records.push_back(
-            {std::string(order_prefix) + machine, std::to_string(now), 0});
-    return append(std::move(records));
+    const auto make = [machines = std::move(machines)] {
+        const auto now = read_clocks().wall.time_since_epoch().count();
+        append_queue::record_list records;
+        records.reserve(machines.size());
+        for (const auto& machine : machines)
+            records.push_back(
+                {std::string(order_prefix) + machine, std::to_string(now), 0});
+        return records;
+    };
+    return append(make);
 }
 
 // Whether the host's owner said, at most `age` ago, that it is empty and will
@@ -229,12 +231,15 @@
     while (!lost_)
     {
         const auto left = claim_.until_renewal();
-        if (left > 0ms || appending_)
+        if (left > 0ms || appends_.is_busy())
             co_await pause_for(
                 context_.executor,
                 std::max<std::chrono::milliseconds>(left, retry_pause));
         else
-            co_await append({});
+        {
+            const auto renewal = [] { return append_queue::record_list{}; };
+            co_await append(renewal);
+        }
     }
 }
 
@@ -252,10 +257,15 @@
             co_await pause_for(context_.executor, idle_interval);
             continue;
         }
+        const auto asked = read_clocks().steady;
         auto listed = co_await platform_.list();
         if (listed)
         {
             machines_ = std::move(*listed);
+            // A machine whose upkeep began meanwhile may be listed as up.
+            std::erase_if(begun_lately_, [&](const auto& item) {
+                return item.second < asked;
+            });
             for (const auto& name : active)
                 co_await advance(name);
             co_await balance();
@@ -283,6 +293,9 @@
     wave.progress.time_left = wave.request.within - (now.wall - wave.began);
     wave.progress.cycle =
         seconds_of(context_.settings.machines.upkeep_seconds) + emptying_time;
+    wave.progress.begun_lately.clear();
+    for (const auto& [machine, when] : begun_lately_)
+        wave.progress.begun_lately.insert(machine);
     const auto step = plan_upkeep(
         wave.request, wave.progress, machines_, [&](const std::string& host) {
             if (is_kept_empty(host, fresh_empty))
@@ -363,10 +376,7 @@
         {
             progress.unanswered.erase(machine.name);
             progress.begun.insert(machine.name);
-            // The list of before the order must not count the machine as up.
-            for (auto& listed : machines_)
-                if (listed.name == machine.name)
-                    listed.state = machine_state::upkeep;
+            begun_lately_[machine.name] = read_clocks().steady;
         }
         else if (
             answer == machine_answer::busy ||
--- a/src/libsched/upkeep_plan.cpp
+++ b/src/libsched/upkeep_plan.cpp
@@ -58,7 +58,8 @@
         const choice c{
             &*found, found->host.empty() ? host_use_state::emptied
                                          : use_of(found->host)};
-        const bool in_upkeep = found->state == machine_state::upkeep;
+        const bool in_upkeep = found->state == machine_state::upkeep ||
+                               progress.begun_lately.contains(name);
         const bool unanswered = progress.unanswered.contains(name);
         if (in_upkeep || unanswered)
             ++view.down;
--- a/src/libsched/upkeep_plan_test.cpp
+++ b/src/libsched/upkeep_plan_test.cpp
@@ -57,12 +57,12 @@
         names.push_back(std::to_string(i));
         machines.push_back(machine(names.back()));
     }
-    const wave_progress_view early{{}, {}, seconds(60), seconds(4)};
+    const wave_progress_view early{{}, {}, {}, seconds(60), seconds(4)};
     EXPECT_LE(
         plan_upkeep(wave(names, 10), early, machines, nothing_empty)
             .evacuate.size(),
         3U);
-    const wave_progress_view late{{}, {}, seconds(8), seconds(4)};
+    const wave_progress_view late{{}, {}, {}, seconds(8), seconds(4)};
     EXPECT_EQ(
         plan_upkeep(wave(names, 10), late, machines, nothing_empty)
             .evacuate.size(),
@@ -72,7 +72,7 @@
 TEST(upkeep_plan, takes_machines_that_nobody_uses_first)
 {
     const auto step = plan_upkeep(
-        wave({"a", "b", "c"}, 2), {{}, {}, std::chrono::seconds(60), {}},
+        wave({"a", "b", "c"}, 2), {{}, {}, {}, std::chrono::seconds(60), {}},
         {machine("a"), machine("b", machine_state::down), machine("c")},
         [](const std::string& host) {
             return host == "host-c" ? host_use_state::idle
@@ -86,7 +86,7 @@
 
 TEST(upkeep_plan, is_complete_only_when_all_are_back)
 {
-    const wave_progress_view progress{{"a", "b"}, {}, {}, {}};
+    const wave_progress_view progress{{"a", "b"}, {}, {}, {}, {}};
     EXPECT_FALSE(plan_upkeep(
                      wave({"a", "b"}, 2), progress,
                      {machine("a"), machine("b", machine_state::upkeep)},
@@ -114,7 +114,7 @@
 // carried out, while tasks ran on the machine's new host.
 TEST(upkeep_plan, empties_a_host_before_it_repeats_an_order)
 {
-    const wave_progress_view progress{{}, {"a"}, {}, {}};
+    const wave_progress_view progress{{}, {"a"}, {}, {}, {}};
     const auto step = plan_upkeep(
         wave({"a", "b"}, 2), progress, {machine("a"), machine("b")},
         nothing_empty);
@@ -123,6 +123,17 @@
     EXPECT_EQ(step.evacuate[0].name, "a");
 }
 
+// A list that was asked for before an order was answered shows the machine up.
+TEST(upkeep_plan, counts_a_machine_as_down_that_the_list_does_not_show_yet)
+{
+    const wave_progress_view progress{{"a"}, {}, {"a"}, {}, {}};
+    const auto step = plan_upkeep(
+        wave({"a", "b"}, 1), progress, {machine("a"), machine("b")},
+        everything_empty);
+    EXPECT_TRUE(step.order.empty());
+    EXPECT_FALSE(step.completed);
+}
+
 TEST(upkeep_plan, leaves_machines_alone_that_are_on_their_way)
 {
     const auto step = plan_upkeep(
@@ -135,7 +146,7 @@
 
 TEST(upkeep_plan, orders_nothing_new_while_an_order_is_unanswered)
 {
-    const wave_progress_view progress{{}, {"a"}, {}, {}};
+    const wave_progress_view progress{{}, {"a"}, {}, {}, {}};
     const auto step = plan_upkeep(
         wave({"a", "b"}, 2), progress, {machine("a"), machine("b")},
         everything_empty);
