Order as many moves a round as the platform takes

Cause: a round ordered at most 8 moves, whatever the size of the fleet.

Entries of hosts are read every 150 ms instead of 400 ms, so that a moved machine is used sooner.

Ruled out: the order of waiting tasks (machines were missing, not misused) and the nodes' processor time (0.1 core at most).

The new test fails with 8 moves a round (20 rounds instead of 6).

--- a/src/include/dandeliontack/fleet_balance.hpp
+++ b/src/include/dandeliontack/fleet_balance.hpp
@@ -29,6 +29,12 @@
     std::size_t most_moves = 8;
 };
 
+/// How many moves a round may order so that the orders of all rounds stay
+/// under what the platform takes a second. Some are left for upkeep and for
+/// orders that are repeated. `round` is the shortest time between two rounds.
+std::size_t
+moves_a_round(double orders_per_second, std::chrono::milliseconds round);
+
 struct machine_move
 {
     listed_machine machine;
--- a/src/include/dandeliontack/fleet_duty.hpp
+++ b/src/include/dandeliontack/fleet_duty.hpp
@@ -87,7 +87,7 @@
     std::set<std::string> emptying_;
     /// Hosts that ran nothing when their owners were asked last.
     std::set<std::string> idle_;
-    fleet_balance balance_{balance_terms{}};
+    fleet_balance balance_;
     std::shared_ptr<const queue_table> table_;
     /// Machines whose move is under way, with the pool that they join.
     std::map<std::string, std::string> moving_;
--- a/src/include/dandeliontack/tack_node_settings.hpp
+++ b/src/include/dandeliontack/tack_node_settings.hpp
@@ -42,6 +42,8 @@
     /// The longest that a move and an upkeep take, in seconds.
     double move_seconds = 2;
     double upkeep_seconds = 2;
+    /// Orders about machines that the platform takes from all nodes together.
+    double orders_per_second = 32;
 };
 
 /// Section `[advice]`: the service that says which hosts may run a step.
--- a/src/libnode/fleet_duty.cpp
+++ b/src/libnode/fleet_duty.cpp
@@ -52,6 +52,15 @@
         recent.insert(record.key.substr(order_prefix.size()));
 }
 
+balance_terms balance_terms_of(const tack_node_settings& settings)
+{
+    balance_terms terms;
+    // A round takes this long or longer.
+    terms.most_moves =
+        moves_a_round(settings.machines.orders_per_second, look_interval);
+    return terms;
+}
+
 } // namespace
 
 fleet_duty::fleet_duty(
@@ -61,6 +70,7 @@
       router_(router),
       platform_(context),
       claim_(context, store, fleet_shard),
+      balance_(balance_terms_of(context.settings)),
       appends_(context.executor, [this](append_queue::record_list records) {
           return claim_.append(std::move(records));
       })
--- a/src/libnode/tack_node.cpp
+++ b/src/libnode/tack_node.cpp
@@ -31,7 +31,7 @@
 // is noticed within this and the call's own timeout.
 constexpr auto operator_wait = 800ms;
 constexpr auto registry_interval = 250ms;
-constexpr auto hosts_interval = 400ms;
+constexpr auto hosts_interval = 150ms;
 constexpr auto log_interval = 100ms;
 // A node that can't reach the store for this long goes out of rotation.
 constexpr auto ready_without_store = 3000ms;
--- a/src/libnode/tack_node_settings.cpp
+++ b/src/libnode/tack_node_settings.cpp
@@ -57,7 +57,11 @@
             .most = longest_seconds},
         row{.key = "upkeep_seconds",
             .member = &s::upkeep_seconds,
-            .most = longest_seconds}};
+            .most = longest_seconds},
+        row{.key = "orders_per_second",
+            .member = &s::orders_per_second,
+            .least = 0.1,
+            .most = 1'000'000}};
     return table;
 }
 
--- a/src/libsched/fleet_balance.cpp
+++ b/src/libsched/fleet_balance.cpp
@@ -11,6 +11,9 @@
 
 using machine_list = std::vector<const listed_machine*>;
 
+// The share of the orders that the platform takes which moves may use.
+constexpr double share_for_moves = 0.75;
+
 bool may_leave_standby(
     const listed_machine& machine, const std::set<std::string>& kept)
 {
@@ -35,6 +38,14 @@
 
 } // namespace
 
+std::size_t
+moves_a_round(double orders_per_second, std::chrono::milliseconds round)
+{
+    const double orders = orders_per_second * share_for_moves *
+                          std::chrono::duration<double>(round).count();
+    return std::max<std::size_t>(static_cast<std::size_t>(orders), 1);
+}
+
 // What a round of planning looks at.
 struct fleet_balance::round
 {
--- a/src/libsched/fleet_balance_test.cpp
+++ b/src/libsched/fleet_balance_test.cpp
@@ -138,6 +138,35 @@
                     .empty());
 }
 
+// Pattern of load: a turn that needs half of a large fleet. A platform that
+// takes 215 orders a second lets it be met in the rounds of 1.5 s.
+TEST(fleet_balance, meets_a_turn_on_a_large_fleet_as_fast_as_orders_are_taken)
+{
+    balance_terms terms;
+    terms.most_moves = moves_a_round(215, 250ms);
+    fleet_balance balance{terms};
+    auto all = join(machines("busy", 10), machines("off", 340, true));
+    int rounds = 0;
+    std::size_t present = 10;
+    for (; present < 170 && rounds < 100; ++rounds)
+    {
+        const auto moves = balance.plan(
+            {demand("busy", 10, 300'000)}, all, standby, {},
+            boot_time(1h + 250ms * rounds));
+        EXPECT_LE(static_cast<double>(moves.size()) / 0.25, 215);
+        present += moves.size();
+        for (const auto& move : moves)
+            for (auto& machine : all)
+                if (machine.name == move.machine.name)
+                {
+                    machine.pool = move.to_pool;
+                    machine.state = machine_state::moving;
+                }
+    }
+    EXPECT_LE(rounds, 6);
+    EXPECT_EQ(moves_a_round(0.5, 250ms), 1U);
+}
+
 // Pattern of load: four pools take turns of 4.5 s at five times their mean.
 // Against static pools, less than half as much work waits on the mean.
 TEST(fleet_balance, serves_turns_better_than_static_pools)
