Repeat appends by measured answer times, and store a wave's orders together

And each order of an upkeep took two appends in turn, some 28 ms, so that a wave of 193 machines could not be ordered in its last seconds (30 of 193 late, three duties missed).

Change: the time an append waits follows the estimate of TCP's retransmission timer and doubles with each repeat; it stays between 0.2 and 1 s. Appends of the fleet duty that wait while one is under way share the next one, and what an upkeep notes is one append.

--- a/src/include/dandeliontack/append_queue.hpp
+++ b/src/include/dandeliontack/append_queue.hpp
@@ -5,17 +5,22 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <functional>
+#include <iterator>
+#include <memory>
+#include <optional>
 #include <utility>
 #include <vector>
 
 namespace dandeliontack
 {
 
-/// Lets appends of several coroutines follow each other. What is appended is
-/// made only when its turn has come, so that the newest record never holds
-/// less than one before it did. Its owner outlives its coroutines.
+/// Lets appends of several coroutines follow each other; those that wait while
+/// one is under way share the next. What is appended is made only when its
+/// turn has come, so that the newest record never holds less than one before
+/// it did. Its owner outlives its coroutines.
 class append_queue
 {
 public:
@@ -29,13 +34,17 @@
     /// Appends what `make` returns at its turn.
     boost::asio::awaitable<bool> append(std::function<record_list()> make)
     {
-        while (busy_)
-            co_await ended_.wait(longest_turn);
-        busy_ = true;
-        const bool stored = co_await append_(make());
-        busy_ = false;
-        ended_.notify();
-        co_return stored;
+        const auto mine = std::make_shared<turn>();
+        mine->make = std::move(make);
+        waiting_.push_back(mine);
+        while (!mine->stored)
+        {
+            if (busy_)
+                co_await ended_.wait(longest_turn);
+            else
+                co_await append_waiting();
+        }
+        co_return *mine->stored;
     }
 
     bool is_busy() const
@@ -47,8 +56,30 @@
     // The turn is looked for again after this long without a signal.
     static constexpr std::chrono::milliseconds longest_turn{150};
 
+    struct turn
+    {
+        std::function<record_list()> make;
+        /// Set once the append has ended.
+        std::optional<bool> stored;
+    };
+
+    boost::asio::awaitable<void> append_waiting()
+    {
+        busy_ = true;
+        const auto turns = std::exchange(waiting_, {});
+        record_list records;
+        for (const auto& each : turns)
+            std::ranges::move(each->make(), std::back_inserter(records));
+        const bool stored = co_await append_(std::move(records));
+        for (const auto& each : turns)
+            each->stored = stored;
+        busy_ = false;
+        ended_.notify();
+    }
+
     appender append_;
     wake_signal ended_;
+    std::vector<std::shared_ptr<turn>> waiting_;
     bool busy_ = false;
 };
 
--- a/src/include/dandeliontack/fleet_duty.hpp
+++ b/src/include/dandeliontack/fleet_duty.hpp
@@ -46,6 +46,9 @@
     boost::asio::awaitable<bool> load();
     boost::asio::awaitable<void> advance(std::string wave);
     boost::asio::awaitable<bool> save(std::string wave);
+    keyed_record record_of(const std::string& wave);
+    boost::asio::awaitable<bool>
+    note_upkeep(std::string wave, std::string machine);
     boost::asio::awaitable<bool>
     append(std::function<append_queue::record_list()> make);
     boost::asio::awaitable<bool> note_orders(std::vector<std::string> machines);
--- a/src/include/dandeliontack/store_client.hpp
+++ b/src/include/dandeliontack/store_client.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <dandeliontack/answer_times.hpp>
 #include <dandeliontack/boot_clock.hpp>
 #include <dandeliontack/node_context.hpp>
 #include <dandeliontack/store_calls.hpp>
@@ -20,7 +21,10 @@
 public:
     explicit store_client(node_context& context);
 
-    boost::asio::awaitable<append_answer> append(append_call call);
+    /// `repeats` says how often this very append was sent before; each time
+    /// its answer is waited for longer.
+    boost::asio::awaitable<append_answer>
+    append(append_call call, unsigned repeats = 0);
     boost::asio::awaitable<read_answer>
     read(store_place place, std::uint64_t from, std::chrono::milliseconds wait);
     boost::asio::awaitable<newest_page>
@@ -38,6 +42,7 @@
     std::string address_;
     boot_time last_success_;
     std::optional<boot_time> lost_since_;
+    answer_times append_times_;
 };
 
 /// The writer of one partition under an epoch of its own. One append is under
--- a/src/libnode/append_queue_test.cpp
+++ b/src/libnode/append_queue_test.cpp
@@ -29,7 +29,8 @@
     append_queue queue(
         context.get_executor(), [&](records list) -> asio::awaitable<bool> {
             co_await pause_for(context.get_executor(), append_time);
-            stored.push_back(list.front().value);
+            std::ranges::transform(
+                list, std::back_inserter(stored), &keyed_record::value);
             co_return true;
         });
     std::string state;
@@ -52,4 +53,52 @@
     EXPECT_FALSE(queue.is_busy());
 }
 
+// Pattern of load: a wave of upkeep whose orders are noted one by one, while
+// each append takes as long as the time between two orders.
+TEST(append_queue, stores_together_what_waits_together)
+{
+    asio::io_context context(1);
+    std::vector<std::size_t> appends;
+    append_queue queue(
+        context.get_executor(), [&](records list) -> asio::awaitable<bool> {
+            co_await pause_for(context.get_executor(), append_time);
+            appends.push_back(list.size());
+            co_return true;
+        });
+    int stored = 0;
+    const auto save = [&]() -> asio::awaitable<void> {
+        const auto make = [] { return records{{"key", "value", 0}}; };
+        const bool done = co_await queue.append(make);
+        stored += done ? 1 : 0;
+    };
+    constexpr int orders = 40;
+    for (int i = 0; i < orders; ++i)
+        asio::co_spawn(context, save(), asio::detached);
+    context.run();
+    EXPECT_EQ(stored, orders);
+    EXPECT_EQ(appends, (std::vector<std::size_t>{1, orders - 1}));
+}
+
+// An append that failed failed for all that shared it, and for nobody else.
+TEST(append_queue, tells_each_what_became_of_its_own)
+{
+    asio::io_context context(1);
+    int appends = 0;
+    append_queue queue(
+        context.get_executor(), [&](records) -> asio::awaitable<bool> {
+            co_await pause_for(context.get_executor(), append_time);
+            co_return ++appends == 1;
+        });
+    std::vector<bool> stored;
+    const auto save = [&]() -> asio::awaitable<void> {
+        const auto make = [] { return records{{"key", "value", 0}}; };
+        const bool done = co_await queue.append(make);
+        stored.push_back(done);
+    };
+    for (int i = 0; i < 3; ++i)
+        asio::co_spawn(context, save(), asio::detached);
+    context.run();
+    EXPECT_EQ(stored, (std::vector<bool>{true, false, false}));
+}
+
 } // namespace dandeliontack
--- a/src/libnode/fleet_duty.cpp
+++ b/src/libnode/fleet_duty.cpp
@@ -52,6 +52,13 @@
         recent.insert(record.key.substr(order_prefix.size()));
 }
 
+// That the machine was ordered about now.
+keyed_record order_record(const std::string& machine)
+{
+    const auto now = read_clocks().wall.time_since_epoch().count();
+    return {std::string(order_prefix) + machine, std::to_string(now), 0};
+}
+
 balance_terms balance_terms_of(const tack_node_settings& settings)
 {
     balance_terms terms;
@@ -174,20 +181,23 @@
     }
 }
 
+keyed_record fleet_duty::record_of(const std::string& name)
+{
+    const auto& wave = waves_[name];
+    const wave_record record{
+        name,
+        {wave.progress.begun.begin(), wave.progress.begun.end()},
+        {wave.progress.unanswered.begin(), wave.progress.unanswered.end()},
+        wave.completed,
+        wave.began};
+    return {std::string(progress_prefix) + name, encode(record), 0};
+}
+
 asio::awaitable<bool> fleet_duty::save(std::string name)
 {
-    const auto make = [this, name] {
-        const auto& wave = waves_[name];
-        const wave_record record{
-            name,
-            {wave.progress.begun.begin(), wave.progress.begun.end()},
-            {wave.progress.unanswered.begin(), wave.progress.unanswered.end()},
-            wave.completed,
-            wave.began};
-        return append_queue::record_list{
-            {std::string(progress_prefix) + name, encode(record), 0}};
-    };
-    return append(make);
+    return append([this, name = std::move(name)] {
+        return append_queue::record_list{record_of(name)};
+    });
 }
 
 asio::awaitable<bool>
@@ -207,16 +217,22 @@
 // leaves them alone until two holders no longer take turns too fast.
 asio::awaitable<bool> fleet_duty::note_orders(std::vector<std::string> machines)
 {
-    const auto make = [machines = std::move(machines)] {
-        const auto now = read_clocks().wall.time_since_epoch().count();
+    return append([machines = std::move(machines)] {
         append_queue::record_list records;
-        records.reserve(machines.size());
-        for (const auto& machine : machines)
-            records.push_back(
-                {std::string(order_prefix) + machine, std::to_string(now), 0});
+        std::ranges::transform(
+            machines, std::back_inserter(records), order_record);
         return records;
-    };
-    return append(make);
+    });
+}
+
+// The same for an upkeep, with what the wave has come to.
+asio::awaitable<bool>
+fleet_duty::note_upkeep(std::string name, std::string machine)
+{
+    return append([this, name = std::move(name), machine = std::move(machine)] {
+        return append_queue::record_list{
+            record_of(name), order_record(machine)};
+    });
 }
 
 // Whether the host's owner said, at most `age` ago, that it is empty and will
@@ -358,11 +374,7 @@
     const auto self = shared_from_this();
     const bool first =
         waves_[name].progress.unanswered.insert(machine.name).second;
-    const bool saved = co_await save(name);
-    std::vector<std::string> names{machine.name};
-    bool noted = false;
-    if (saved)
-        noted = co_await note_orders(std::move(names));
+    const bool noted = co_await note_upkeep(name, machine.name);
     // Its owner keeps the host empty for a while only.
     const bool still_empty =
         machine.host.empty() || is_kept_empty(machine.host, still_locked);
--- a/src/libnode/store_client.cpp
+++ b/src/libnode/store_client.cpp
@@ -49,7 +49,9 @@
 } // namespace
 
 store_client::store_client(node_context& context)
-    : context_(context), address_(to_string(context.settings.store.address))
+    : context_(context),
+      address_(to_string(context.settings.store.address)),
+      append_times_({.most = call_timeout})
 {}
 
 boot_time store_client::last_success() const
@@ -93,10 +95,13 @@
     co_return result;
 }
 
-asio::awaitable<append_answer> store_client::append(append_call to_append)
+asio::awaitable<append_answer>
+store_client::append(append_call to_append, unsigned repeats)
 {
     auto request = platform::encode_append(address_, to_append);
-    auto result = co_await call(std::move(request), call_timeout);
+    const auto sent = now_steady();
+    auto result =
+        co_await call(std::move(request), append_times_.timeout(repeats));
     append_answer answer;
     if (const auto* error = std::get_if<exchange_error>(&result))
     {
@@ -108,6 +113,8 @@
     else
     {
         answer = platform::decode_append(std::get<http_response>(result));
+        if (answer.outcome == append_outcome::stored)
+            append_times_.observe(now_steady() - sent);
     }
     note(
         answer.outcome != append_outcome::refused &&
@@ -189,12 +196,13 @@
 {
     const auto began = now_steady();
     std::chrono::milliseconds pause = first_pause;
+    unsigned repeats = 0;
     unclear_ = false;
     while (state_ != state::lost)
     {
         const auto sent = now_steady();
         auto copy = call;
-        const auto answer = co_await store_.append(std::move(copy));
+        const auto answer = co_await store_.append(std::move(copy), repeats++);
         switch (answer.outcome)
         {
         case append_outcome::stored:
