Clear machines of late work for the next turn, and repeat orders sooner

And an order that got no answer was repeated after 0.5 s, three such orders stopped a host's queue, and under a store fifty times as slow all candidates that got no answer from the fleet duty in 0.5 s took the registry's time themselves, so that owners were taken over that lived.

Change: demand tells what is late apart (outlook, moved out of the planner); late work is planned for 6 s instead of 1.5 s. Where no idle machine is left, the fleet duty tells pools with a surplus how many hosts to clear; the owner gives the hosts with the fewest runs, and none with lasting tasks, no new tasks. Orders to hosts wait by measured answer times, 0.2 to 0.8 s. Nodes that own nothing append their announcement only after two failures of the duty; the duty may take 0.8 s.

Ruled out: stopping late work (it earns a little and is owed); moving by the worth of work (worth for work is much the same in all pools of the sites).

--- a/src/include/dandeliontack/fleet_balance.hpp
+++ b/src/include/dandeliontack/fleet_balance.hpp
@@ -18,6 +18,9 @@
 {
     /// Waiting work is to be begun within this.
     std::chrono::milliseconds horizon{1500};
+    /// Work that is late already is to be done within this: what it earns ends
+    /// at three times its objective, some seconds later.
+    std::chrono::milliseconds late_horizon{6000};
     /// More than enough must have lasted this long before a machine goes to
     /// standby, so that the end of one task does not send it there.
     std::chrono::milliseconds surplus{1200};
@@ -57,6 +60,10 @@
         const std::set<std::string>& standby, const std::set<std::string>& kept,
         boot_time now);
 
+    /// By the last plan: hosts in use that pools with more than they need
+    /// should clear for pools that lack machines.
+    const lendings& lent() const;
+
     /// The platform does not let machines of this pool join the other one.
     void forbid(const std::string& from, const std::string& to);
 
@@ -76,9 +83,11 @@
     const listed_machine*
     take(std::vector<const listed_machine*>& from, const std::string& to) const;
     void fill(round& now) const;
+    void lend(const round& now);
     void release(round& now, const std::string& standby, boot_time time);
 
     balance_terms terms_;
+    lendings lent_;
     std::map<std::string, boot_time> surplus_since_;
     std::set<std::pair<std::string, std::string>> forbidden_;
 };
--- a/src/include/dandeliontack/pool_demand.hpp
+++ b/src/include/dandeliontack/pool_demand.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -13,12 +14,15 @@
 struct pool_demand
 {
     std::string pool;
-    /// Hosts' worth of tasks of limited time that run now.
+    /// Hosts' worth of tasks of limited time that run now and can be in time.
     double running = 0;
     /// Hosts' worth of tasks that run until they are cancelled.
     double lasting = 0;
-    /// Host milliseconds of tasks that wait for their turn or for room.
+    /// Host milliseconds of such tasks that wait for their turn or for room.
     double waiting_ms = 0;
+    /// The same of submissions that can't end within their objective any more.
+    double late_running = 0;
+    double late_ms = 0;
     /// Host milliseconds that arrived a second, of late.
     double arriving_ms = 0;
     /// Hosts that may take tasks.
@@ -34,4 +38,8 @@
     bool operator==(const pool_demand&) const = default;
 };
 
+/// By pool, how many of its hosts that are in use should be cleared, so that
+/// their machines can join a pool that needs them more.
+using lendings = std::map<std::string, std::uint32_t>;
+
 } // namespace dandeliontack
--- a/src/include/dandeliontack/pool_engine.hpp
+++ b/src/include/dandeliontack/pool_engine.hpp
@@ -103,6 +103,7 @@
     void on(const pool_event::advice_answered& e);
     void on(const pool_event::batch_stored& e);
     void on(const pool_event::evacuation_wanted& e);
+    void on(const pool_event::lending_wanted& e);
     void on(const pool_event::tick& e);
 
     void open_occurrences(submission_state& s);
@@ -139,6 +140,16 @@
     void check_bar();
     void let_go_inherited();
     void close_host(host_state& h, bool closed);
+    /// The learned ratio of run times to estimates of a submission's route.
+    double estimate_factor(const submission_state& s) const;
+    /// Submissions with the number of an occurrence.
+    using occurrence_set = std::set<std::pair<std::uint64_t, std::uint32_t>>;
+    static bool count_running(
+        const host_state& h, const room& host, const occurrence_set& late,
+        pool_demand& demand);
+    void count_waiting(
+        const submission_state& s, const room& host, occurrence_set& late,
+        pool_demand& demand, boot_time now) const;
     room typical_host(const std::string& pool) const;
     void count_arrival(const submission_record& record);
     bool is_at_work(const task_state& t) const;
--- a/src/include/dandeliontack/pool_events.hpp
+++ b/src/include/dandeliontack/pool_events.hpp
@@ -162,6 +162,13 @@
     std::string host;
     boot_time until;
 };
+/// Other pools need hosts of this one more: so many get no new tasks for a
+/// while, and are given up once they are idle.
+struct lending_wanted
+{
+    std::string pool;
+    std::uint32_t hosts = 0;
+};
 struct tick
 {
 };
@@ -173,7 +180,8 @@
     pool_event::host_held, pool_event::host_life_ended,
     pool_event::start_answered, pool_event::stop_answered,
     pool_event::advice_answered, pool_event::batch_stored,
-    pool_event::evacuation_wanted, pool_event::tick>;
+    pool_event::evacuation_wanted, pool_event::lending_wanted,
+    pool_event::tick>;
 
 namespace pool_effect
 {
--- a/src/include/dandeliontack/pool_state.hpp
+++ b/src/include/dandeliontack/pool_state.hpp
@@ -136,6 +136,8 @@
     host_health health;
     boot_time blocked_until;
     boot_time evacuate_until;
+    /// It gets no new tasks before this, so that it can join another pool.
+    boot_time lent_until;
     /// The share that filling tasks get on this host.
     std::uint32_t fill_percent = 100;
     boot_time fill_changed;
--- a/src/include/dandeliontack/shard_owner.hpp
+++ b/src/include/dandeliontack/shard_owner.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <dandeliontack/answer_times.hpp>
 #include <dandeliontack/pool_engine.hpp>
 #include <dandeliontack/shard_claim.hpp>
 #include <dandeliontack/shard_map.hpp>
@@ -44,7 +45,7 @@
     boost::asio::awaitable<shard_answer> pending(std::string route) override;
     boost::asio::awaitable<shard_answer> evacuate(std::string host) override;
     boost::asio::awaitable<shard_answer> host_ended(std::string host) override;
-    boost::asio::awaitable<shard_answer> demands() override;
+    boost::asio::awaitable<shard_answer> demands(std::string lent) override;
 
     bool is_lost() const;
     /// Since when the store has not taken what is to be stored.
@@ -90,6 +91,8 @@
     shard_id shard_;
     pool_terms terms_;
     shard_claim claim_;
+    /// How long hosts take to answer orders.
+    answer_times order_times_;
     std::unique_ptr<pool_engine> engine_;
     std::set<std::string> held_hosts_;
     std::map<std::string, host_queue> queues_;
--- a/src/include/dandeliontack/shard_router.hpp
+++ b/src/include/dandeliontack/shard_router.hpp
@@ -35,7 +35,8 @@
     shard_id shard = 0;
     std::uint64_t submission = 0;
     /// A route for `pending`, a host for `evacuate` and
-    /// `host_ended`, the encoded announcement for `announce`.
+    /// `host_ended`, what is lent for `demands`, the announcement for
+    /// `announce`.
     std::string name;
     std::optional<submission_record> record;
 };
--- a/src/include/dandeliontack/shard_service.hpp
+++ b/src/include/dandeliontack/shard_service.hpp
@@ -57,8 +57,9 @@
     /// The platform has ended a host's life.
     virtual boost::asio::awaitable<shard_answer>
     host_ended(std::string host) = 0;
-    /// The value is what the shard's pools need and have, encoded.
-    virtual boost::asio::awaitable<shard_answer> demands() = 0;
+    /// The value is what the shard's pools need and have, encoded; `lent` says
+    /// which of them should clear hosts for others, encoded.
+    virtual boost::asio::awaitable<shard_answer> demands(std::string lent) = 0;
 };
 
 } // namespace dandeliontack
--- a/src/include/dandeliontack/stored_records.hpp
+++ b/src/include/dandeliontack/stored_records.hpp
@@ -82,6 +82,7 @@
 std::string encode(const owner_record& record);
 std::string encode(const wave_record& record);
 std::string encode(const std::vector<pool_demand>& demands);
+std::string encode(const lendings& wanted);
 
 /// Each returns nothing where the bytes are not such a record.
 std::optional<submission_record>
@@ -93,6 +94,7 @@
 std::optional<owner_record> decode_owner(std::string_view bytes);
 std::optional<wave_record> decode_wave_record(std::string_view bytes);
 std::optional<std::vector<pool_demand>> decode_demands(std::string_view bytes);
+std::optional<lendings> decode_lendings(std::string_view bytes);
 
 /// What is to be stored of a submission now.
 progress_record progress_of(const submission_state& s);
--- a/src/libnode/fleet_duty.cpp
+++ b/src/libnode/fleet_duty.cpp
@@ -486,7 +486,8 @@
         shards.insert(shard_of(pool, context_.settings.store.partitions));
     for (const auto shard : shards)
     {
-        shard_call call{shard_call::verb::demands, shard, 0, {}, {}};
+        shard_call call{
+            shard_call::verb::demands, shard, 0, encode(balance_.lent()), {}};
         const auto answer =
             co_await router_.ask(call, ask_patience, retry_pause);
         if (answer.outcome != shard_outcome::done)
--- a/src/libnode/shard_owner.cpp
+++ b/src/libnode/shard_owner.cpp
@@ -24,9 +24,9 @@
 constexpr auto gather_time = 10ms;
 constexpr auto plan_delay = 8ms;
 constexpr auto plan_interval = 200ms;
-// How long a host may take for an order, and how often a start is repeated
-// before it is stopped instead.
-constexpr auto order_timeout = 500ms;
+// The longest that a host may take for an order, and how often a start is
+// repeated before it is stopped instead.
+constexpr auto order_timeout = 800ms;
 constexpr int start_tries = 3;
 // How long a hold waits for an end, and between two holds.
 constexpr auto hold_wait = 1000ms;
@@ -62,6 +62,7 @@
       shard_(shard),
       terms_(pool_terms_of(context.settings)),
       claim_(context, store, shard),
+      order_times_({.most = order_timeout}),
       stored_(context.executor),
       changed_(context.executor),
       planned_(context.executor)
@@ -629,9 +630,12 @@
         auto request = platform::encode_start(
             address, order, s->record.spec.text, *lease_end);
         auto result = co_await context_.connections.exchange(
-            *peer, std::move(request), order_timeout);
+            *peer, std::move(request),
+            order_times_.timeout(static_cast<unsigned>(tries)));
         if (lost_)
             co_return;
+        if (std::holds_alternative<http_response>(result))
+            order_times_.observe(read_clocks().steady - now.steady);
         context_.metrics.get_summary("tack_start_seconds")
             .record(read_clocks().steady - now.steady);
         if (const auto* error = std::get_if<exchange_error>(&result))
@@ -666,7 +670,7 @@
             order.host, host->second.entry.address, epoch()};
         auto request = platform::encode_stop(address, order);
         auto result = co_await context_.connections.exchange(
-            *peer, std::move(request), order_timeout);
+            *peer, std::move(request), order_times_.timeout(0));
         if (lost_)
             co_return;
         if (const auto* response = std::get_if<http_response>(&result))
@@ -808,11 +812,15 @@
     co_return shard_answer{shard_outcome::done, {}};
 }
 
-asio::awaitable<shard_answer> shard_owner::demands()
+asio::awaitable<shard_answer> shard_owner::demands(std::string lent)
 {
     const auto self = shared_from_this();
     if (!may_speak())
         co_return shard_answer{shard_outcome::not_owner, {}};
+    if (const auto wanted = decode_lendings(lent))
+        for (const auto& [pool, hosts] : *wanted)
+            if (shard_of(pool, context_.settings.store.partitions) == shard_)
+                apply(pool_event::lending_wanted{pool, hosts});
     co_return shard_answer{
         shard_outcome::done, encode(engine_->demands(read_clocks()))};
 }
--- a/src/libnode/shard_router.cpp
+++ b/src/libnode/shard_router.cpp
@@ -152,7 +152,7 @@
     case shard_call::verb::host_ended:
         return owner.host_ended(std::move(call.name));
     case shard_call::verb::demands:
-        return owner.demands();
+        return owner.demands(std::move(call.name));
     default:
         return owner.state(call.submission);
     }
--- a/src/libnode/stored_records.cpp
+++ b/src/libnode/stored_records.cpp
@@ -304,6 +304,8 @@
         row.set_running(demand.running);
         row.set_lasting(demand.lasting);
         row.set_waiting_ms(demand.waiting_ms);
+        row.set_late_running(demand.late_running);
+        row.set_late_ms(demand.late_ms);
         row.set_arriving_ms(demand.arriving_ms);
         row.set_hosts(demand.hosts);
         row.set_lasting_hosts(demand.lasting_hosts);
@@ -326,6 +328,8 @@
              row.running(),
              row.lasting(),
              row.waiting_ms(),
+             row.late_running(),
+             row.late_ms(),
              row.arriving_ms(),
              row.hosts(),
              row.leaving(),
@@ -334,6 +338,29 @@
     return demands;
 }
 
+std::string encode(const lendings& wanted)
+{
+    stored::Lendings out;
+    for (const auto& [pool, hosts] : wanted)
+    {
+        auto& row = *out.add_pools();
+        row.set_pool(pool);
+        row.set_hosts(hosts);
+    }
+    return out.SerializeAsString();
+}
+
+std::optional<lendings> decode_lendings(std::string_view bytes)
+{
+    const auto in = parse<stored::Lendings>(bytes);
+    if (!in)
+        return std::nullopt;
+    lendings wanted;
+    for (const auto& row : in->pools())
+        wanted[row.pool()] = row.hosts();
+    return wanted;
+}
+
 progress_record progress_of(const submission_state& s)
 {
     progress_record record;
--- a/src/libnode/tack_node.cpp
+++ b/src/libnode/tack_node.cpp
@@ -25,9 +25,13 @@
 // silence after which one counts as lost. The others are only candidates.
 constexpr auto owner_interval = 400ms;
 constexpr auto candidate_interval = 2000ms;
-// How long the holder of the fleet duty may take to store an announcement;
-// with the owner's interval it stays under an owner's right.
-constexpr auto announce_timeout = 500ms;
+// How long the holder of the fleet duty may take to store an announcement:
+// what gathers and two appends to a store fifty times as slow as usual; with
+// the owner's interval it stays under an owner's right.
+constexpr auto announce_timeout = 800ms;
+// Nodes that own nothing try the holder this often before they take the store's
+// time themselves.
+constexpr unsigned candidate_tries = 2;
 constexpr auto claim_interval = 150ms;
 // After a claim that failed: whoever was first has announced itself by then.
 constexpr auto claim_again = 1500ms;
@@ -202,6 +206,7 @@
     const auto started = read_clocks().wall.time_since_epoch();
     auto last = static_cast<std::uint64_t>(started.count());
     constexpr auto patience = 2000ms;
+    unsigned failures = 0;
     while (true)
     {
         ++beat_;
@@ -215,9 +220,12 @@
         const bool cut_off = is_cut_off(use_of_store(), sent, takeover_terms{});
         if (!first && claiming_.empty() && !leaving_ && !cut_off)
             done = co_await announce_through_duty(records.front().value);
+        failures = done ? 0 : failures + 1;
+        const bool owns = announce_interval() == owner_interval;
         if (done)
             context_.announced = sent;
-        else
+        else if (
+            first || owns || cut_off || leaving_ || failures >= candidate_tries)
         {
             done = first ? co_await writer.claim(
                                last, std::move(records), patience, true)
--- a/src/libsched/fleet_balance.cpp
+++ b/src/libsched/fleet_balance.cpp
@@ -76,7 +76,11 @@
     const double backlog =
         demand.running +
         demand.waiting_ms / static_cast<double>(terms_.horizon.count());
-    const double busy = std::max(backlog, demand.arriving_ms / second_ms);
+    // What runs late goes on for some half of a task, which is little.
+    const double late =
+        demand.late_ms / static_cast<double>(terms_.late_horizon.count());
+    const double busy =
+        std::max(backlog, demand.arriving_ms / second_ms) + late;
     const auto machines = static_cast<std::uint32_t>(
         std::ceil((busy + demand.lasting) * terms_.fragmentation));
     return std::max(machines + demand.leaving, floor_of(demand));
@@ -159,6 +163,34 @@
     }
 }
 
+// Machines that run nothing were given already; what else a pool has to spare
+// is cleared first. Late work goes on in what it keeps.
+void fleet_balance::lend(const round& now)
+{
+    lent_.clear();
+    std::int64_t lacking = 0;
+    for (const auto& [pool, spare] : now.surplus)
+        lacking += std::max<std::int64_t>(-spare, 0);
+    std::vector<std::pair<std::int64_t, std::string>> givers;
+    for (const auto& [pool, spare] : now.surplus)
+        if (spare > 0 && now.idle.at(pool).empty())
+            givers.emplace_back(spare, pool);
+    std::ranges::sort(givers, std::greater<>());
+    for (const auto& [spare, pool] : givers)
+    {
+        const auto count = std::min(spare, lacking);
+        if (count <= 0)
+            return;
+        lent_[pool] = static_cast<std::uint32_t>(count);
+        lacking -= count;
+    }
+}
+
+const lendings& fleet_balance::lent() const
+{
+    return lent_;
+}
+
 // Sends to standby what has been more than enough for a while.
 void fleet_balance::release(
     round& now, const std::string& standby, boot_time time)
@@ -191,6 +223,7 @@
 {
     auto current = look(demands, machines, standby, kept);
     fill(current);
+    lend(current);
     if (!standby.empty())
         release(current, *standby.begin(), now);
     return std::move(current.moves);
--- a/src/libsched/fleet_balance_test.cpp
+++ b/src/libsched/fleet_balance_test.cpp
@@ -125,6 +125,39 @@
     EXPECT_EQ(moves[0].to_pool, "lasting");
 }
 
+// Pattern of load: one pool's turn ends with a backlog that is late, while the
+// next turn's submissions could be in time. Found by the bench on
+// hosts-and-freeze: the next pool got no machine for ten seconds.
+TEST(fleet_balance, clears_machines_of_late_work_for_the_next_turn)
+{
+    auto late = demand("late", 0, 0);
+    late.late_running = 30;
+    late.late_ms = 60'000;
+    const auto all = join(machines("late", 32), machines("next", 8));
+    fleet_balance balance{balance_terms{}};
+    balance.plan(
+        {late, demand("next", 8, 30'000)}, all, standby, {}, boot_time(1h));
+    // 28 of 1.15 x (8 + 20) lack; ten seconds of late work keep 12.
+    EXPECT_EQ(balance.lent(), (lendings{{"late", 20}}));
+    // What can be in time is worth as much in either pool.
+    balance.plan(
+        {demand("late", 32, 60'000), demand("next", 8, 30'000)}, all, standby,
+        {}, boot_time(1h));
+    EXPECT_TRUE(balance.lent().empty());
+}
+
+// Idle machines move at once; nothing has to be cleared for that.
+TEST(fleet_balance, clears_nothing_while_idle_machines_are_left)
+{
+    const auto calm = machines("calm", 30);
+    fleet_balance balance{balance_terms{}};
+    const auto moves = balance.plan(
+        {demand("busy", 2, 30'000), demand("calm", 0, 0, calm)},
+        join(machines("busy", 2), calm), standby, {}, boot_time(1h));
+    EXPECT_EQ(moves.size(), balance_terms{}.most_moves);
+    EXPECT_TRUE(balance.lent().empty());
+}
+
 TEST(fleet_balance, tries_no_move_that_the_platform_refused)
 {
     const auto calm = machines("calm", 6);
--- /dev/null
+++ b/src/libsched/outlook.cpp
@@ -0,0 +1,60 @@
+#include "outlook.hpp"
+
+#include <algorithm>
+#include <vector>
+
+namespace dandeliontack
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+// A submission counts as served, late, up to this many times its objective.
+constexpr double late_limit = 3.0;
+
+} // namespace
+
+std::chrono::milliseconds
+chain_of(const submission_spec& spec, const occurrence_state* left_of)
+{
+    std::vector<std::chrono::milliseconds> ends;
+    std::chrono::milliseconds longest{0};
+    for (std::size_t i = 0; i < spec.steps.size(); ++i)
+    {
+        const auto& step = spec.steps[i];
+        std::chrono::milliseconds begin{0};
+        for (const auto earlier : step.after)
+            begin = std::max(begin, ends[earlier]);
+        const bool done =
+            left_of && left_of->steps[i].done == left_of->steps[i].tasks.size();
+        ends.push_back(begin + (done ? 0ms : step.estimate));
+        longest = std::max(longest, ends.back());
+    }
+    return longest;
+}
+
+outlook outlook_of(
+    const submission_state& s, const occurrence_state& o,
+    double estimate_factor, boot_time now)
+{
+    const auto& terms = s.record.terms;
+    const auto& spec = s.record.spec;
+    const double left =
+        estimate_factor * static_cast<double>(chain_of(spec, &o).count());
+    const double chain =
+        estimate_factor * static_cast<double>(chain_of(spec, nullptr).count());
+    const double objective =
+        terms.stretch * chain + static_cast<double>(terms.target.count());
+    outlook out;
+    out.age = now - o.due;
+    const double end = static_cast<double>(out.age.count()) + left;
+    if (end > late_limit * objective)
+        out.state = timeliness::overdue;
+    else if (end > objective)
+        out.state = timeliness::late;
+    return out;
+}
+
+} // namespace dandeliontack
--- a/src/libsched/pool_engine.cpp
+++ b/src/libsched/pool_engine.cpp
@@ -1,9 +1,11 @@
+#include "outlook.hpp"
 #include "pool_planner.hpp"
 #include <dandeliontack/pool_engine.hpp>
 
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <ranges>
 #include <utility>
 
 namespace dandeliontack
@@ -51,6 +53,9 @@
 constexpr room unknown_host{16'000, 32'768, 0};
 // How long a task's progress must have been whole before it counts on.
 constexpr auto at_work_after = 300ms;
+// How long a host stays without new tasks after the fleet duty asked for it;
+// more than two of its rounds.
+constexpr auto lending_time = 800ms;
 // A host that has not answered for this long, more than a hold may take, is
 // taken for silent.
 constexpr auto silent_after = 1700ms;
@@ -469,6 +474,34 @@
     evacuate(found->second);
 }
 
+// The hosts that were chosen before, and then those with the fewest runs, are
+// idle first. Hosts with lasting tasks stay.
+void pool_engine::on(const pool_event::lending_wanted& e)
+{
+    std::vector<host_state*> choice;
+    for (auto& [id, h] : hosts_)
+        if (h.entry.pool == e.pool && h.listed && h.contacted &&
+            !h.runs.empty() && h.evacuate_until <= now_.steady &&
+            std::ranges::none_of(
+                h.runs, [](const auto& run) { return run.second.lasts; }))
+            choice.push_back(&h);
+    std::ranges::stable_sort(choice, {}, [&](const host_state* h) {
+        return std::pair(h->lent_until <= now_.steady, h->runs.size());
+    });
+    for (auto* h : choice | std::views::take(e.hosts))
+    {
+        if (h->lent_until <= now_.steady)
+            effects_.emplace_back(pool_effect::decided{
+                "host_lent",
+                {},
+                {},
+                0,
+                h->entry.id,
+                "another pool needs it more"});
+        h->lent_until = now_.steady + lending_time;
+    }
+}
+
 void pool_engine::on(const pool_event::tick& /*e*/)
 {
     for (auto& [id, h] : hosts_)
@@ -993,9 +1026,9 @@
 {
     const auto now = now_.steady;
     return h.listed && !h.entry.draining && h.contacted && h.recorded_in == 0 &&
-           !h.closed && h.evacuate_until <= now && h.blocked_until <= now &&
-           h.health.avoid_until <= now && !is_silent(h, now) &&
-           !h.lease.has_ended(now);
+           !h.closed && h.evacuate_until <= now && h.lent_until <= now &&
+           h.blocked_until <= now && h.health.avoid_until <= now &&
+           !is_silent(h, now) && !h.lease.has_ended(now);
 }
 
 bool pool_engine::has_room_for(
@@ -1313,66 +1346,111 @@
     sum.at = now_.steady;
 }
 
+double pool_engine::estimate_factor(const submission_state& s) const
+{
+    const auto found = estimate_factor_.find(s.record.terms.route);
+    return found == estimate_factor_.end() ? 1.0 : found->second;
+}
+
+// What the tasks of a host take of a host's room, and whether any lasts.
+bool pool_engine::count_running(
+    const host_state& h, const room& host, const occurrence_set& late,
+    pool_demand& demand)
+{
+    bool lasting = false;
+    for (const auto& [task, run] : h.runs)
+    {
+        const double share = share_of(run.need, host);
+        if (run.lasts)
+            demand.lasting += share;
+        else if (late.contains({task.submission, task.occurrence}))
+            demand.late_running += share;
+        else
+            demand.running += share;
+        lasting = lasting || run.lasts;
+    }
+    return lasting;
+}
+
+// What the waiting tasks of a submission will take, and which of its
+// occurrences are late.
+void pool_engine::count_waiting(
+    const submission_state& s, const room& host, occurrence_set& late,
+    pool_demand& demand, boot_time now) const
+{
+    for (const auto& [k, occurrence] : s.occurrences)
+    {
+        const bool is_late =
+            outlook_of(s, occurrence, estimate_factor(s), now).state !=
+            timeliness::in_time;
+        if (is_late)
+            late.emplace(s.record.id, k);
+        for (std::uint32_t i = 0; i < occurrence.steps.size(); ++i)
+        {
+            const auto& spec = s.record.spec.steps[i];
+            const auto waiting = std::ranges::count(
+                occurrence.steps[i].tasks, task_phase::waiting,
+                &task_state::phase);
+            const double share = share_of(counted_room(spec), host) *
+                                 static_cast<double>(waiting);
+            if (!spec.long_running)
+            {
+                (is_late ? demand.late_ms : demand.waiting_ms) +=
+                    share * static_cast<double>(spec.estimate.count());
+                continue;
+            }
+            demand.lasting += share;
+            // One host more lets a task move before its host leaves.
+            const auto spread = spec.most_per_host == 0
+                                    ? 1
+                                    : (spec.count + spec.most_per_host - 1) /
+                                              spec.most_per_host +
+                                          1;
+            demand.lasting_hosts = std::max(demand.lasting_hosts, spread);
+            if (waiting > 0)
+                demand.lasting_hosts =
+                    std::max(demand.lasting_hosts, demand.hosts + 1);
+        }
+    }
+}
+
 std::vector<pool_demand> pool_engine::demands(moment now) const
 {
     std::map<std::string, pool_demand> out;
-    std::map<std::string, room> hosts;
+    std::map<std::string, room> rooms;
+    const auto room_of = [&](const std::string& pool) -> const room& {
+        const auto found = rooms.find(pool);
+        return found == rooms.end()
+                   ? rooms.emplace(pool, typical_host(pool)).first->second
+                   : found->second;
+    };
+    occurrence_set late;
     for (const auto& [id, h] : hosts_)
     {
         auto& demand = out[h.entry.pool];
-        hosts.try_emplace(h.entry.pool, typical_host(h.entry.pool));
         if (!h.listed || !h.contacted)
             continue;
         const bool leaving = h.entry.draining || h.evacuate_until > now.steady;
         ++(leaving ? demand.leaving : demand.hosts);
         if (h.runs.empty() && !leaving)
             demand.idle.push_back(id);
-        bool lasting = false;
-        for (const auto& [task, run] : h.runs)
-        {
-            const auto* step = spec_of(task);
-            const double share = share_of(run.need, hosts[h.entry.pool]);
-            const bool lasts = step && step->long_running;
-            (lasts ? demand.lasting : demand.running) += share;
-            lasting = lasting || lasts;
-        }
-        demand.lasting_hosts += lasting ? 1 : 0;
     }
     for (const auto& [id, s] : active_)
     {
-        const auto& pool = s.record.terms.pool;
-        auto& demand = out[pool];
-        const auto host = hosts.try_emplace(pool, typical_host(pool)).first;
-        for (const auto& [k, occurrence] : s.occurrences)
-            for (std::uint32_t i = 0; i < occurrence.steps.size(); ++i)
-            {
-                const auto& spec = s.record.spec.steps[i];
-                const auto waiting = std::ranges::count(
-                    occurrence.steps[i].tasks, task_phase::waiting,
-                    &task_state::phase);
-                const double share =
-                    share_of(counted_room(spec), host->second) *
-                    static_cast<double>(waiting);
-                if (spec.long_running)
-                {
-                    demand.lasting += share;
-                    // One host more lets a task move before its host leaves.
-                    const auto spread = spec.most_per_host == 0
-                                            ? 1
-                                            : (spec.count + spec.most_per_host -
-                                               1) / spec.most_per_host +
-                                                  1;
-                    demand.lasting_hosts =
-                        std::max(demand.lasting_hosts, spread);
-                    if (waiting > 0)
-                        demand.lasting_hosts =
-                            std::max(demand.lasting_hosts, demand.hosts + 1);
-                }
-                else
-                    demand.waiting_ms +=
-                        share * static_cast<double>(spec.estimate.count());
-            }
+        auto& demand = out[s.record.terms.pool];
+        count_waiting(
+            s, room_of(s.record.terms.pool), late, demand, now.steady);
+    }
+    std::map<std::string, std::uint32_t> with_lasting;
+    for (const auto& [id, h] : hosts_)
+    {
+        const auto& pool = h.entry.pool;
+        if (h.listed && h.contacted &&
+            count_running(h, room_of(pool), late, out[pool]))
+            ++with_lasting[pool];
     }
+    for (const auto& [pool, hosts] : with_lasting)
+        out[pool].lasting_hosts = std::max(out[pool].lasting_hosts, hosts);
     std::vector<pool_demand> list;
     for (auto& [pool, demand] : out)
     {
--- a/src/libsched/pool_hosts_test.cpp
+++ b/src/libsched/pool_hosts_test.cpp
@@ -16,6 +16,50 @@
     EXPECT_FALSE(d.engine.extend_lease("a", d.now));
 }
 
+// Pattern of load: the next turn of another pool needs this pool's hosts, all
+// of which run late work.
+TEST(pool_hosts, gives_hosts_that_are_lent_no_new_tasks)
+{
+    pool_driver d;
+    d.ready({"a", "b", "c"});
+    // Sixteen tasks of a core fill one host; a, b and c run 16, 16 and 8.
+    d.submit(pool_driver::record(40));
+    const auto first = d.tick();
+    ASSERT_EQ(d.only<pool_effect::start>(first).size(), 40U);
+    d.answer_starts(first);
+    const auto lent = d.apply(pool_event::lending_wanted{"pool", 1});
+    const auto decisions = d.only<pool_effect::decided>(lent);
+    ASSERT_EQ(decisions.size(), 1U);
+    const auto host = decisions[0].host;
+    EXPECT_EQ(d.engine.hosts().at(host).runs.size(), 8U);
+    d.submit(pool_driver::record(8, 0x12));
+    EXPECT_TRUE(d.only<pool_effect::start>(d.tick()).empty());
+    // Once nobody asks any more, the host is used again.
+    d.advance(1s);
+    for (const auto* id : {"a", "b", "c"})
+        d.hold(id);
+    EXPECT_EQ(d.only<pool_effect::start>(d.tick()).size(), 8U);
+}
+
+TEST(pool_hosts, counts_what_is_late_apart)
+{
+    pool_driver d;
+    d.ready({"a"});
+    d.submit(pool_driver::record(32));
+    d.answer_starts(d.tick());
+    auto demand = d.engine.demands(d.now).front();
+    EXPECT_DOUBLE_EQ(demand.running, 1.0);
+    EXPECT_DOUBLE_EQ(demand.waiting_ms, 1000.0);
+    EXPECT_DOUBLE_EQ(demand.late_ms, 0.0);
+    // Its objective is 2 x 1 s + 0.6 s.
+    d.advance(1700ms);
+    demand = d.engine.demands(d.now).front();
+    EXPECT_DOUBLE_EQ(demand.running, 0.0);
+    EXPECT_DOUBLE_EQ(demand.waiting_ms, 0.0);
+    EXPECT_DOUBLE_EQ(demand.late_running, 1.0);
+    EXPECT_DOUBLE_EQ(demand.late_ms, 1000.0);
+}
+
 TEST(pool_hosts, starts_elsewhere_only_when_the_lease_has_surely_ended)
 {
     pool_driver d;
--- a/src/libsched/pool_planner.cpp
+++ b/src/libsched/pool_planner.cpp
@@ -1,5 +1,7 @@
 #include "pool_planner.hpp"
 
+#include "outlook.hpp"
+
 #include <algorithm>
 #include <limits>
 #include <ranges>
@@ -18,8 +20,6 @@
 constexpr int rank_in_time = 2;
 constexpr int rank_late = 3;
 constexpr int rank_overdue = 4;
-// A submission counts as served, late, up to this many times its objective.
-constexpr double late_limit = 3.0;
 // What a submission is worth beside its work, of the mean of its queue.
 constexpr double fixed_worth = 0.3;
 // A question for advice that stays unanswered this long is asked again.
@@ -116,27 +116,6 @@
     return out;
 }
 
-// The longest chain of estimates; without the steps that are done where
-// `left_of` is given.
-std::chrono::milliseconds pool_planner::chain_of(
-    const submission_spec& spec, const occurrence_state* left_of)
-{
-    std::vector<std::chrono::milliseconds> ends;
-    std::chrono::milliseconds longest{0};
-    for (std::size_t i = 0; i < spec.steps.size(); ++i)
-    {
-        const auto& step = spec.steps[i];
-        std::chrono::milliseconds begin{0};
-        for (const auto earlier : step.after)
-            begin = std::max(begin, ends[earlier]);
-        const bool done =
-            left_of && left_of->steps[i].done == left_of->steps[i].tasks.size();
-        ends.push_back(begin + (done ? 0ms : step.estimate));
-        longest = std::max(longest, ends.back());
-    }
-    return longest;
-}
-
 pool_planner::candidate pool_planner::ranked(
     submission_state& s, std::uint32_t occurrence, std::uint32_t step)
 {
@@ -150,27 +129,17 @@
     }
     const auto& terms = s.record.terms;
     const auto& o = s.occurrences.at(occurrence);
-    const auto factor = engine_.estimate_factor_.contains(terms.route)
-                            ? engine_.estimate_factor_.at(terms.route)
-                            : 1.0;
-    const auto& whole = s.record.spec;
-    const double left =
-        factor * static_cast<double>(chain_of(whole, &o).count());
-    const double chain =
-        factor * static_cast<double>(chain_of(whole, nullptr).count());
-    const double objective =
-        terms.stretch * chain + static_cast<double>(terms.target.count());
-    const double age = static_cast<double>((now_.steady - o.due).count());
+    const auto view = outlook_of(s, o, engine_.estimate_factor(s), now_.steady);
+    const double age = static_cast<double>(view.age.count());
     const bool started = std::ranges::any_of(o.steps, [](const auto& item) {
         return std::ranges::any_of(item.tasks, [](const task_state& t) {
             return t.phase != task_phase::waiting;
         });
     });
-    if (age + left <= objective)
+    if (view.state == timeliness::in_time)
         c.rank = started ? rank_started : rank_in_time;
     else
-        c.rank =
-            age + left <= late_limit * objective ? rank_late : rank_overdue;
+        c.rank = view.state == timeliness::late ? rank_late : rank_overdue;
     const double mean = std::max(mean_work_[terms.route], 1.0);
     const double work = std::max(s.work, 1.0);
     const double worth = fixed_worth + (1 - fixed_worth) * work / mean;
--- a/src/libsched/pool_planner.hpp
+++ b/src/libsched/pool_planner.hpp
@@ -55,8 +55,6 @@
         std::uint32_t run);
     bool has_advice(const candidate& c);
     std::string rack_in_use(const candidate& c) const;
-    static std::chrono::milliseconds
-    chain_of(const submission_spec& spec, const occurrence_state* left_of);
 
     pool_engine& engine_;
     moment now_;
