Let a node without the store give up at once where others can use it

Change: such a node sends its announcement through the holder of the fleet duty; if that is stored, others can use the store: it gives up its shards and says so the same way, and they are claimed at once. Where that fails too, the store is away for all and nothing is given up. A node claims anew what the registry says is its own and it does not hold.

Ruled out: giving up whenever the store fails (with the store down for all, every shard would be claimed anew on its return).

Tests: two of shard_map.

--- a/src/include/dandeliontack/shard_map.hpp
+++ b/src/include/dandeliontack/shard_map.hpp
@@ -64,6 +64,16 @@
 bool is_cut_off(
     const store_use& use, boot_time now, const takeover_terms& terms);
 
+/// A node that looks for shards to claim.
+struct claimant
+{
+    node_announcement said;
+    /// What it owns or is claiming.
+    std::set<shard_id> held;
+    /// What an append to the store takes at most, mostly.
+    std::chrono::milliseconds append_delay{0};
+};
+
 /// What a node knows of the nodes and owners, from the records of the
 /// registry. Silence is counted only while the registry can be read.
 class shard_map
@@ -83,10 +93,8 @@
     std::vector<node_announcement> alive_nodes(boot_time now) const;
 
     /// The shards that `self` should claim now, of those that are wanted.
-    /// `append_delay` is what an append to the store takes at most, mostly.
     std::vector<shard_id> to_claim(
-        const std::set<shard_id>& wanted, const node_announcement& self,
-        boot_time now, std::chrono::milliseconds append_delay = {});
+        const std::set<shard_id>& wanted, const claimant& self, boot_time now);
 
 private:
     struct seen_node
--- a/src/include/dandeliontack/shard_owner.hpp
+++ b/src/include/dandeliontack/shard_owner.hpp
@@ -48,6 +48,8 @@
     boost::asio::awaitable<shard_answer> demands(std::string lent) override;
 
     bool is_lost() const;
+    /// Gives the shard up without a word to the store, which can't be used.
+    void give_up();
     /// Since when the store has not taken what is to be stored.
     std::optional<boot_time> failing_since() const;
     std::uint64_t epoch() const;
--- a/src/include/dandeliontack/stored_records.hpp
+++ b/src/include/dandeliontack/stored_records.hpp
@@ -31,6 +31,8 @@
     std::uint64_t epoch = 0;
     /// The next announcement comes within this; nothing where not said.
     std::chrono::milliseconds interval{0};
+    /// It can't use the store and has given up what it owned.
+    bool without_store = false;
 
     bool operator==(const node_announcement&) const = default;
 };
--- a/src/include/dandeliontack/tack_node.hpp
+++ b/src/include/dandeliontack/tack_node.hpp
@@ -40,7 +40,9 @@
     boost::asio::awaitable<bool> announce_through_duty(std::string record);
     boost::asio::awaitable<shard_answer> store_announcement(std::string record);
     std::chrono::milliseconds announce_interval() const;
+    boost::asio::awaitable<void> give_up_through_duty();
     store_use use_of_store() const;
+    std::set<shard_id> held_shards() const;
     boost::asio::awaitable<void> claim_regularly();
     boost::asio::awaitable<void> claim(shard_id shard);
     boost::asio::awaitable<void> claim_duty();
@@ -79,6 +81,7 @@
     /// This life's epoch in the registry; 0 before the first announcement.
     std::uint64_t node_epoch_ = 0;
     bool leaving_ = false;
+    bool without_store_ = false;
     wake_signal announce_now_;
 };
 
--- a/src/libnode/shard_map.cpp
+++ b/src/libnode/shard_map.cpp
@@ -178,14 +178,15 @@
 {
     const auto found = nodes_.find(owner.node);
     return found != nodes_.end() && found->second.said.life == owner.life &&
-           !is_silent(found->second, now);
+           !found->second.said.without_store && !is_silent(found->second, now);
 }
 
 std::vector<node_announcement> shard_map::alive_nodes(boot_time now) const
 {
     std::vector<node_announcement> out;
     for (const auto& [name, node] : nodes_)
-        if (!is_silent(node, now) && !node.said.leaving)
+        if (!is_silent(node, now) && !node.said.leaving &&
+            !node.said.without_store)
             out.push_back(node.said);
     return out;
 }
@@ -195,11 +196,10 @@
 // back in a planned stop goes to the node that started last, as the others may
 // be stopped next. The next in line steps in if that node does not.
 std::vector<shard_id> shard_map::to_claim(
-    const std::set<shard_id>& wanted, const node_announcement& self,
-    boot_time now, std::chrono::milliseconds append_delay)
+    const std::set<shard_id>& wanted, const claimant& self, boot_time now)
 {
     const auto stagger = std::max<std::chrono::milliseconds>(
-        terms_.stagger, append_delay * terms_.stagger_appends);
+        terms_.stagger, self.append_delay * terms_.stagger_appends);
     std::vector<shard_id> out;
     if (!first_read_ || now - *first_read_ < terms_.settle ||
         now - last_read_ > longest_read_gap)
@@ -210,7 +210,10 @@
     for (const auto shard : wanted)
     {
         const auto known = owner(shard);
-        if (known && is_alive(*known, now))
+        const bool given_up = known && known->node == self.said.name &&
+                              known->life == self.said.life &&
+                              !self.held.contains(shard);
+        if (known && is_alive(*known, now) && !given_up)
         {
             ++load[known->node];
             orphaned_.erase(shard);
@@ -234,8 +237,8 @@
                 share, age, stable_hash(node.name + std::to_string(shard)));
         });
         for (std::size_t rank = 0; rank < nodes.size(); ++rank)
-            if (nodes[rank].name == self.name &&
-                nodes[rank].life == self.life &&
+            if (nodes[rank].name == self.said.name &&
+                nodes[rank].life == self.said.life &&
                 now - orphaned_[shard] >= stagger * rank)
                 out.push_back(shard);
         if (!nodes.empty())
--- a/src/libnode/shard_map_test.cpp
+++ b/src/libnode/shard_map_test.cpp
@@ -55,6 +55,14 @@
         }
     }
 
+    std::vector<shard_id> claims(
+        const std::set<shard_id>& wanted, const node_announcement& self,
+        boot_time at, std::chrono::milliseconds append_delay = {},
+        const std::set<shard_id>& held = {})
+    {
+        return map.to_claim(wanted, {self, held, append_delay}, at);
+    }
+
     shard_map map{takeover_terms{}};
     boot_time now{1h};
     const node_announcement a = node("a");
@@ -67,17 +75,17 @@
 {
     announce(a);
     map.confirmed(now);
-    EXPECT_TRUE(map.to_claim({5}, a, now).empty());
+    EXPECT_TRUE(claims({5}, a, now).empty());
     pass(1250ms, {a});
-    EXPECT_EQ(map.to_claim({5}, a, now), std::vector<shard_id>{5});
+    EXPECT_EQ(claims({5}, a, now), std::vector<shard_id>{5});
 }
 
 TEST_F(shard_map_test, spreads_shards_over_nodes)
 {
     map.confirmed(now);
     pass(1250ms, {a, b});
-    const auto of_a = map.to_claim({1, 2, 3, 4}, a, now);
-    const auto of_b = map.to_claim({1, 2, 3, 4}, b, now);
+    const auto of_a = claims({1, 2, 3, 4}, a, now);
+    const auto of_b = claims({1, 2, 3, 4}, b, now);
     EXPECT_EQ(of_a.size(), 2U);
     EXPECT_EQ(of_b.size(), 2U);
     EXPECT_NE(of_a, of_b);
@@ -88,11 +96,11 @@
     map.confirmed(now);
     pass(1250ms, {a, b});
     own(5, b, 3);
-    EXPECT_TRUE(map.to_claim({5}, a, now).empty());
+    EXPECT_TRUE(claims({5}, a, now).empty());
     pass(takeover_terms{}.silence - 50ms, {a});
-    EXPECT_TRUE(map.to_claim({5}, a, now).empty());
+    EXPECT_TRUE(claims({5}, a, now).empty());
     pass(500ms, {a});
-    EXPECT_EQ(map.to_claim({5}, a, now), std::vector<shard_id>{5});
+    EXPECT_EQ(claims({5}, a, now), std::vector<shard_id>{5});
     EXPECT_EQ(map.last_epoch(5), 3U);
 }
 
@@ -103,8 +111,8 @@
     own(5, b, 3);
     auto reborn = node("b", 2);
     announce(reborn);
-    const auto by_a = map.to_claim({5}, a, now);
-    const auto by_b = map.to_claim({5}, reborn, now);
+    const auto by_a = claims({5}, a, now);
+    const auto by_b = claims({5}, reborn, now);
     EXPECT_EQ(by_a.size() + by_b.size(), 1U);
 }
 
@@ -119,7 +127,7 @@
     own(5, b, 3);
     // The last announcement was sent before it is seen.
     pass(lease_terms{}.right, {a});
-    EXPECT_TRUE(map.to_claim({5}, a, now).empty());
+    EXPECT_TRUE(claims({5}, a, now).empty());
 }
 
 // Nobody's announcements are seen while the registry can't be read.
@@ -129,12 +137,12 @@
     pass(1250ms, {a, b});
     own(5, b, 3);
     now += 9s;
-    EXPECT_TRUE(map.to_claim({5}, a, now).empty());
+    EXPECT_TRUE(claims({5}, a, now).empty());
     announce(a);
     map.confirmed(now);
-    EXPECT_TRUE(map.to_claim({5}, a, now).empty());
+    EXPECT_TRUE(claims({5}, a, now).empty());
     pass(500ms, {a, b});
-    EXPECT_TRUE(map.to_claim({5}, a, now).empty());
+    EXPECT_TRUE(claims({5}, a, now).empty());
 }
 
 TEST_F(shard_map_test, ignores_an_older_owner_that_arrives_late)
@@ -164,7 +172,7 @@
         map.confirmed(now);
         pass(1250ms, all);
         own(5, node("e"), 3, true);
-        EXPECT_EQ(map.to_claim({5}, all[young], now), std::vector<shard_id>{5});
+        EXPECT_EQ(claims({5}, all[young], now), std::vector<shard_id>{5});
     }
 }
 
@@ -206,13 +214,13 @@
 {
     map.confirmed(now);
     pass(1250ms, {a, b});
-    const auto of_a = map.to_claim({5}, a, now);
+    const auto of_a = claims({5}, a, now);
     const auto& second = of_a.empty() ? a : b;
-    EXPECT_TRUE(map.to_claim({5}, second, now, 600ms).empty());
+    EXPECT_TRUE(claims({5}, second, now, 600ms).empty());
     pass(2500ms, {a, b});
-    EXPECT_TRUE(map.to_claim({5}, second, now, 600ms).empty());
+    EXPECT_TRUE(claims({5}, second, now, 600ms).empty());
     pass(750ms, {a, b});
-    EXPECT_EQ(map.to_claim({5}, second, now, 600ms), std::vector<shard_id>{5});
+    EXPECT_EQ(claims({5}, second, now, 600ms), std::vector<shard_id>{5});
 }
 
 // Found by the bench on scale-2 of belfry-ops-grown: an owner that was cut off
@@ -228,7 +236,7 @@
     EXPECT_FALSE(is_cut_off(of_b, now, terms));
     const auto cut = now;
     // Its calls fail from now on, but others would store its announcements.
-    while (map.to_claim({5}, a, now).empty() && now - cut < 10s)
+    while (claims({5}, a, now).empty() && now - cut < 10s)
         pass(
             250ms,
             is_cut_off(of_b, now, terms) ? std::vector{a} : std::vector{a, b});
@@ -238,15 +246,40 @@
     EXPECT_TRUE(is_cut_off(of_b, now, terms));
 }
 
+// An owner that is cut off from the store, and not from the holder of the
+// fleet duty, gives up at once instead of being missed.
+TEST_F(shard_map_test, claims_at_once_what_a_node_without_the_store_gave_up)
+{
+    map.confirmed(now);
+    pass(1250ms, {a, b});
+    own(5, b, 3);
+    auto without = b;
+    without.beat = 1;
+    without.without_store = true;
+    announce(without);
+    EXPECT_EQ(claims({5}, a, now), std::vector<shard_id>{5});
+    EXPECT_EQ(map.alive_nodes(now).size(), 1U);
+}
+
+// The registry still names it, as nobody could store anything else.
+TEST_F(shard_map_test, claims_anew_what_it_gave_up_itself)
+{
+    map.confirmed(now);
+    pass(1250ms, {b});
+    own(5, b, 3);
+    EXPECT_TRUE(claims({5}, b, now, {}, {5}).empty());
+    EXPECT_EQ(claims({5}, b, now), std::vector<shard_id>{5});
+}
+
 TEST_F(shard_map_test, lets_the_next_in_line_step_in)
 {
     map.confirmed(now);
     pass(1250ms, {a, b});
-    const auto of_a = map.to_claim({5}, a, now);
+    const auto of_a = claims({5}, a, now);
     const auto& second = of_a.empty() ? a : b;
-    EXPECT_TRUE(map.to_claim({5}, second, now).empty());
+    EXPECT_TRUE(claims({5}, second, now).empty());
     pass(750ms, {a, b});
-    EXPECT_EQ(map.to_claim({5}, second, now), std::vector<shard_id>{5});
+    EXPECT_EQ(claims({5}, second, now), std::vector<shard_id>{5});
 }
 
 } // namespace dandeliontack
--- a/src/libnode/shard_owner.cpp
+++ b/src/libnode/shard_owner.cpp
@@ -93,6 +93,11 @@
     return !lost_ && claim_.has_right();
 }
 
+void shard_owner::give_up()
+{
+    lose("the store can't be used from here");
+}
+
 std::optional<boot_time> shard_owner::failing_since() const
 {
     return claim_.writer().failing_since();
--- a/src/libnode/stored_records.cpp
+++ b/src/libnode/stored_records.cpp
@@ -224,6 +224,7 @@
     out.set_cpu_milli(record.cpu_milli);
     out.set_epoch(record.epoch);
     out.set_interval_ms(static_cast<std::uint32_t>(record.interval.count()));
+    out.set_without_store(record.without_store);
     return out.SerializeAsString();
 }
 
@@ -240,7 +241,8 @@
         in->leaving(),
         in->cpu_milli(),
         in->epoch(),
-        std::chrono::milliseconds(in->interval_ms())};
+        std::chrono::milliseconds(in->interval_ms()),
+        in->without_store()};
 }
 
 std::string encode(const owner_record& record)
--- a/src/libnode/tack_node.cpp
+++ b/src/libnode/tack_node.cpp
@@ -150,7 +150,8 @@
         leaving_,
         static_cast<std::uint32_t>(limits.cpu_share * limits.cores * milli),
         node_epoch_,
-        announce_interval()};
+        announce_interval(),
+        without_store_};
 }
 
 std::chrono::milliseconds tack_node::announce_interval() const
@@ -169,6 +170,32 @@
     return use;
 }
 
+// A node that can't use the store while the holder of the fleet duty can gives
+// up what it owns and says so through it. Where that fails too, the store is
+// away for all, and nobody could take over.
+asio::awaitable<void> tack_node::give_up_through_duty()
+{
+    if (duty_)
+        co_return;
+    auto probe = encode(announcement());
+    const bool others_can = co_await announce_through_duty(std::move(probe));
+    const auto now = read_clocks().steady;
+    if (!others_can || !is_cut_off(use_of_store(), now, takeover_terms{}))
+        co_return;
+    const auto owned = router_.owned();
+    for (const auto& [shard, owner] : owned)
+        owner->give_up();
+    without_store_ = true;
+    ++beat_;
+    auto record = encode(announcement());
+    const bool said = co_await announce_through_duty(std::move(record));
+    context_.log.write(
+        "node", "store_given_up",
+        log_line()
+            .add("shards", std::uint64_t{owned.size()})
+            .add("announced", said));
+}
+
 // False also where it isn't known: the node then stores it by itself.
 asio::awaitable<bool> tack_node::announce_through_duty(std::string record)
 {
@@ -211,13 +238,22 @@
     {
         ++beat_;
         const auto sent = read_clocks().steady;
+        const bool first = writer.standing() != fenced_writer::state::held;
+        const bool cut_off = is_cut_off(use_of_store(), sent, takeover_terms{});
+        without_store_ = without_store_ && cut_off;
+        if (!first && cut_off && !without_store_ && !leaving_)
+            co_await give_up_through_duty();
+        if (without_store_)
+        {
+            // Until the store can be used again there is nothing to add.
+            co_await announce_now_.wait(claim_interval);
+            continue;
+        }
         std::vector<keyed_record> records{
             {announcement_key(context_.settings.node.name),
              encode(announcement()), 0}};
         // The first fences earlier lives. What is urgent goes the short way.
-        const bool first = writer.standing() != fenced_writer::state::held;
         bool done = false;
-        const bool cut_off = is_cut_off(use_of_store(), sent, takeover_terms{});
         if (!first && claiming_.empty() && !leaving_ && !cut_off)
             done = co_await announce_through_duty(records.front().value);
         failures = done ? 0 : failures + 1;
@@ -358,7 +394,8 @@
         const auto wanted =
             wanted_shards(*front_.table(), context_.settings.store.partitions);
         const auto mine = shards_.to_claim(
-            wanted, announcement(), read_clocks().steady, store_.usual_delay());
+            wanted, {announcement(), held_shards(), store_.usual_delay()},
+            read_clocks().steady);
         for (const auto shard : mine)
         {
             const bool held = shard == fleet_shard
@@ -380,6 +417,16 @@
     }
 }
 
+std::set<shard_id> tack_node::held_shards() const
+{
+    auto held = claiming_;
+    for (const auto& [shard, owner] : router_.owned())
+        held.insert(shard);
+    if (duty_)
+        held.insert(fleet_shard);
+    return held;
+}
+
 // The last epoch that is known: an epoch that another node took without ever
 // announcing itself is passed over.
 std::uint64_t tack_node::last_epoch(shard_id shard) const
