Let a new holder order machines about as soon as their last orders allow

Cause: a new holder of the fleet duty moved no machine about which anything had been noted in the last ten seconds, for 3.15 s, since the time of day by which notes were dated may jump.

Change: notes carry the holder's epoch, its steady clock and whether the order has ended; each renewal stores a tick of the same clock. From both follows how long ago the last order can have been sent at least (noted_order), and a machine rests for what is left of the platform's lease. A move or upkeep is noted as ended when it was answered or given up.

Ruled out: dating by the time of day with a margin (jumps of 2 s are usual).

--- a/src/include/dandeliontack/fleet_duty.hpp
+++ b/src/include/dandeliontack/fleet_duty.hpp
@@ -4,6 +4,7 @@
 #include <dandeliontack/fleet_balance.hpp>
 #include <dandeliontack/machine_client.hpp>
 #include <dandeliontack/machine_list.hpp>
+#include <dandeliontack/noted_order.hpp>
 #include <dandeliontack/queue_table.hpp>
 #include <dandeliontack/shard_claim.hpp>
 #include <dandeliontack/shard_router.hpp>
@@ -49,6 +50,11 @@
     boost::asio::awaitable<bool> load();
     boost::asio::awaitable<void> advance(std::string wave);
     boost::asio::awaitable<bool> save(std::string wave);
+    void rest_machines(
+        const std::map<std::string, noted_order>& orders,
+        const std::optional<duty_tick>& last);
+    keyed_record order_record(const std::string& machine, bool ended) const;
+    boost::asio::awaitable<void> note_end(std::string machine);
     keyed_record record_of(const std::string& wave);
     boost::asio::awaitable<bool>
     note_upkeep(std::string wave, std::string machine);
@@ -99,10 +105,9 @@
     std::shared_ptr<const queue_table> table_;
     /// Machines whose move is under way, with the pool that they join.
     std::map<std::string, std::string> moving_;
-    /// Machines about which a past holder ordered something of late, and when
-    /// this one may.
-    std::set<std::string> lately_ordered_;
-    boot_time rested_at_;
+    /// When this holder may order machines about that a past one did.
+    std::map<std::string, boot_time> rested_at_;
+    boot_time taken_;
     append_queue appends_;
     fenced_writer registry_writer_;
     append_queue announcements_;
--- a/src/libnode/fleet_duty.cpp
+++ b/src/libnode/fleet_duty.cpp
@@ -40,28 +40,10 @@
 constexpr auto announcements_patience = 1000ms;
 constexpr std::string_view progress_prefix = "w/";
 constexpr std::string_view order_prefix = "m/";
-// An order noted less than this ago, by clocks that may differ or jump, may be
-// a recent one.
-constexpr auto recent_order = 10'000ms;
+constexpr std::string_view tick_key = "t";
 
-// Keeps the machine of a noted order if that may be recent.
-void note_past_order(
-    const keyed_record& record, moment now, std::set<std::string>& recent)
-{
-    std::int64_t ordered = 0;
-    const auto* end = record.value.data() + record.value.size();
-    const auto parsed = std::from_chars(record.value.data(), end, ordered);
-    const auto age = now.wall.time_since_epoch().count() - ordered;
-    if (parsed.ec != std::errc() || std::abs(age) < recent_order.count())
-        recent.insert(record.key.substr(order_prefix.size()));
-}
-
-// That the machine was ordered about now.
-keyed_record order_record(const std::string& machine)
-{
-    const auto now = read_clocks().wall.time_since_epoch().count();
-    return {std::string(order_prefix) + machine, std::to_string(now), 0};
-}
+// The longest that an order to the platform may be under way.
+constexpr auto longest_call = 2000ms;
 
 balance_terms balance_terms_of(const tack_node_settings& settings)
 {
@@ -144,6 +126,7 @@
         co_await claim_.announce(true);
         co_return false;
     }
+    taken_ = read_clocks().steady;
     context_.log.write(
         "fleet", "duty_taken", log_line().add("epoch", claim_.epoch()));
     asio::co_spawn(context_.executor, renew(), asio::detached);
@@ -183,12 +166,8 @@
 {
     const auto place =
         place_of(fleet_shard, context_.settings.store.partitions);
-    const auto now = read_clocks();
-    rested_at_ = now.steady +
-                 std::chrono::round<std::chrono::milliseconds>(
-                     std::chrono::duration<double, std::milli>(
-                         context_.settings.bounds.lease_ms)) +
-                 retry_pause;
+    std::map<std::string, noted_order> orders;
+    std::optional<duty_tick> last;
     std::string after;
     while (true)
     {
@@ -197,8 +176,11 @@
             co_return false;
         for (const auto& record : page.records)
         {
+            if (record.key == tick_key)
+                last = decode_duty_tick(record.value);
             if (record.key.starts_with(order_prefix))
-                note_past_order(record, now, lately_ordered_);
+                orders[record.key.substr(order_prefix.size())] =
+                    decode_noted_order(record.value).value_or(noted_order{});
             if (!record.key.starts_with(progress_prefix))
                 continue;
             const auto known = decode_wave_record(record.value);
@@ -213,9 +195,54 @@
             wave.reported = known->completed;
         }
         if (!page.has_more || page.records.empty())
-            co_return true;
+            break;
         after = page.records.back().key;
     }
+    rest_machines(orders, last);
+    co_return true;
+}
+
+// Two holders must not take turns at one machine within the platform's lease.
+void fleet_duty::rest_machines(
+    const std::map<std::string, noted_order>& orders,
+    const std::optional<duty_tick>& last)
+{
+    const auto now = read_clocks().steady;
+    const auto lease = std::chrono::round<std::chrono::milliseconds>(
+        std::chrono::duration<double, std::milli>(
+            context_.settings.bounds.lease_ms));
+    for (const auto& [machine, order] : orders)
+    {
+        const auto left =
+            lease + retry_pause - least_age(order, last, longest_call);
+        if (left > 0ms)
+            rested_at_[machine] = now + left;
+    }
+    context_.log.write(
+        "fleet", "machines_rest",
+        log_line()
+            .add("epoch", claim_.epoch())
+            .add("machines", std::uint64_t{rested_at_.size()})
+            .add("noted", std::uint64_t{orders.size()})
+            .add("past_epoch", last ? last->epoch : 0));
+}
+
+keyed_record
+fleet_duty::order_record(const std::string& machine, bool ended) const
+{
+    const noted_order order{claim_.epoch(), read_clocks().steady, ended};
+    return {std::string(order_prefix) + machine, encode(order), 0};
+}
+
+// Lets a successor order the machine about sooner; a lost note costs it time
+// and nothing else.
+asio::awaitable<void> fleet_duty::note_end(std::string machine)
+{
+    const auto self = shared_from_this();
+    const auto make = [this, machine = std::move(machine)] {
+        return append_queue::record_list{order_record(machine, true)};
+    };
+    co_await append(make);
 }
 
 keyed_record fleet_duty::record_of(const std::string& name)
@@ -254,10 +281,12 @@
 // leaves them alone until two holders no longer take turns too fast.
 asio::awaitable<bool> fleet_duty::note_orders(std::vector<std::string> machines)
 {
-    return append([machines = std::move(machines)] {
+    return append([this, machines = std::move(machines)] {
         append_queue::record_list records;
         std::ranges::transform(
-            machines, std::back_inserter(records), order_record);
+            machines, std::back_inserter(records), [this](const auto& machine) {
+                return order_record(machine, false);
+            });
         return records;
     });
 }
@@ -268,7 +297,7 @@
 {
     return append([this, name = std::move(name), machine = std::move(machine)] {
         return append_queue::record_list{
-            record_of(name), order_record(machine)};
+            record_of(name), order_record(machine, false)};
     });
 }
 
@@ -284,8 +313,8 @@
 
 bool fleet_duty::is_rested(const std::string& machine) const
 {
-    return !lately_ordered_.contains(machine) ||
-           read_clocks().steady >= rested_at_;
+    const auto found = rested_at_.find(machine);
+    return found == rested_at_.end() || read_clocks().steady >= found->second;
 }
 
 asio::awaitable<void> fleet_duty::renew()
@@ -300,8 +329,13 @@
                 std::max<std::chrono::milliseconds>(left, retry_pause));
         else
         {
-            const auto renewal = [] { return append_queue::record_list{}; };
-            co_await append(renewal);
+            const auto tick = [this] {
+                const duty_tick now{
+                    claim_.epoch(), taken_, read_clocks().steady};
+                return append_queue::record_list{
+                    {std::string(tick_key), encode(now), 0}};
+            };
+            co_await append(tick);
         }
     }
 }
@@ -455,6 +489,7 @@
             !machine.host.empty())
             co_await tell_ended(machine.pool, machine.host);
     }
+    co_await note_end(machine.name);
     waves_[name].ordering.erase(machine.name);
 }
 
@@ -506,7 +541,7 @@
 std::set<std::string> fleet_duty::kept_machines() const
 {
     std::set<std::string> out;
-    for (const auto& machine : lately_ordered_)
+    for (const auto& [machine, rested_at] : rested_at_)
         if (!is_rested(machine))
             out.insert(machine);
     for (const auto& [machine, pool] : moving_)
@@ -603,6 +638,7 @@
         lose("a higher fencing token was used for a machine");
     if (answer == machine_answer::accepted && !is_off && !machine.host.empty())
         co_await tell_ended(machine.pool, machine.host);
+    co_await note_end(machine.name);
     // The next list shows the move.
     co_await pause_for(context_.executor, look_interval);
     moving_.erase(machine.name);
