Let candidates leave the registry's time to owners

Change: nodes that own nothing wait 2 s for the duty, try again after 1 s, and append by themselves only after 6 s without an announcement; they count as lost after four of their intervals. Owners wait 1 s for the duty. An append is repeated after 0.3 s at the earliest, as 0.2 s is what the slow store takes.

A dead candidate that is first in line for a shard costs the stagger of 0.5 s for up to 8 s after its end.

--- a/src/include/dandeliontack/shard_map.hpp
+++ b/src/include/dandeliontack/shard_map.hpp
@@ -45,7 +45,7 @@
     int stagger_appends = 5;
     /// A node is lost after this many of the intervals that it announces, if
     /// that is longer than `silence`.
-    int silent_intervals = 2;
+    int silent_intervals = 4;
     /// A node that has not used the store for this long, some four reads of
     /// the registry, says so by its silence.
     std::chrono::milliseconds cut_off{800};
--- a/src/libnode/store_client.cpp
+++ b/src/libnode/store_client.cpp
@@ -20,6 +20,10 @@
 
 // Above the answer of a store that is sixty times as slow as usual.
 constexpr auto call_timeout = 1000ms;
+// Above the answer of a store that turns fifty times as slow as its usual 4 ms
+// and takes one append of a partition after the other: a repeat before that
+// takes the time of the next one. Two in a row stay under an owner's right.
+constexpr auto least_append_timeout = 300ms;
 // Pauses between repeats of a call; they double up to the longest.
 constexpr auto first_pause = 30ms;
 constexpr auto longest_pause = 500ms;
@@ -51,7 +55,7 @@
 store_client::store_client(node_context& context)
     : context_(context),
       address_(to_string(context.settings.store.address)),
-      append_times_({.most = call_timeout})
+      append_times_({.least = least_append_timeout, .most = call_timeout})
 {}
 
 std::chrono::milliseconds store_client::usual_delay() const
--- a/src/libnode/tack_node.cpp
+++ b/src/libnode/tack_node.cpp
@@ -26,12 +26,14 @@
 constexpr auto owner_interval = 400ms;
 constexpr auto candidate_interval = 2000ms;
 // How long the holder of the fleet duty may take to store an announcement:
-// what gathers and two appends to a store fifty times as slow as usual; with
-// the owner's interval it stays under an owner's right.
-constexpr auto announce_timeout = 800ms;
-// Nodes that own nothing try the holder this often before they take the store's
-// time themselves.
-constexpr unsigned candidate_tries = 2;
+// what gathers and two appends to a store fifty times as slow as usual. For
+// owners it stays under their right with their interval.
+constexpr auto owner_timeout = 1000ms;
+constexpr auto candidate_timeout = 2000ms;
+// Nodes that own nothing take the store's time themselves only when they are
+// about to be missed.
+constexpr auto candidate_patience = 6000ms;
+constexpr auto candidate_retry = 1000ms;
 constexpr auto claim_interval = 150ms;
 // After a claim that failed: whoever was first has announced itself by then.
 constexpr auto claim_again = 1500ms;
@@ -207,8 +209,10 @@
     }
     shard_call call{
         shard_call::verb::announce, fleet_shard, 0, std::move(record), {}};
-    const auto answer =
-        co_await router_.ask_once(std::move(call), announce_timeout);
+    const auto answer = co_await router_.ask_once(
+        std::move(call), announce_interval() == owner_interval
+                             ? owner_timeout
+                             : candidate_timeout);
     co_return answer.outcome == shard_outcome::done;
 }
 
@@ -233,7 +237,6 @@
     const auto started = read_clocks().wall.time_since_epoch();
     auto last = static_cast<std::uint64_t>(started.count());
     constexpr auto patience = 2000ms;
-    unsigned failures = 0;
     while (true)
     {
         ++beat_;
@@ -256,12 +259,11 @@
         bool done = false;
         if (!first && claiming_.empty() && !leaving_ && !cut_off)
             done = co_await announce_through_duty(records.front().value);
-        failures = done ? 0 : failures + 1;
-        const bool owns = announce_interval() == owner_interval;
+        const bool may_wait = announce_interval() == candidate_interval &&
+                              sent - context_.announced < candidate_patience;
         if (done)
             context_.announced = sent;
-        else if (
-            first || owns || cut_off || leaving_ || failures >= candidate_tries)
+        else if (first || !may_wait || cut_off || leaving_)
         {
             done = first ? co_await writer.claim(
                                last, std::move(records), patience, true)
@@ -272,9 +274,10 @@
                 last = std::max(last, writer.epoch());
             node_epoch_ = writer.epoch();
         }
-        co_await announce_now_.wait(
-            done ? announce_interval()
-                 : std::chrono::milliseconds(claim_interval));
+        const std::chrono::milliseconds retry =
+            first || announce_interval() == owner_interval ? claim_interval
+                                                           : candidate_retry;
+        co_await announce_now_.wait(done ? announce_interval() : retry);
     }
 }
 
