--- a/src/libnode/caller_front.cpp
+++ b/src/libnode/caller_front.cpp
@@ -21,6 +21,10 @@
 // What is kept of a caller's patience for the way back.
 constexpr auto answer_margin = 150ms;
 constexpr auto default_patience = 3000ms;
+// What storing a submission takes: what gathers for 10 ms, an append of 4 ms,
+// and a call to another data centre and back. With less time left the outcome
+// would only be unknown to the caller.
+constexpr auto least_patience = 25ms;
 // How long a request waits for a shard without an owner that can be reached.
 // A takeover takes longer at times; the caller is then told when to return.
 constexpr auto reach_patience = 700ms;
@@ -156,6 +160,7 @@
                 .add("configuration", held->version)
                 .add("shard", what.shard)
                 .add("status", std::uint32_t{response.result_int()})
+                .add("patience_ms", what.patience.count())
                 .add("took_ms", took.count()));
     co_return response;
 }
@@ -192,6 +197,10 @@
         co_return refusal(
             http::status::unprocessable_entity, outcome::not_run,
             "submission can't be run", all_faults(faults));
+    if (what.patience < least_patience)
+        co_return retry_later(
+            "too little time", "the time that is left is too short to store a "
+                               "submission; nothing was sent to its owner");
     shard_call call{shard_call::verb::submit, what.shard, *id, {}, {}};
     call.record = submission_record{
         *id, std::move(spec), what.queue.terms, read_clocks().wall, 0};
--- a/testsuite/fleet_nodes/fleet_nodes_test.cpp
+++ b/testsuite/fleet_nodes/fleet_nodes_test.cpp
@@ -330,6 +330,27 @@
     check_runs();
 }
 
+// A repeat near the end of the caller's time could only end as unknown, after
+// which the caller may not try again.
+TEST_F(node_fleet, refuses_what_leaves_no_time_to_be_stored)
+{
+    start_nodes();
+    http_request request(http::verb::post, "/checks/" + id_of(1), 11);
+    request.set(http::field::host, "reg.example");
+    request.set("Dandeliontack-Request-Deadline", "160");
+    request.body() = submission("100", 1, false);
+    request.prepare_payload();
+    for (const auto* name : {"n1", "n2", "n3"})
+    {
+        const auto refused = call(callers_[name], request);
+        EXPECT_EQ(refused.result(), http::status::service_unavailable);
+        EXPECT_FALSE(refused[http::field::retry_after].empty());
+        EXPECT_NE(refused.body().find("not-run"), std::string::npos);
+        EXPECT_EQ(state(name, id_of(1)), "410");
+    }
+    EXPECT_TRUE(all_runs().empty());
+}
+
 TEST_F(node_fleet, refuses_bad_input_and_stores_nothing)
 {
     start_nodes();
