--- a/src/include/dandeliontack/tack_node.hpp
+++ b/src/include/dandeliontack/tack_node.hpp
@@ -38,6 +38,9 @@
 private:
     boost::asio::awaitable<void> announce_regularly();
     boost::asio::awaitable<bool> announce_through_duty(std::string record);
+    boost::asio::awaitable<bool> announce_directly(
+        fenced_writer& writer, std::uint64_t& last,
+        std::vector<keyed_record> records);
     boost::asio::awaitable<shard_answer> store_announcement(std::string record);
     std::chrono::milliseconds announce_interval() const;
     boost::asio::awaitable<void> give_up_through_duty();
--- a/src/libnode/tack_node.cpp
+++ b/src/libnode/tack_node.cpp
@@ -229,6 +229,24 @@
 
 // Announcements of one life carry rising epochs, so that a late one of an
 // earlier life is refused by the store.
+asio::awaitable<bool> tack_node::announce_directly(
+    fenced_writer& writer, std::uint64_t& last,
+    std::vector<keyed_record> records)
+{
+    constexpr auto patience = 2000ms;
+    bool done = false;
+    if (writer.standing() == fenced_writer::state::held)
+        done = co_await writer.append(std::move(records));
+    else
+        done = co_await writer.claim(last, std::move(records), patience, true);
+    if (done)
+        context_.announced = writer.confirmed();
+    else
+        last = std::max(last, writer.epoch());
+    node_epoch_ = writer.epoch();
+    co_return done;
+}
+
 asio::awaitable<void> tack_node::announce_regularly()
 {
     fenced_writer writer(
@@ -236,7 +254,6 @@
         "node." + context_.settings.node.name);
     const auto started = read_clocks().wall.time_since_epoch();
     auto last = static_cast<std::uint64_t>(started.count());
-    constexpr auto patience = 2000ms;
     while (true)
     {
         ++beat_;
@@ -259,24 +276,15 @@
         bool done = false;
         if (!first && claiming_.empty() && !leaving_ && !cut_off)
             done = co_await announce_through_duty(records.front().value);
-        const bool may_wait = announce_interval() == candidate_interval &&
-                              sent - context_.announced < candidate_patience;
         if (done)
             context_.announced = sent;
-        else if (first || !may_wait || cut_off || leaving_)
-        {
-            done = first ? co_await writer.claim(
-                               last, std::move(records), patience, true)
-                         : co_await writer.append(std::move(records));
-            if (done)
-                context_.announced = writer.confirmed();
-            else
-                last = std::max(last, writer.epoch());
-            node_epoch_ = writer.epoch();
-        }
+        const bool candidate = announce_interval() == candidate_interval;
+        const bool may_wait =
+            candidate && sent - context_.announced < candidate_patience;
+        if (!done && (first || cut_off || leaving_ || !may_wait))
+            done = co_await announce_directly(writer, last, std::move(records));
         const std::chrono::milliseconds retry =
-            first || announce_interval() == owner_interval ? claim_interval
-                                                           : candidate_retry;
+            candidate && !first ? candidate_retry : claim_interval;
         co_await announce_now_.wait(done ? announce_interval() : retry);
     }
 }
