Use one list of held shards, and drop what nothing uses any more

No change of behaviour. claim_regularly worked out by itself what held_shards says; pool_engine declared settle_step, which has no body; fleet_duty included two headers that it no longer needs.

The parts' tests, the cases of fleet_nodes and `make proofs` pass, the linter is clean on both changed sources; the whole script was not run on this commit.

--- a/src/include/dandeliontack/pool_engine.hpp
+++ b/src/include/dandeliontack/pool_engine.hpp
@@ -124,8 +124,6 @@
     void
     order_stop(host_state& h, const task_ref& task, std::string_view reason);
     void settle_recorded(submission_state& s);
-    void settle_step(
-        submission_state& s, std::uint32_t occurrence, std::uint32_t step);
     void finish(submission_state& s, submission_phase phase);
     void stop_everything(submission_state& s, std::string_view reason);
     void blame(
--- a/src/libnode/fleet_duty.cpp
+++ b/src/libnode/fleet_duty.cpp
@@ -6,8 +6,6 @@
 #include <platform/store_codec.hpp>
 
 #include <algorithm>
-#include <charconv>
-#include <cstdlib>
 #include <utility>
 
 namespace dandeliontack
--- a/src/libnode/tack_node.cpp
+++ b/src/libnode/tack_node.cpp
@@ -404,21 +404,20 @@
             continue;
         const auto wanted =
             wanted_shards(*front_.table(), context_.settings.store.partitions);
+        const auto held = held_shards();
         const auto mine = shards_.to_claim(
-            wanted, {announcement(), held_shards(), store_.usual_delay()},
+            wanted, {announcement(), held, store_.usual_delay()},
             read_clocks().steady);
         for (const auto shard : mine)
         {
-            const bool held = shard == fleet_shard
-                                  ? duty_ != nullptr
-                                  : router_.owned().contains(shard);
             const auto failed = failed_claims_.find(shard);
             const bool too_soon = failed != failed_claims_.end() &&
                                   read_clocks().steady - failed->second.second <
                                       std::max<std::chrono::milliseconds>(
                                           claim_again, store_.usual_delay() *
                                                            claim_again_appends);
-            if (held || too_soon || !claiming_.insert(shard).second)
+            if (held.contains(shard) || too_soon ||
+                !claiming_.insert(shard).second)
                 continue;
             asio::co_spawn(
                 context_.executor,
