Divide large deployments into cells with owners of their own

Change: a deployment is divided once, by the first holder of the fleet duty, into cells of some 140 machines: each has its racks, its submissions (by id, or by the rack that holds their data), and an owner of each of its pools. The layout is the first record of a topic of its own, written on the condition that it is the first. Machines follow demand within a cell; owners are asked for demand at the same time, not in turn. Owners of one pool in several cells go to different nodes, as their turn comes at the same time. Small fleets have one cell, whose shards are those of before.

Ruled out: cells by host id (the life that a move brings has an id that nobody knows before), racks by hash alone (92 racks over 8 cells differ by a quarter).

--- a/src/include/dandeliontack/caller_front.hpp
+++ b/src/include/dandeliontack/caller_front.hpp
@@ -30,6 +30,8 @@
     struct subject
     {
         queue_entry queue;
+        const fleet_layout& layout;
+        /// The shard that answered, or will.
         shard_id shard = 0;
         /// What the path says behind the queue's prefix.
         std::string rest;
@@ -37,10 +39,15 @@
     };
 
     boost::asio::awaitable<http_response>
-    submit(const http_request& request, const subject& what);
-    boost::asio::awaitable<http_response> state(const subject& what);
-    boost::asio::awaitable<http_response> cancel(const subject& what);
+    submit(const http_request& request, subject& what);
+    boost::asio::awaitable<http_response> state(subject& what);
+    boost::asio::awaitable<http_response> cancel(subject& what);
     boost::asio::awaitable<http_response> pending(const subject& what);
+    /// Asks the cell that the id speaks for first, then those that took what
+    /// belongs to their racks. `not_found` means that none knows it.
+    boost::asio::awaitable<shard_answer>
+    ask_about(subject& what, shard_call::verb verb, std::uint64_t id);
+    shard_id shard_in(const subject& what, cell_id cell) const;
     http_response unserved(const shard_answer& answer, const subject& what);
 
     node_context& context_;
--- a/src/include/dandeliontack/fleet_duty.hpp
+++ b/src/include/dandeliontack/fleet_duty.hpp
@@ -23,8 +23,9 @@
 namespace dandeliontack
 {
 
-/// The duty that orders about machines: upkeep in waves. One node holds it at
-/// a time, under an epoch that is the fencing token of its orders.
+/// The duty that orders about machines: upkeep in waves, and machines that
+/// follow demand within each cell. It also chooses the layout. One node holds
+/// it at a time, under an epoch that is the fencing token of its orders.
 class fleet_duty : public std::enable_shared_from_this<fleet_duty>
 {
 public:
@@ -69,8 +70,12 @@
     boost::asio::awaitable<void> empty_host(listed_machine machine);
     boost::asio::awaitable<void> balance();
     boost::asio::awaitable<void> move(machine_move order);
-    boost::asio::awaitable<bool> tell_ended(std::string pool, std::string host);
-    boost::asio::awaitable<std::vector<pool_demand>> collect_demands();
+    boost::asio::awaitable<void> store_layout();
+    shard_id shard_of_machine(const listed_machine& machine) const;
+    boost::asio::awaitable<bool> tell_ended(listed_machine machine);
+    /// The answers of the owners that could be asked, by cell.
+    boost::asio::awaitable<std::vector<std::vector<pool_demand>>>
+    collect_demands();
     std::set<std::string> kept_machines() const;
     bool
     is_kept_empty(const std::string& host, std::chrono::milliseconds age) const;
@@ -101,7 +106,8 @@
     std::set<std::string> emptying_;
     /// Hosts that ran nothing when their owners were asked last.
     std::set<std::string> idle_;
-    fleet_balance balance_;
+    /// By cell; empty until the layout is known.
+    std::vector<fleet_balance> balances_;
     std::shared_ptr<const queue_table> table_;
     /// Machines whose move is under way, with the pool that they join.
     std::map<std::string, std::string> moving_;
--- a/src/include/dandeliontack/machine_list.hpp
+++ b/src/include/dandeliontack/machine_list.hpp
@@ -27,6 +27,8 @@
     machine_state state = machine_state::down;
     std::string data_centre;
     std::vector<std::string> labels;
+    /// Stays with the machine; empty where not said.
+    std::string rack;
     room capacity;
     /// The host that lives on it; empty where none does.
     std::string host;
--- a/src/include/dandeliontack/shard_map.hpp
+++ b/src/include/dandeliontack/shard_map.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <dandeliontack/boot_clock.hpp>
+#include <dandeliontack/fleet_layout.hpp>
 #include <dandeliontack/queue_table.hpp>
 #include <dandeliontack/store_calls.hpp>
 #include <dandeliontack/stored_records.hpp>
@@ -16,7 +17,8 @@
 namespace dandeliontack
 {
 
-/// A shard: the pools whose orders share one partition and one owner.
+/// A shard: the pools of one cell whose orders share one partition and one
+/// owner.
 using shard_id = std::uint32_t;
 
 /// The shard of the fleet duty, which orders about machines.
@@ -24,10 +26,14 @@
 
 /// Where nodes announce themselves and owners are recorded.
 store_place registry_place();
+/// Where the layout of the deployment is stored, as the first record.
+store_place layout_place();
+inline constexpr std::string_view layout_key = "layout";
 /// The partition that holds a shard's records.
 store_place place_of(shard_id shard, std::uint64_t partitions);
-/// The shard of a pool; the same on every node.
-shard_id shard_of(std::string_view pool, std::uint64_t partitions);
+/// The shard of a pool in a cell; the same on every node.
+shard_id
+shard_of(std::string_view pool, cell_id cell, std::uint64_t partitions);
 
 /// When a node counts as lost and how successors take turns.
 struct takeover_terms
@@ -92,6 +98,12 @@
     bool is_alive(const owner_record& owner, boot_time now) const;
     std::vector<node_announcement> alive_nodes(boot_time now) const;
 
+    /// The layout is known for good once it has been read.
+    void set_layout(fleet_layout layout);
+    const std::optional<fleet_layout>& layout() const;
+    /// Whether a pool has ever had an owner.
+    bool has_owners() const;
+
     /// The shards that `self` should claim now, of those that are wanted.
     std::vector<shard_id> to_claim(
         const std::set<shard_id>& wanted, const claimant& self, boot_time now);
@@ -111,6 +123,7 @@
     std::map<std::string, seen_node> nodes_;
     std::map<shard_id, owner_record> owners_;
     std::map<shard_id, boot_time> orphaned_;
+    std::optional<fleet_layout> layout_;
     std::optional<boot_time> first_read_;
     boot_time last_read_;
 };
@@ -119,8 +132,10 @@
 std::string announcement_key(std::string_view node);
 std::string owner_key(shard_id shard);
 
-/// The shards that the pools of a configuration need, with the fleet's.
-std::set<shard_id>
-wanted_shards(const queue_table& table, std::uint64_t partitions);
+/// The shards that the pools of a configuration need, with the fleet's; that
+/// one alone while the layout isn't known.
+std::set<shard_id> wanted_shards(
+    const queue_table& table, const std::optional<fleet_layout>& layout,
+    std::uint64_t partitions);
 
 } // namespace dandeliontack
--- a/src/include/dandeliontack/shard_owner.hpp
+++ b/src/include/dandeliontack/shard_owner.hpp
@@ -35,8 +35,8 @@
     /// Stops deciding, stores what there is, and gives the shard back.
     boost::asio::awaitable<void> hand_over();
 
-    /// All usable entries of hosts, as last read.
-    void hosts_listed(const std::vector<host_entry>& entries);
+    /// All live entries of the shard's hosts.
+    void hosts_listed(std::vector<host_entry> entries);
 
     boost::asio::awaitable<shard_answer>
     submit(submission_record record) override;
--- a/src/include/dandeliontack/shard_router.hpp
+++ b/src/include/dandeliontack/shard_router.hpp
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace dandeliontack
 {
@@ -58,6 +59,12 @@
     ask(shard_call call, std::chrono::milliseconds patience,
         std::chrono::milliseconds reach);
 
+    /// Asks several owners at the same time; the answers are in the order of
+    /// the calls.
+    boost::asio::awaitable<std::vector<shard_answer>> ask_all(
+        std::vector<shard_call> calls, std::chrono::milliseconds patience,
+        std::chrono::milliseconds reach);
+
     /// Asks the known owner once, if that is another node.
     boost::asio::awaitable<shard_answer>
     ask_once(shard_call call, std::chrono::milliseconds timeout);
@@ -73,6 +80,11 @@
     /// The registry changed.
     void changed();
 
+    /// How the deployment is divided; nothing before that is known.
+    const std::optional<fleet_layout>& layout() const;
+    /// Whether a pool has ever had an owner.
+    bool has_owners() const;
+
 private:
     boost::asio::awaitable<shard_answer>
     ask_local(shard_owner& owner, shard_call call);
--- a/src/include/dandeliontack/stored_records.hpp
+++ b/src/include/dandeliontack/stored_records.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <dandeliontack/finding.hpp>
+#include <dandeliontack/fleet_layout.hpp>
 #include <dandeliontack/incarnation.hpp>
 #include <dandeliontack/pool_demand.hpp>
 #include <dandeliontack/pool_state.hpp>
@@ -85,6 +86,7 @@
 std::string encode(const wave_record& record);
 std::string encode(const std::vector<pool_demand>& demands);
 std::string encode(const lendings& wanted);
+std::string encode(const fleet_layout& layout);
 
 /// Each returns nothing where the bytes are not such a record.
 std::optional<submission_record>
@@ -97,6 +99,7 @@
 std::optional<wave_record> decode_wave_record(std::string_view bytes);
 std::optional<std::vector<pool_demand>> decode_demands(std::string_view bytes);
 std::optional<lendings> decode_lendings(std::string_view bytes);
+std::optional<fleet_layout> decode_layout(std::string_view bytes);
 
 /// What is to be stored of a submission now.
 progress_record progress_of(const submission_state& s);
--- a/src/include/dandeliontack/tack_node.hpp
+++ b/src/include/dandeliontack/tack_node.hpp
@@ -51,6 +51,7 @@
     boost::asio::awaitable<void> claim_duty();
     std::uint64_t last_epoch(shard_id shard) const;
     void note_claim(shard_id shard, std::uint64_t after, bool taken);
+    boost::asio::awaitable<void> learn_layout();
     boost::asio::awaitable<void> write_log_regularly();
     boost::asio::awaitable<void> hand_over_all(std::shared_ptr<bool> done);
     void take_operator_record(const keyed_record& record);
--- a/src/include/dandeliontack/tack_node_settings.hpp
+++ b/src/include/dandeliontack/tack_node_settings.hpp
@@ -44,6 +44,9 @@
     double upkeep_seconds = 2;
     /// Orders about machines that the platform takes from all nodes together.
     double orders_per_second = 32;
+    /// The size of a cell when the layout is chosen: what one owner of each
+    /// pool on half a core can serve (docs/CAPACITY.md).
+    std::uint64_t machines_per_cell = 140;
 };
 
 /// Section `[advice]`: the service that says which hosts may run a step.
--- a/src/libnode/caller_front.cpp
+++ b/src/libnode/caller_front.cpp
@@ -120,9 +120,12 @@
     if (!queue)
         co_return refusal(
             http::status::not_found, outcome::not_run, "no such queue", path);
+    const auto& layout = router_.layout();
+    if (!layout)
+        co_return retry_later(
+            "no layout", "the deployment is not divided into cells yet");
     subject what{
-        *queue, shard_of(queue->terms.pool, context_.settings.store.partitions),
-        path.substr(queue->path_prefix.size()),
+        *queue, *layout, 0, path.substr(queue->path_prefix.size()),
         platform::decode_patience(request).value_or(default_patience) -
             answer_margin};
     what.patience = std::max<std::chrono::milliseconds>(what.patience, 1ms);
@@ -179,7 +182,7 @@
 }
 
 asio::awaitable<http_response>
-caller_front::submit(const http_request& request, const subject& what)
+caller_front::submit(const http_request& request, subject& what)
 {
     const auto id = parse_submission_name(what.rest);
     if (!id)
@@ -201,6 +204,7 @@
         co_return retry_later(
             "too little time", "the time that is left is too short to store a "
                                "submission; nothing was sent to its owner");
+    what.shard = shard_in(what, cell_of_submission(what.layout, *id, spec));
     shard_call call{shard_call::verb::submit, what.shard, *id, {}, {}};
     call.record = submission_record{
         *id, std::move(spec), what.queue.terms, read_clocks().wall, 0};
@@ -211,14 +215,37 @@
     co_return unserved(answer, what);
 }
 
-asio::awaitable<http_response> caller_front::state(const subject& what)
+shard_id caller_front::shard_in(const subject& what, cell_id cell) const
+{
+    return shard_of(
+        what.queue.terms.pool, cell, context_.settings.store.partitions);
+}
+
+asio::awaitable<shard_answer>
+caller_front::ask_about(subject& what, shard_call::verb verb, std::uint64_t id)
+{
+    const auto began = read_clocks().steady;
+    const auto home = home_cell(what.layout, id);
+    shard_answer answer;
+    for (cell_id i = 0; i < what.layout.cells; ++i)
+    {
+        what.shard = shard_in(what, (home + i) % what.layout.cells);
+        shard_call call{verb, what.shard, id, {}, {}};
+        const auto left = std::max<std::chrono::milliseconds>(
+            what.patience - (read_clocks().steady - began), 1ms);
+        answer = co_await router_.ask(std::move(call), left, reach_patience);
+        if (answer.outcome != shard_outcome::not_found)
+            break;
+    }
+    co_return answer;
+}
+
+asio::awaitable<http_response> caller_front::state(subject& what)
 {
     const auto id = parse_submission_name(what.rest);
     if (!id)
         co_return no_such_submission("an id is 16 hexadecimal digits");
-    shard_call call{shard_call::verb::state, what.shard, *id, {}, {}};
-    const auto answer =
-        co_await router_.ask(std::move(call), what.patience, reach_patience);
+    const auto answer = co_await ask_about(what, shard_call::verb::state, *id);
     const auto phase = phase_of(answer.value);
     if (answer.outcome == shard_outcome::done && phase)
         co_return platform::encode_state(*phase);
@@ -228,14 +255,12 @@
     co_return unserved(answer, what);
 }
 
-asio::awaitable<http_response> caller_front::cancel(const subject& what)
+asio::awaitable<http_response> caller_front::cancel(subject& what)
 {
     const auto id = parse_submission_name(what.rest);
     if (!id)
         co_return no_such_submission("an id is 16 hexadecimal digits");
-    shard_call call{shard_call::verb::cancel, what.shard, *id, {}, {}};
-    const auto answer =
-        co_await router_.ask(std::move(call), what.patience, reach_patience);
+    const auto answer = co_await ask_about(what, shard_call::verb::cancel, *id);
     if (answer.outcome == shard_outcome::done)
         co_return make_response(http::status::ok, "application/json", "{}");
     if (answer.outcome == shard_outcome::not_found)
@@ -246,16 +271,27 @@
 
 asio::awaitable<http_response> caller_front::pending(const subject& what)
 {
-    shard_call call{
-        shard_call::verb::pending, what.shard, 0, what.queue.terms.route, {}};
-    const auto answer =
-        co_await router_.ask(std::move(call), what.patience, reach_patience);
-    std::size_t number = 0;
-    const auto* end = answer.value.data() + answer.value.size();
-    const auto parsed = std::from_chars(answer.value.data(), end, number);
-    if (answer.outcome == shard_outcome::done && parsed.ec == std::errc())
-        co_return platform::encode_pending(number);
-    co_return unserved(answer, what);
+    std::vector<shard_call> calls;
+    for (cell_id cell = 0; cell < what.layout.cells; ++cell)
+        calls.push_back(
+            {shard_call::verb::pending,
+             shard_in(what, cell),
+             0,
+             what.queue.terms.route,
+             {}});
+    const auto answers = co_await router_.ask_all(
+        std::move(calls), what.patience, reach_patience);
+    std::size_t sum = 0;
+    for (const auto& answer : answers)
+    {
+        std::size_t number = 0;
+        const auto* end = answer.value.data() + answer.value.size();
+        const auto parsed = std::from_chars(answer.value.data(), end, number);
+        if (answer.outcome != shard_outcome::done || parsed.ec != std::errc())
+            co_return unserved(answer, what);
+        sum += number;
+    }
+    co_return platform::encode_pending(sum);
 }
 
 } // namespace dandeliontack
--- a/src/libnode/fleet_duty.cpp
+++ b/src/libnode/fleet_duty.cpp
@@ -6,6 +6,7 @@
 #include <platform/store_codec.hpp>
 
 #include <algorithm>
+#include <ranges>
 #include <utility>
 
 namespace dandeliontack
@@ -43,12 +44,13 @@
 // The longest that an order to the platform may be under way.
 constexpr auto longest_call = 2000ms;
 
-balance_terms balance_terms_of(const tack_node_settings& settings)
+balance_terms
+balance_terms_of(const tack_node_settings& settings, cell_id cells)
 {
     balance_terms terms;
     // A round takes this long or longer.
-    terms.most_moves =
-        moves_a_round(settings.machines.orders_per_second, look_interval);
+    terms.most_moves = moves_a_round(
+        settings.machines.orders_per_second / cells, look_interval);
     return terms;
 }
 
@@ -61,7 +63,6 @@
       router_(router),
       platform_(context),
       claim_(context, store, fleet_shard),
-      balance_(balance_terms_of(context.settings)),
       appends_(
           context.executor,
           [this](append_queue::record_list records) {
@@ -357,6 +358,8 @@
         if (listed)
         {
             machines_ = std::move(*listed);
+            if (!router_.layout())
+                co_await store_layout();
             // A machine whose upkeep began meanwhile may be listed as up.
             std::erase_if(begun_lately_, [&](const auto& item) {
                 return item.second < asked;
@@ -422,7 +425,7 @@
     const auto self = shared_from_this();
     shard_call call{
         shard_call::verb::evacuate,
-        shard_of(machine.pool, context_.settings.store.partitions),
+        shard_of_machine(machine),
         0,
         machine.host,
         {}};
@@ -485,7 +488,7 @@
         // that lives there now goes on.
         if (first && answer == machine_answer::accepted &&
             !machine.host.empty())
-            co_await tell_ended(machine.pool, machine.host);
+            co_await tell_ended(machine);
     }
     co_await note_end(machine.name);
     waves_[name].ordering.erase(machine.name);
@@ -496,41 +499,89 @@
     table_ = std::move(table);
 }
 
-asio::awaitable<bool> fleet_duty::tell_ended(std::string pool, std::string host)
+// Stored as the first record of its topic or not at all, so that two holders
+// can't choose two layouts. Where pools had owners before there were layouts,
+// their submissions are all in one cell.
+asio::awaitable<void> fleet_duty::store_layout()
+{
+    const auto self = shared_from_this();
+    const auto layout =
+        router_.has_owners()
+            ? fleet_layout{}
+            : choose_layout(
+                  machines_, context_.settings.machines.machines_per_cell);
+    append_call call{
+        layout_place(),
+        {{std::string(layout_key), encode(layout), 0}},
+        {},
+        std::uint64_t{0}};
+    const auto answer = co_await store_.append(std::move(call));
+    context_.log.write(
+        "fleet", "layout_chosen",
+        log_line()
+            .add("epoch", claim_.epoch())
+            .add("machines", std::uint64_t{machines_.size()})
+            .add("cells", layout.cells)
+            .add("stored", answer.outcome == append_outcome::stored)
+            .add("reason", answer.reason));
+}
+
+shard_id fleet_duty::shard_of_machine(const listed_machine& machine) const
+{
+    const auto& layout = router_.layout();
+    const auto cell =
+        layout ? cell_of_host(*layout, machine.rack, machine.host) : 0;
+    return shard_of(machine.pool, cell, context_.settings.store.partitions);
+}
+
+asio::awaitable<bool> fleet_duty::tell_ended(listed_machine machine)
 {
     shard_call call{
         shard_call::verb::host_ended,
-        shard_of(pool, context_.settings.store.partitions),
+        shard_of_machine(machine),
         0,
-        host,
+        machine.host,
         {}};
     const auto answer = co_await router_.ask(call, ask_patience, ask_patience);
     co_return answer.outcome == shard_outcome::done;
 }
 
-asio::awaitable<std::vector<pool_demand>> fleet_duty::collect_demands()
+asio::awaitable<std::vector<std::vector<pool_demand>>>
+fleet_duty::collect_demands()
 {
-    std::vector<pool_demand> all;
+    std::vector<std::vector<pool_demand>> all(balances_.size());
     std::set<std::string> serving;
     for (const auto& queue : table_->queues)
         serving.insert(queue.terms.pool);
-    std::set<shard_id> shards;
-    for (const auto& pool : serving)
-        shards.insert(shard_of(pool, context_.settings.store.partitions));
-    for (const auto shard : shards)
+    // The shards with their cells; two pools may share one.
+    std::map<shard_id, cell_id> shards;
+    for (cell_id cell = 0; cell < balances_.size(); ++cell)
+        for (const auto& pool : serving)
+            shards[shard_of(pool, cell, context_.settings.store.partitions)] =
+                cell;
+    std::vector<shard_call> calls;
+    for (const auto& [shard, cell] : shards)
+        calls.push_back(
+            {shard_call::verb::demands,
+             shard,
+             0,
+             encode(balances_[cell].lent()),
+             {}});
+    const auto answers =
+        co_await router_.ask_all(std::move(calls), ask_patience, retry_pause);
+    auto answer = answers.begin();
+    for (const auto& [shard, cell] : shards)
     {
-        shard_call call{
-            shard_call::verb::demands, shard, 0, encode(balance_.lent()), {}};
-        const auto answer =
-            co_await router_.ask(call, ask_patience, retry_pause);
-        if (answer.outcome != shard_outcome::done)
-            continue;
-        const auto demands = decode_demands(answer.value);
-        if (!demands)
-            continue;
-        std::ranges::copy_if(
-            *demands, std::back_inserter(all),
-            [&](const auto& demand) { return serving.contains(demand.pool); });
+        const auto demands = answer->outcome == shard_outcome::done
+                                 ? decode_demands(answer->value)
+                                 : std::nullopt;
+        ++answer;
+        if (demands)
+            std::ranges::copy_if(
+                *demands, std::back_inserter(all[cell]),
+                [&](const auto& demand) {
+                    return serving.contains(demand.pool);
+                });
     }
     co_return all;
 }
@@ -556,15 +607,20 @@
 asio::awaitable<void> fleet_duty::balance()
 {
     const auto self = shared_from_this();
-    if (!table_)
+    const auto& layout = router_.layout();
+    if (!table_ || !layout)
         co_return;
+    if (balances_.empty())
+        balances_.assign(
+            layout->cells,
+            fleet_balance(balance_terms_of(context_.settings, layout->cells)));
     std::set<std::string> standby;
     for (const auto& pool : table_->pools)
         if (pool.standby)
             standby.insert(pool.name);
     const auto demands = co_await collect_demands();
     idle_.clear();
-    for (const auto& demand : demands)
+    for (const auto& demand : demands | std::views::join)
         idle_.insert(demand.idle.begin(), demand.idle.end());
     if (lost_ || !has_right())
         co_return;
@@ -575,8 +631,18 @@
             machine.pool = to->second;
             machine.state = machine_state::moving;
         }
-    const auto moves = balance_.plan(
-        demands, machines_, standby, kept_machines(), read_clocks().steady);
+    std::vector<std::vector<listed_machine>> machines(layout->cells);
+    for (const auto& machine : machines_)
+        machines[cell_of_host(*layout, machine.rack, machine.host)].push_back(
+            machine);
+    const auto kept = kept_machines();
+    std::vector<machine_move> moves;
+    for (cell_id cell = 0; cell < layout->cells; ++cell)
+        std::ranges::move(
+            balances_[cell].plan(
+                demands[cell], machines[cell], standby, kept,
+                read_clocks().steady),
+            std::back_inserter(moves));
     if (moves.empty())
         co_return;
     std::vector<std::string> names;
@@ -631,11 +697,12 @@
             .add("empty", empty)
             .add("answer", to_string(answer)));
     if (answer == machine_answer::unknown_machine)
-        balance_.forbid(machine.pool, order.to_pool);
+        for (auto& cell : balances_)
+            cell.forbid(machine.pool, order.to_pool);
     if (answer == machine_answer::fenced)
         lose("a higher fencing token was used for a machine");
     if (answer == machine_answer::accepted && !is_off && !machine.host.empty())
-        co_await tell_ended(machine.pool, machine.host);
+        co_await tell_ended(machine);
     co_await note_end(machine.name);
     // The next list shows the move.
     co_await pause_for(context_.executor, look_interval);
--- a/src/libnode/shard_map.cpp
+++ b/src/libnode/shard_map.cpp
@@ -1,4 +1,5 @@
 #include <dandeliontack/shard_map.hpp>
+#include <dandeliontack/stable_hash.hpp>
 
 #include <platform/store_codec.hpp>
 
@@ -13,8 +14,11 @@
 namespace
 {
 
-// Topics of pools; with the partitions of each, few pools share a shard.
+// Topics of the pools of a cell; with the partitions of each, few pools share
+// a shard.
 constexpr std::uint32_t pool_topics = 8;
+// Between the shards of a pool in one cell and the next.
+constexpr shard_id cell_stride = 50'000;
 constexpr std::string_view announcement_prefix = "node/";
 constexpr std::string_view owner_prefix = "own/";
 // A gap between two reads of the registry after which silence counts anew.
@@ -26,17 +30,10 @@
     return {std::string(platform::keyed_prefix) + name, partition};
 }
 
-// FNV-1a; the same on every node and in every version.
-std::uint64_t stable_hash(std::string_view text)
+// What the shards of a pool have in common over all cells.
+shard_id pool_part(shard_id shard)
 {
-    constexpr std::uint64_t basis = 14695981039346656037ULL;
-    constexpr std::uint64_t prime = 1099511628211ULL;
-    std::uint64_t hash = basis;
-    for (const unsigned char c : text)
-        hash = (hash ^ c) * prime;
-    // Spreads the last characters over all bits.
-    hash ^= hash >> 32U;
-    return hash * prime;
+    return shard % cell_stride;
 }
 
 } // namespace
@@ -46,19 +43,27 @@
     return topic_of("nodes", 0);
 }
 
+store_place layout_place()
+{
+    return topic_of("layout", 0);
+}
+
 store_place place_of(shard_id shard, std::uint64_t partitions)
 {
     if (shard == fleet_shard)
         return topic_of("fleet", 0);
+    const auto topic =
+        shard / cell_stride * pool_topics + pool_part(shard) / partitions;
     return topic_of(
-        "pools" + std::to_string(shard / partitions),
-        static_cast<std::uint32_t>(shard % partitions));
+        "pools" + std::to_string(topic),
+        static_cast<std::uint32_t>(pool_part(shard) % partitions));
 }
 
-shard_id shard_of(std::string_view pool, std::uint64_t partitions)
+shard_id shard_of(std::string_view pool, cell_id cell, std::uint64_t partitions)
 {
-    return static_cast<shard_id>(
-        stable_hash(pool) % (pool_topics * partitions));
+    return cell * cell_stride +
+           static_cast<shard_id>(
+               stable_hash(pool) % (pool_topics * partitions));
 }
 
 std::string announcement_key(std::string_view node)
@@ -71,15 +76,20 @@
     return std::string(owner_prefix) + std::to_string(shard);
 }
 
-std::set<shard_id>
-wanted_shards(const queue_table& table, std::uint64_t partitions)
+std::set<shard_id> wanted_shards(
+    const queue_table& table, const std::optional<fleet_layout>& layout,
+    std::uint64_t partitions)
 {
     std::set<shard_id> out{fleet_shard};
-    for (const auto& pool : table.pools)
-        if (!pool.standby)
-            out.insert(shard_of(pool.name, partitions));
-    for (const auto& queue : table.queues)
-        out.insert(shard_of(queue.terms.pool, partitions));
+    const auto cells = layout ? layout->cells : 0;
+    for (cell_id cell = 0; cell < cells; ++cell)
+    {
+        for (const auto& pool : table.pools)
+            if (!pool.standby)
+                out.insert(shard_of(pool.name, cell, partitions));
+        for (const auto& queue : table.queues)
+            out.insert(shard_of(queue.terms.pool, cell, partitions));
+    }
     return out;
 }
 
@@ -191,10 +201,27 @@
     return out;
 }
 
+void shard_map::set_layout(fleet_layout layout)
+{
+    layout_ = std::move(layout);
+}
+
+const std::optional<fleet_layout>& shard_map::layout() const
+{
+    return layout_;
+}
+
+bool shard_map::has_owners() const
+{
+    return std::ranges::any_of(
+        owners_, [](const auto& item) { return item.first != fleet_shard; });
+}
+
 // Every node works out the same plan from the same records: each orphan goes
-// to the live node with the least load for its processor; one that was given
-// back in a planned stop goes to the node that started last, as the others may
-// be stopped next. The next in line steps in if that node does not.
+// to the live node with the least load for its processor, where the same pool
+// of another cell counts twice, as its turn comes at the same time; one that
+// was given back in a planned stop goes to the node that started last, as the
+// others may be stopped next. The next in line steps in if that node does not.
 std::vector<shard_id> shard_map::to_claim(
     const std::set<shard_id>& wanted, const claimant& self, boot_time now)
 {
@@ -206,6 +233,11 @@
         return out;
     auto nodes = alive_nodes(now);
     std::map<std::string, std::uint32_t> load;
+    std::map<std::pair<std::string, shard_id>, std::uint32_t> alike;
+    const auto count = [&](const std::string& node, shard_id shard) {
+        ++load[node];
+        ++alike[{node, pool_part(shard)}];
+    };
     std::vector<shard_id> orphans;
     for (const auto shard : wanted)
     {
@@ -215,7 +247,7 @@
                               !self.held.contains(shard);
         if (known && is_alive(*known, now) && !given_up)
         {
-            ++load[known->node];
+            count(known->node, shard);
             orphaned_.erase(shard);
         }
         else
@@ -230,7 +262,9 @@
         const bool released = known != owners_.end() && known->second.released;
         std::ranges::sort(nodes, {}, [&](const node_announcement& node) {
             const auto cpu = std::max<std::uint32_t>(node.cpu_milli, 1);
-            const double share = static_cast<double>(load[node.name] + 1) / cpu;
+            const auto shards =
+                load[node.name] + alike[{node.name, pool_part(shard)}] + 1;
+            const double share = static_cast<double>(shards) / cpu;
             const auto age = std::numeric_limits<std::uint64_t>::max() -
                              (released ? node.epoch : 0);
             return std::tuple(
@@ -242,7 +276,7 @@
                 now - orphaned_[shard] >= stagger * rank)
                 out.push_back(shard);
         if (!nodes.empty())
-            ++load[nodes.front().name];
+            count(nodes.front().name, shard);
     }
     return out;
 }
--- a/src/libnode/shard_owner.cpp
+++ b/src/libnode/shard_owner.cpp
@@ -272,18 +272,11 @@
     planned_.notify();
 }
 
-void shard_owner::hosts_listed(const std::vector<host_entry>& entries)
+void shard_owner::hosts_listed(std::vector<host_entry> entries)
 {
     if (!serving_ || lost_)
         return;
-    pool_event::hosts_listed listed;
-    std::ranges::copy_if(
-        entries, std::back_inserter(listed.entries),
-        [&](const host_entry& entry) {
-            return shard_of(entry.pool, context_.settings.store.partitions) ==
-                   shard_;
-        });
-    apply(listed);
+    apply(pool_event::hosts_listed{std::move(entries)});
     for (const auto& [id, host] : engine_->hosts())
         if (held_hosts_.insert(id).second)
             asio::co_spawn(context_.executor, hold_host(id), asio::detached);
@@ -824,8 +817,7 @@
         co_return shard_answer{shard_outcome::not_owner, {}};
     if (const auto wanted = decode_lendings(lent))
         for (const auto& [pool, hosts] : *wanted)
-            if (shard_of(pool, context_.settings.store.partitions) == shard_)
-                apply(pool_event::lending_wanted{pool, hosts});
+            apply(pool_event::lending_wanted{pool, hosts});
     co_return shard_answer{
         shard_outcome::done, encode(engine_->demands(read_clocks()))};
 }
--- a/src/libnode/shard_router.cpp
+++ b/src/libnode/shard_router.cpp
@@ -232,6 +232,27 @@
     }
 }
 
+asio::awaitable<std::vector<shard_answer>> shard_router::ask_all(
+    std::vector<shard_call> calls, std::chrono::milliseconds patience,
+    std::chrono::milliseconds reach)
+{
+    std::vector<shard_answer> answers(calls.size());
+    std::size_t left = calls.size();
+    wake_signal done(context_.executor);
+    for (std::size_t i = 0; i < calls.size(); ++i)
+        asio::co_spawn(
+            context_.executor, ask(std::move(calls[i]), patience, reach),
+            [&, i](const std::exception_ptr& error, shard_answer answer) {
+                answers[i] = error ? shard_answer{shard_outcome::unknown, {}}
+                                   : std::move(answer);
+                --left;
+                done.notify();
+            });
+    while (left > 0)
+        co_await done.wait(try_timeout);
+    co_return answers;
+}
+
 asio::awaitable<shard_answer>
 shard_router::ask_once(shard_call call, std::chrono::milliseconds timeout)
 {
@@ -242,6 +263,16 @@
     co_return answer;
 }
 
+const std::optional<fleet_layout>& shard_router::layout() const
+{
+    return shards_.layout();
+}
+
+bool shard_router::has_owners() const
+{
+    return shards_.has_owners();
+}
+
 void shard_router::set_announcer(announcer store)
 {
     announcer_ = std::move(store);
--- a/src/libnode/stored_records.cpp
+++ b/src/libnode/stored_records.cpp
@@ -364,6 +364,35 @@
     return wanted;
 }
 
+std::string encode(const fleet_layout& layout)
+{
+    stored::Layout out;
+    out.set_cells(layout.cells);
+    for (const auto& [rack, cell] : layout.racks)
+    {
+        auto& row = *out.add_racks();
+        row.set_rack(rack);
+        row.set_cell(cell);
+    }
+    return out.SerializeAsString();
+}
+
+std::optional<fleet_layout> decode_layout(std::string_view bytes)
+{
+    const auto in = parse<stored::Layout>(bytes);
+    if (!in || in->cells() == 0 || in->cells() > most_cells)
+        return std::nullopt;
+    fleet_layout layout;
+    layout.cells = in->cells();
+    for (const auto& row : in->racks())
+    {
+        if (row.cell() >= layout.cells)
+            return std::nullopt;
+        layout.racks[row.rack()] = row.cell();
+    }
+    return layout;
+}
+
 progress_record progress_of(const submission_state& s)
 {
     progress_record record;
--- a/src/libnode/tack_node.cpp
+++ b/src/libnode/tack_node.cpp
@@ -44,6 +44,8 @@
 constexpr auto registry_interval = 250ms;
 constexpr auto hosts_interval = 150ms;
 constexpr auto log_interval = 100ms;
+// How often the layout is asked for until there is one.
+constexpr auto layout_interval = 200ms;
 // A node that can't reach the store for this long goes out of rotation.
 constexpr auto ready_without_store = 3000ms;
 // The platform stops sending new connections after two failed looks, one a
@@ -130,6 +132,7 @@
     spawn(operator_records_.run());
     spawn(registry_.run());
     spawn(announce_regularly());
+    spawn(learn_layout());
     spawn(claim_regularly());
     spawn(write_log_regularly());
 }
@@ -289,6 +292,30 @@
     }
 }
 
+// The holder of the fleet duty chooses the layout once; it never changes.
+asio::awaitable<void> tack_node::learn_layout()
+{
+    while (!shards_.layout())
+    {
+        const auto page = co_await store_.newest(layout_place(), {});
+        for (const auto& record : page.records)
+            if (auto layout = decode_layout(record.value);
+                layout && record.key == layout_key)
+            {
+                context_.log.write(
+                    "node", "layout_in_force",
+                    log_line()
+                        .add("cells", layout->cells)
+                        .add("racks", std::uint64_t{layout->racks.size()}));
+                shards_.set_layout(std::move(*layout));
+            }
+        if (!shards_.layout())
+            co_await pause_for(context_.executor, layout_interval);
+    }
+    hosts_changed_ = true;
+    router_.changed();
+}
+
 asio::awaitable<void> tack_node::write_log_regularly()
 {
     auto& dropped = context_.metrics.get_gauge("tack_log_lines_dropped");
@@ -369,14 +396,22 @@
 
 void tack_node::list_hosts()
 {
-    if (!std::exchange(hosts_changed_, false))
+    const auto& layout = shards_.layout();
+    if (!layout || !std::exchange(hosts_changed_, false))
         return;
-    std::vector<host_entry> entries;
-    entries.reserve(hosts_.size());
+    std::map<shard_id, std::vector<host_entry>> entries;
+    for (const auto& [shard, owner] : router_.owned())
+        entries.try_emplace(shard);
     for (const auto& [id, entry] : hosts_)
-        entries.push_back(entry);
+    {
+        const auto found = entries.find(shard_of(
+            entry.pool, cell_of_host(*layout, entry.rack, id),
+            context_.settings.store.partitions));
+        if (found != entries.end())
+            found->second.push_back(entry);
+    }
     for (const auto& [shard, owner] : router_.owned())
-        owner->hosts_listed(entries);
+        owner->hosts_listed(std::move(entries[shard]));
 }
 
 void tack_node::drop_lost_shards()
@@ -402,8 +437,9 @@
         drop_lost_shards();
         if (leaving_ || !front_.table())
             continue;
-        const auto wanted =
-            wanted_shards(*front_.table(), context_.settings.store.partitions);
+        const auto wanted = wanted_shards(
+            *front_.table(), shards_.layout(),
+            context_.settings.store.partitions);
         const auto held = held_shards();
         const auto mine = shards_.to_claim(
             wanted, {announcement(), held, store_.usual_delay()},
--- a/src/libnode/tack_node_settings.cpp
+++ b/src/libnode/tack_node_settings.cpp
@@ -61,6 +61,10 @@
         row{.key = "orders_per_second",
             .member = &s::orders_per_second,
             .least = 0.1,
+            .most = 1'000'000},
+        row{.key = "machines_per_cell",
+            .member = &s::machines_per_cell,
+            .least = 1,
             .most = 1'000'000}};
     return table;
 }
--- /dev/null
+++ b/src/libsched/fleet_layout.cpp
@@ -0,0 +1,68 @@
+#include <dandeliontack/fleet_layout.hpp>
+#include <dandeliontack/stable_hash.hpp>
+
+#include <algorithm>
+
+namespace dandeliontack
+{
+
+namespace
+{
+
+cell_id cell_of_name(const fleet_layout& layout, std::string_view name)
+{
+    return static_cast<cell_id>(stable_hash(name) % layout.cells);
+}
+
+} // namespace
+
+fleet_layout choose_layout(
+    const std::vector<listed_machine>& machines, std::size_t machines_per_cell)
+{
+    std::map<std::string, std::size_t> sizes;
+    for (const auto& machine : machines)
+        if (!machine.rack.empty())
+            ++sizes[machine.rack];
+    // Rounded, so that a cell is never less than two thirds of the size.
+    const auto wanted =
+        (machines.size() + machines_per_cell / 2) / machines_per_cell;
+    fleet_layout layout;
+    layout.cells =
+        static_cast<cell_id>(std::clamp<std::size_t>(wanted, 1, most_cells));
+    // Neighbours in name are in one data centre: dealt in turn, each cell has
+    // its share of every data centre.
+    std::vector<std::size_t> dealt(layout.cells);
+    for (const auto& [rack, size] : sizes)
+    {
+        const auto smallest = std::ranges::min_element(dealt);
+        layout.racks[rack] = static_cast<cell_id>(smallest - dealt.begin());
+        *smallest += size;
+    }
+    return layout;
+}
+
+cell_id cell_of_host(
+    const fleet_layout& layout, std::string_view rack, std::string_view host)
+{
+    if (rack.empty())
+        return cell_of_name(layout, host);
+    const auto known = layout.racks.find(std::string(rack));
+    return known != layout.racks.end() ? known->second
+                                       : cell_of_name(layout, rack);
+}
+
+cell_id home_cell(const fleet_layout& layout, std::uint64_t submission)
+{
+    return cell_of_name(layout, submission_name(submission));
+}
+
+cell_id cell_of_submission(
+    const fleet_layout& layout, std::uint64_t id, const submission_spec& spec)
+{
+    const auto step = std::ranges::find_if(
+        spec.steps, [](const step_spec& s) { return !s.rack.empty(); });
+    return step == spec.steps.end() ? home_cell(layout, id)
+                                    : cell_of_host(layout, step->rack, {});
+}
+
+} // namespace dandeliontack
