Write no order after the right to it has ended, and close unused connections

Cause: an owner checked its right before an order was handed to a connection; a process that was paused while the connection was made wrote the order after it woke, up to the call's time-out later on a clock that does not count the pause. Hosts refuse such orders by the token; machines do not where the deployment checks no fences. Found by reading, as operators of similar systems had met it.

Change: exchange takes a permission that is asked once the connection stands, right before the first byte; starts, stops, holds, paces and orders about machines carry the owner's or the duty's right. The pool closes what has been idle for long whichever peer is called, and forgets peers without connections.

Ruled out: a deadline on the steady clock, which a suspension does not advance.

What remains between the question and the write is no wait.

--- a/src/include/dandeliontack/http_connection.hpp
+++ b/src/include/dandeliontack/http_connection.hpp
@@ -8,6 +8,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <variant>
@@ -25,6 +26,11 @@
 
 using exchange_result = std::variant<http_response, exchange_error>;
 
+/// Asked once a connection stands, right before a request is written: the
+/// process may have been paused since the request was made. An empty one
+/// always permits.
+using send_permission = std::function<bool()>;
+
 /// A client connection that carries one request at a time. It connects when
 /// needed and reuses the connection only after a whole response to its last
 /// request. After a timeout, a cut or surplus bytes the connection is closed.
@@ -40,8 +46,10 @@
     http_connection& operator=(http_connection&&) noexcept;
 
     /// Sends a request and reads the whole response. One call at a time.
-    boost::asio::awaitable<exchange_result>
-    exchange(http_request request, std::chrono::milliseconds timeout);
+    /// Without permission nothing is written, and the result is `not_run`.
+    boost::asio::awaitable<exchange_result> exchange(
+        http_request request, std::chrono::milliseconds timeout,
+        send_permission may_send = {});
 
     /// Whether the connection is open and may carry another request.
     bool reusable() const;
--- a/src/include/dandeliontack/http_pool.hpp
+++ b/src/include/dandeliontack/http_pool.hpp
@@ -15,7 +15,8 @@
 
 /// Keeps connections to peers open between requests. After a request that
 /// was not answered in time, all idle connections to that peer are closed:
-/// they may have gone silent too.
+/// they may have gone silent too. Peers that nobody calls any more keep
+/// nothing.
 class http_pool
 {
 public:
@@ -27,13 +28,17 @@
 
     http_pool(boost::asio::any_io_executor executor, limits bounds);
 
-    /// Sends one request and reads the whole response.
+    /// Sends one request, if it is still permitted once a connection stands,
+    /// and reads the whole response.
     boost::asio::awaitable<exchange_result> exchange(
-        endpoint peer, http_request request, std::chrono::milliseconds timeout);
+        endpoint peer, http_request request, std::chrono::milliseconds timeout,
+        send_permission may_send = {});
 
     /// Closes the idle connections to a peer.
     void forget(const endpoint& peer);
     std::uint64_t opened() const;
+    /// Connections that are open and carry nothing.
+    std::size_t idle() const;
 
 private:
     struct idle_connection
@@ -42,8 +47,12 @@
         std::chrono::steady_clock::time_point since;
     };
 
+    using time_point = std::chrono::steady_clock::time_point;
+    void close_old(time_point now);
+
     boost::asio::any_io_executor executor_;
     limits limits_;
+    time_point closed_old_{};
     std::map<endpoint, std::deque<idle_connection>> idle_;
     std::uint64_t opened_ = 0;
 };
--- a/src/include/dandeliontack/machine_client.hpp
+++ b/src/include/dandeliontack/machine_client.hpp
@@ -18,7 +18,9 @@
 class machine_client
 {
 public:
-    explicit machine_client(node_context& context);
+    /// `may_order` permits orders; the list needs no permission.
+    explicit machine_client(
+        node_context& context, send_permission may_order = {});
 
     /// All machines; nothing where the list can't be read whole.
     boost::asio::awaitable<std::optional<std::vector<listed_machine>>> list();
@@ -34,6 +36,7 @@
 
     node_context& context_;
     std::string address_;
+    send_permission may_order_;
 };
 
 } // namespace dandeliontack
--- a/src/include/dandeliontack/shard_owner.hpp
+++ b/src/include/dandeliontack/shard_owner.hpp
@@ -86,6 +86,9 @@
     void lose(std::string_view reason);
     /// Whether orders may be given now: the right to the shard is fresh.
     bool has_right() const;
+    /// For orders to hosts: that this owner still has its right when they are
+    /// written.
+    send_permission permission();
     bool may_speak() const;
 
     node_context& context_;
--- a/src/libnode/fleet_duty.cpp
+++ b/src/libnode/fleet_duty.cpp
@@ -61,7 +61,7 @@
     : context_(context),
       store_(store),
       router_(router),
-      platform_(context),
+      platform_(context, [this] { return has_right(); }),
       claim_(context, store, fleet_shard),
       appends_(
           context.executor,
--- a/src/libnode/machine_client.cpp
+++ b/src/libnode/machine_client.cpp
@@ -19,8 +19,10 @@
 
 } // namespace
 
-machine_client::machine_client(node_context& context)
-    : context_(context), address_(to_string(context.settings.machines.address))
+machine_client::machine_client(node_context& context, send_permission may_order)
+    : context_(context),
+      address_(to_string(context.settings.machines.address)),
+      may_order_(std::move(may_order))
 {}
 
 asio::awaitable<std::optional<std::vector<listed_machine>>>
@@ -58,7 +60,8 @@
 asio::awaitable<machine_answer> machine_client::order(http_request request)
 {
     auto result = co_await context_.connections.exchange(
-        context_.settings.machines.address, std::move(request), call_timeout);
+        context_.settings.machines.address, std::move(request), call_timeout,
+        may_order_);
     context_.metrics.get_counter("tack_machine_calls_total").add();
     if (const auto* response = std::get_if<http_response>(&result))
         co_return platform::decode_machine_answer(*response);
--- a/src/libnode/shard_owner.cpp
+++ b/src/libnode/shard_owner.cpp
@@ -93,6 +93,11 @@
     return !lost_ && claim_.has_right();
 }
 
+send_permission shard_owner::permission()
+{
+    return [self = shared_from_this()] { return self->has_right(); };
+}
+
 void shard_owner::give_up()
 {
     lose("the store can't be used from here");
@@ -538,8 +543,8 @@
         auto request = platform::encode_hold(
             address, host.ack_cursor, lease_end, wait ? hold_wait : 0ms);
         auto result = co_await context_.connections.exchange(
-            *peer, std::move(request),
-            order_timeout + (wait ? hold_wait : 0ms));
+            *peer, std::move(request), order_timeout + (wait ? hold_wait : 0ms),
+            permission());
         if (lost_)
             co_return;
         const auto* response = std::get_if<http_response>(&result);
@@ -629,7 +634,7 @@
             address, order, s->record.spec.text, *lease_end);
         auto result = co_await context_.connections.exchange(
             *peer, std::move(request),
-            order_times_.timeout(static_cast<unsigned>(tries)));
+            order_times_.timeout(static_cast<unsigned>(tries)), permission());
         if (lost_)
             co_return;
         if (std::holds_alternative<http_response>(result))
@@ -668,7 +673,7 @@
             order.host, host->second.entry.address, epoch()};
         auto request = platform::encode_stop(address, order);
         auto result = co_await context_.connections.exchange(
-            *peer, std::move(request), order_times_.timeout(0));
+            *peer, std::move(request), order_times_.timeout(0), permission());
         if (lost_)
             co_return;
         if (const auto* response = std::get_if<http_response>(&result))
@@ -690,7 +695,7 @@
         order.host, host->second.entry.address, epoch()};
     auto request = platform::encode_pace(address, order);
     auto result = co_await context_.connections.exchange(
-        *peer, std::move(request), order_timeout);
+        *peer, std::move(request), order_timeout, permission());
     const auto* response = std::get_if<http_response>(&result);
     context_.log.write(
         "pool", "run_paced",
--- a/src/libutil/http_connection.cpp
+++ b/src/libutil/http_connection.cpp
@@ -126,7 +126,8 @@
 }
 
 asio::awaitable<exchange_result> http_connection::exchange(
-    http_request request, std::chrono::milliseconds timeout)
+    http_request request, std::chrono::milliseconds timeout,
+    send_permission may_send)
 {
     auto& c = *core_;
     if (c.open && !c.quiet())
@@ -141,6 +142,12 @@
             co_return failed(outcome::not_run, "connect", ec);
         }
     }
+    if (may_send && !may_send())
+    {
+        c.stream.expires_never();
+        co_return exchange_error{
+            outcome::not_run, "write: the permission to send has ended"};
+    }
     const auto head = head_of(request);
     const std::array<asio::const_buffer, 2> parts{
         asio::buffer(head), asio::buffer(request.body())};
