Take no run for standing still on a host that is slow to report

Cause: a run counted as standing still when its progress was older than 1.5 s and its host had answered anything since.

Change: progress and its age are read off the reports themselves, by the host's own clock: the newest report that lists the run against the first that showed its present progress.

Ruled out: the time at which a report was asked for; a report waits up to a second for an end, so a real standstill would be found that much later.

Measured: pool_hosts gives_up_nothing_on_a_host_that_is_slow_to_report fails on the code before (one stop), stops_a_run_that_its_reports_show_standing_still holds on both.

--- a/src/include/dandeliontack/pool_engine.hpp
+++ b/src/include/dandeliontack/pool_engine.hpp
@@ -118,7 +118,8 @@
         const ended_row& row);
     std::map<task_ref, host_run>::iterator
     hold_run(host_state& h, const running_row& row, const step_spec* step);
-    void take_running(host_state& h, const running_row& row);
+    void
+    take_running(host_state& h, const running_row& row, host_time reported);
     void find_missing(host_state& h, const pool_event::host_held& e);
     void advance_cursor(host_state& h);
     void release(host_state& h, const task_ref& task, std::string_view reason);
--- a/src/include/dandeliontack/pool_state.hpp
+++ b/src/include/dandeliontack/pool_state.hpp
@@ -94,6 +94,10 @@
     bool confirmed = false;
     boot_time ordered;
     boot_time confirmed_at;
+    /// By the host's clock: the newest report that lists the run, and the
+    /// first one that showed its present progress.
+    std::optional<host_time> listed;
+    host_time progressed{0};
     /// Set once a stop was ordered, and once the host has taken it.
     std::optional<boot_time> stop_ordered;
     std::optional<boot_time> stop_taken;
--- a/src/libsched/pool_engine.cpp
+++ b/src/libsched/pool_engine.cpp
@@ -297,7 +297,7 @@
             row.number, take_end(h, row) ? next_batch_ : 0);
     }
     for (const auto& row : e.report.running)
-        take_running(h, row);
+        take_running(h, row, e.report.clock);
     find_missing(h, e);
     if (!h.contacted)
     {
@@ -736,7 +736,8 @@
     return h.runs.emplace(row.task, run).first;
 }
 
-void pool_engine::take_running(host_state& h, const running_row& row)
+void pool_engine::take_running(
+    host_state& h, const running_row& row, host_time reported)
 {
     auto held = h.runs.find(row.task);
     auto* s = active_submission(row.task.submission);
@@ -781,6 +782,9 @@
     auto& run = held->second;
     run.confirmed = true;
     run.missed = 0;
+    if (!run.listed || run.percent != row.percent)
+        run.progressed = reported;
+    run.listed = reported;
     if (run.confirmed_at == boot_time{})
         run.confirmed_at = now_.steady;
     run.percent = row.percent;
@@ -1003,7 +1007,8 @@
         const auto* step = spec_of(task);
         if (!t || !step || t->phase != task_phase::running)
             continue;
-        const auto still = now_.steady - t->progressed;
+        // A host that only was slow to report has not shown a standstill.
+        const auto still = run.listed.value_or(run.progressed) - run.progressed;
         if (step->long_running)
         {
             if (t->percent < whole && h.fill_percent == whole &&
@@ -1013,9 +1018,8 @@
         }
         if (step->gang)
             continue;
-        if (h.last_answer > t->progressed &&
-            still >
-                std::max<std::chrono::milliseconds>(hang_least, step->estimate))
+        if (still >
+            std::max<std::chrono::milliseconds>(hang_least, step->estimate))
             hung.push_back(task);
     }
     for (const auto& task : again)
--- a/src/libsched/pool_hosts_test.cpp
+++ b/src/libsched/pool_hosts_test.cpp
@@ -381,4 +381,42 @@
     EXPECT_EQ(d.only<pool_effect::stop>(d.all).size(), 1U);
 }
 
+// Hosts answered starts while their reports were lost: what they ran was taken
+// to stand still and stopped.
+TEST(pool_hosts, gives_up_nothing_on_a_host_that_is_slow_to_report)
+{
+    pool_driver d;
+    d.ready({"a"});
+    d.submit(pool_driver::record(2));
+    const auto starts = d.only<pool_effect::start>(d.tick());
+    ASSERT_EQ(starts.size(), 2U);
+    d.hold("a", {runs(0, 1, 10)});
+    d.advance(2500ms);
+    // The second start is answered only now; the host has reported nothing.
+    d.apply(pool_event::start_answered{
+        "a", 1ms, starts[1].task, starts[1].run, start_answer::started,
+        d.now.steady.time_since_epoch()});
+    EXPECT_TRUE(d.only<pool_effect::stop>(d.tick()).empty());
+    d.hold("a", {runs(0, 1, 60), runs(1, 1, 1)});
+    EXPECT_TRUE(d.only<pool_effect::stop>(d.tick()).empty());
+}
+
+TEST(pool_hosts, stops_a_run_that_its_reports_show_standing_still)
+{
+    pool_driver d;
+    d.ready({"a", "b"});
+    d.submit(pool_driver::record(1));
+    const auto starts = d.only<pool_effect::start>(d.tick());
+    ASSERT_EQ(starts.size(), 1U);
+    d.answer_starts(d.all);
+    for (int i = 0; i < 9; ++i)
+    {
+        d.hold(starts[0].host, {runs(0, 1, 10)});
+        d.advance(200ms);
+    }
+    const auto stops = d.only<pool_effect::stop>(d.tick());
+    ASSERT_EQ(stops.size(), 1U);
+    EXPECT_EQ(stops[0].task, task(0));
+}
+
 } // namespace dandeliontack::test
