Order machines for what will arrive when they come

Cause: turns swell for some four seconds, a machine takes 2.2 s from the decision to its first task, and a submission has 1.4 s to spare. Machines were ordered for what arrived now, and those of an ebbing turn went through standby to the next pool.

Change: what arrives is extrapolated by the time that a machine takes: a rise of the fast window over the slow one by more than their common deviation goes on for so long, a fall of as much leaves the fast window alone. A pool whose surplus has lasted 0.5 s gives its machines before standby does.

--- a/src/include/dandeliontack/fleet_balance.hpp
+++ b/src/include/dandeliontack/fleet_balance.hpp
@@ -23,6 +23,9 @@
     /// More than enough must have lasted this long before a machine goes to
     /// standby, so that the end of one task does not send it there.
     std::chrono::milliseconds surplus{1200};
+    /// More than enough for so long is the end of a turn, not a gap between
+    /// two submissions: the machines then go where others are lacking.
+    std::chrono::milliseconds ebb{500};
     /// What tasks of uneven sizes leave unused of a host.
     double fragmentation = 1.15;
     /// The fewest machines that a pool with an owner keeps.
@@ -81,7 +84,11 @@
         const std::set<std::string>& kept) const;
     const listed_machine*
     take(std::vector<const listed_machine*>& from, const std::string& to) const;
-    void fill(round& now) const;
+    void note_surplus(const round& now, boot_time time);
+    std::int64_t* giver(
+        round& now, std::chrono::milliseconds least, boot_time time,
+        std::string& name) const;
+    void fill(round& now, boot_time time) const;
     void lend(const round& now);
     void release(round& now, const std::string& standby, boot_time time);
 
--- a/src/include/dandeliontack/pool_demand.hpp
+++ b/src/include/dandeliontack/pool_demand.hpp
@@ -30,7 +30,8 @@
     /// The same of submissions that can't end within their objective any more.
     double late_running = 0;
     double late_ms = 0;
-    /// Host milliseconds that arrived a second, of late.
+    /// Host milliseconds that will arrive a second when a machine that is
+    /// ordered now takes tasks.
     double arriving_ms = 0;
     /// Hosts that may take tasks.
     std::uint32_t hosts = 0;
--- a/src/libnode/tack_node_settings.cpp
+++ b/src/libnode/tack_node_settings.cpp
@@ -164,6 +164,13 @@
     terms.longest_hold = milliseconds_of(bounds.hold_max_ms);
     terms.leases.lease = std::min(terms.leases.lease, terms.longest_hold);
     terms.stop_bound = milliseconds_of(bounds.stop_ms);
+    // A round of the fleet duty, the order's note, and the new host's entry,
+    // record and first answer.
+    constexpr auto around_a_move = std::chrono::milliseconds(700);
+    terms.machine_lead =
+        std::chrono::round<std::chrono::milliseconds>(
+            std::chrono::duration<double>(settings.machines.move_seconds)) +
+        around_a_move;
     terms.keep_finished =
         std::chrono::round<std::chrono::milliseconds>(
             std::chrono::duration<double>(bounds.status_seconds)) +
--- a/src/libsched/arrival_rate_test.cpp
+++ b/src/libsched/arrival_rate_test.cpp
@@ -46,4 +46,47 @@
     EXPECT_LT(rate.rate(start + 5s + 5s), 5.0);
 }
 
+// Pattern of load: a turn that swells by 60 submissions a second each second
+// for 5 s. A machine that is ordered now serves what arrives 2 s later.
+TEST(arrival_rate, goes_on_with_a_rise_for_as_long_as_a_machine_takes)
+{
+    arrival_rate rate;
+    const auto rate_at = [](std::chrono::milliseconds t) {
+        return 60.0 * std::chrono::duration<double>(t).count();
+    };
+    double owed = 0;
+    for (auto t = 0ms; t < 2500ms; t += 1ms)
+        for (owed += rate_at(t) / 1000; owed >= 1; owed -= 1)
+            rate.add(1, start + t);
+    const auto now = start + 2500ms;
+    // At least half of what is missing, and not more than that.
+    const double coming = rate_at(4500ms);
+    EXPECT_GT(rate.expected(now, 2000ms), (rate.rate(now) + coming) / 2);
+    EXPECT_LT(rate.expected(now, 2000ms), coming);
+}
+
+TEST(arrival_rate, expects_no_more_than_the_rate_where_it_is_steady)
+{
+    for (const auto gap : {5ms, 40ms, 300ms})
+    {
+        const auto even = steady(1, gap, 10s);
+        EXPECT_EQ(even.expected(start + 10s, 2s), even.rate(start + 10s));
+    }
+}
+
+TEST(arrival_rate, expects_less_as_soon_as_a_turn_ebbs)
+{
+    const auto rate = steady(1, 5ms, 5s);
+    EXPECT_LT(rate.expected(start + 5600ms, 2s), rate.rate(start + 5600ms) / 2);
+}
+
+// Pattern of load: a few large submissions a turn say little of the next.
+TEST(arrival_rate, takes_two_large_submissions_for_no_rise)
+{
+    auto rate = steady(100, 10s, 100s);
+    rate.add(100, start + 100s + 100ms);
+    const auto now = start + 100s + 100ms;
+    EXPECT_EQ(rate.expected(now, 2s), rate.rate(now));
+}
+
 } // namespace dandeliontack
--- a/src/libsched/fleet_balance.cpp
+++ b/src/libsched/fleet_balance.cpp
@@ -127,10 +127,38 @@
     return machine;
 }
 
-// One machine at a time, from standby, else from the pool that has most to
-// spare: pools without a place for their lasting tasks take first, which wait
-// for no turn, then the pool that lacks most.
-void fleet_balance::fill(round& now) const
+// Since when each pool has had more than it needs.
+void fleet_balance::note_surplus(const round& now, boot_time time)
+{
+    for (const auto& [pool, spare] : now.surplus)
+        if (spare > 0)
+            surplus_since_.try_emplace(pool, time);
+        else
+            surplus_since_.erase(pool);
+}
+
+// The pool that has most to spare for longer than `least`, and runs nothing on
+// it; null where there is none.
+std::int64_t* fleet_balance::giver(
+    round& now, std::chrono::milliseconds least, boot_time time,
+    std::string& name) const
+{
+    std::int64_t* most = nullptr;
+    for (auto& [pool, spare] : now.surplus)
+        if (spare > 0 && !now.idle[pool].empty() &&
+            time - surplus_since_.at(pool) >= least && (!most || spare > *most))
+        {
+            most = &spare;
+            name = pool;
+        }
+    return most;
+}
+
+// One machine at a time: from the pool whose turn is over, which saves the way
+// through standby, then from standby, else from any pool with more than it
+// needs now. Pools without a place for their lasting tasks take first, which
+// wait for no turn, then the pool that lacks most.
+void fleet_balance::fill(round& now, boot_time time) const
 {
     while (now.moves.size() < terms_.most_moves)
     {
@@ -142,21 +170,24 @@
             });
         if (needy == now.surplus.end() || needy->second >= 0)
             return;
-        const auto* machine = take(now.off, needy->first);
+        std::string from;
+        auto* spare = giver(now, terms_.ebb, time, from);
+        const auto* machine =
+            spare ? take(now.idle[from], needy->first) : nullptr;
         if (!machine)
         {
-            const auto giver = std::ranges::max_element(
-                now.surplus, {}, [&](const auto& item) {
-                    return now.idle[item.first].empty() ? std::int64_t{0}
-                                                        : item.second;
-                });
-            if (giver->second <= 0)
-                return;
-            machine = take(now.idle[giver->first], needy->first);
-            if (!machine)
-                return;
-            --giver->second;
+            spare = nullptr;
+            machine = take(now.off, needy->first);
+        }
+        if (!machine)
+        {
+            spare = giver(now, {}, time, from);
+            machine = spare ? take(now.idle[from], needy->first) : nullptr;
         }
+        if (!machine)
+            return;
+        if (spare)
+            --*spare;
         now.moves.push_back({*machine, needy->first});
         ++needy->second;
         ++now.floor_surplus[needy->first];
@@ -197,13 +228,9 @@
 {
     for (auto& [pool, spare] : now.surplus)
     {
-        if (spare <= 0)
-        {
-            surplus_since_.erase(pool);
-            continue;
-        }
-        const auto since = surplus_since_.try_emplace(pool, time).first->second;
-        while (time - since >= terms_.surplus && spare > 0 &&
+        const auto since = surplus_since_.find(pool);
+        while (since != surplus_since_.end() &&
+               time - since->second >= terms_.surplus && spare > 0 &&
                now.moves.size() < terms_.most_moves)
         {
             const auto* machine = take(now.idle[pool], standby);
@@ -222,7 +249,8 @@
     boot_time now)
 {
     auto current = look(demands, machines, standby, kept);
-    fill(current);
+    note_surplus(current, now);
+    fill(current, now);
     lend(current);
     if (!standby.empty())
         release(current, *standby.begin(), now);
--- a/src/libsched/fleet_balance_test.cpp
+++ b/src/libsched/fleet_balance_test.cpp
@@ -72,6 +72,26 @@
         moves, [](const auto& move) { return move.to_pool == "busy"; }));
 }
 
+// Pattern of load: one pool's turn ebbs while the next one's swells. A machine
+// that goes by way of standby costs a move more.
+TEST(fleet_balance, moves_machines_of_an_ebbing_turn_before_standby)
+{
+    const auto busy = machines("busy", 8);
+    const auto calm = machines("calm", 8);
+    const auto all = join(join(busy, calm), machines("off", 4, true));
+    fleet_balance balance{balance_terms{}};
+    balance.plan(
+        {demand("busy", 6, 0), demand("calm", 0, 0, calm)}, all, standby, {},
+        boot_time(1h));
+    const auto moves = balance.plan(
+        {demand("busy", 8, 3000), demand("calm", 0, 0, calm)}, all, standby, {},
+        boot_time(1h) + 600ms);
+    ASSERT_FALSE(moves.empty());
+    EXPECT_TRUE(std::ranges::all_of(moves, [](const auto& move) {
+        return move.machine.pool == "calm" && move.to_pool == "busy";
+    }));
+}
+
 TEST(fleet_balance, sends_machines_to_standby_only_after_a_while)
 {
     const auto calm = machines("calm", 8);
