Let no exception end a part of a node in silence

Cause: 20 coroutines were started detached: one that ended by an exception was dropped without a word, and the node went on without its registry, its claims or the holds of a host.

Change: spawn logs and counts a part that failed. What must go on for as long as the process begins anew after 0.2 s; an owner or a duty of which a part failed gives its shard up, and the next one begins from what is stored. The duty also writes down twice a second what its decisions about machines rest on (demand_seen), and changes gather for 20 ms instead of 10, as an append is priced and a submission has over a second to spare.

Ruled out: ending the process, which would take down what works.

--- a/src/include/dandeliontack/fleet_duty.hpp
+++ b/src/include/dandeliontack/fleet_duty.hpp
@@ -46,6 +46,7 @@
     bool is_lost() const;
 
 private:
+    void run_part(std::string_view name, boost::asio::awaitable<void> part);
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<void> renew();
     boost::asio::awaitable<bool> load();
@@ -76,6 +77,9 @@
     /// The answers of the owners that could be asked, by cell.
     boost::asio::awaitable<std::vector<std::vector<pool_demand>>>
     collect_demands();
+    void log_demands(
+        const std::vector<std::vector<pool_demand>>& demands,
+        const std::vector<std::vector<listed_machine>>& machines);
     std::set<std::string> kept_machines() const;
     bool
     is_kept_empty(const std::string& host, std::chrono::milliseconds age) const;
@@ -114,6 +118,7 @@
     /// When this holder may order machines about that a past one did.
     std::map<std::string, boot_time> rested_at_;
     boot_time taken_;
+    boot_time demands_logged_;
     append_queue appends_;
     fenced_writer registry_writer_;
     append_queue announcements_;
--- a/src/include/dandeliontack/shard_owner.hpp
+++ b/src/include/dandeliontack/shard_owner.hpp
@@ -69,6 +69,8 @@
     boost::asio::awaitable<void> store_changes();
     boost::asio::awaitable<void> plan_regularly();
     boost::asio::awaitable<void> look_for_unmet_hosts();
+    void hold_hosts();
+    void run_part(std::string_view name, boost::asio::awaitable<void> part);
     boost::asio::awaitable<void> hold_host(std::string host);
     boost::asio::awaitable<void> send_orders(std::string host);
     boost::asio::awaitable<void> send_start(pool_effect::start order);
--- a/src/libnode/fleet_duty.cpp
+++ b/src/libnode/fleet_duty.cpp
@@ -1,11 +1,13 @@
 #include <dandeliontack/fleet_duty.hpp>
 #include <dandeliontack/pause.hpp>
+#include <dandeliontack/spawn.hpp>
 
 #include <boost/asio.hpp>
 #include <platform/operator_records.hpp>
 #include <platform/store_codec.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <ranges>
 #include <utility>
 
@@ -35,6 +37,8 @@
 constexpr auto ask_patience = 600ms;
 // Announcements of nodes gather this long, well under their interval.
 constexpr auto announcements_gather = 80ms;
+// Between two lines about the demand of a pool.
+constexpr auto demands_log_interval = 500ms;
 // Nodes announce themselves without the duty after about this long.
 constexpr auto announcements_patience = 1000ms;
 constexpr std::string_view progress_prefix = "w/";
@@ -105,6 +109,15 @@
         log_line().add("epoch", claim_.epoch()).add("reason", reason));
 }
 
+// A duty of which a part has failed is given up; its next holder begins from
+// what is stored.
+void fleet_duty::run_part(std::string_view name, asio::awaitable<void> part)
+{
+    spawn(context_, name, std::move(part), [self = shared_from_this()] {
+        self->lose("a part of the duty failed");
+    });
+}
+
 asio::awaitable<bool> fleet_duty::take_over(std::uint64_t last)
 {
     const auto self = shared_from_this();
@@ -115,9 +128,8 @@
         co_return false;
     }
     // Others learn of the claim at once, so that they don't claim in turn.
-    asio::co_spawn(
-        context_.executor,
-        claim_.announce_until([self] { return self->lost_; }), asio::detached);
+    run_part(
+        "announcement", claim_.announce_until([self] { return self->lost_; }));
     const bool loaded = co_await load();
     if (!loaded)
     {
@@ -128,8 +140,8 @@
     taken_ = read_clocks().steady;
     context_.log.write(
         "fleet", "duty_taken", log_line().add("epoch", claim_.epoch()));
-    asio::co_spawn(context_.executor, renew(), asio::detached);
-    asio::co_spawn(context_.executor, run(), asio::detached);
+    run_part("renewal", renew());
+    run_part("rounds", run());
     co_return true;
 }
 
@@ -411,13 +423,11 @@
     }
     for (const auto& machine : step.evacuate)
         if (emptying_.insert(machine.host).second)
-            asio::co_spawn(
-                context_.executor, empty_host(machine), asio::detached);
+            run_part("emptying", empty_host(machine));
     for (const auto& machine : step.order)
         if (!lost_ && is_rested(machine.name) &&
             waves_[name].ordering.insert(machine.name).second)
-            asio::co_spawn(
-                context_.executor, order_upkeep(name, machine), asio::detached);
+            run_part("upkeep", order_upkeep(name, machine));
 }
 
 asio::awaitable<void> fleet_duty::empty_host(listed_machine machine)
@@ -604,6 +614,43 @@
     return out;
 }
 
+// What the decisions about machines rest on, for each pool of each cell.
+void fleet_duty::log_demands(
+    const std::vector<std::vector<pool_demand>>& demands,
+    const std::vector<std::vector<listed_machine>>& machines)
+{
+    const auto now = read_clocks().steady;
+    if (now - demands_logged_ < demands_log_interval)
+        return;
+    demands_logged_ = now;
+    constexpr double tenths = 10;
+    const auto rounded = [](double hosts) {
+        return std::to_string(std::round(hosts * tenths) / tenths).substr(0, 6);
+    };
+    for (cell_id cell = 0; cell < demands.size(); ++cell)
+        for (const auto& demand : demands[cell])
+            context_.log.write(
+                "fleet", "demand_seen",
+                log_line()
+                    .add("pool", demand.pool)
+                    .add("cell", cell)
+                    .add(
+                        "machines", std::int64_t{std::ranges::count(
+                                        machines[cell], demand.pool,
+                                        &listed_machine::pool)})
+                    .add("wanted", balances_[cell].wanted(demand))
+                    .add("hosts", demand.hosts)
+                    .add("leaving", demand.leaving)
+                    .add("idle", std::uint64_t{demand.idle.size()})
+                    .add("running", rounded(demand.running))
+                    .add("lasting", rounded(demand.lasting))
+                    .add("lasting_hosts", demand.lasting_hosts)
+                    .add("waiting_ms", rounded(demand.waiting_ms))
+                    .add("arriving_ms", rounded(demand.arriving_ms))
+                    .add("late_running", rounded(demand.late_running))
+                    .add("late_ms", rounded(demand.late_ms)));
+}
+
 asio::awaitable<void> fleet_duty::balance()
 {
     const auto self = shared_from_this();
@@ -635,6 +682,7 @@
     for (const auto& machine : machines_)
         machines[cell_of_host(*layout, machine.rack, machine.host)].push_back(
             machine);
+    log_demands(demands, machines);
     const auto kept = kept_machines();
     std::vector<machine_move> moves;
     for (cell_id cell = 0; cell < layout->cells; ++cell)
@@ -657,7 +705,7 @@
     {
         if (!noted)
             break;
-        asio::co_spawn(context_.executor, move(order), asio::detached);
+        run_part("move", move(order));
     }
 }
 
--- a/src/libnode/shard_owner.cpp
+++ b/src/libnode/shard_owner.cpp
@@ -2,6 +2,7 @@
 #include <dandeliontack/machine_client.hpp>
 #include <dandeliontack/pause.hpp>
 #include <dandeliontack/shard_owner.hpp>
+#include <dandeliontack/spawn.hpp>
 
 #include <boost/asio.hpp>
 #include <platform/host_calls.hpp>
@@ -21,7 +22,7 @@
 using namespace std::chrono_literals;
 
 // Changes gather this long before they are stored together.
-constexpr auto gather_time = 10ms;
+constexpr auto gather_time = 20ms;
 constexpr auto plan_delay = 8ms;
 constexpr auto plan_interval = 200ms;
 // The longest that a host may take for an order, and how often a start is
@@ -124,11 +125,9 @@
         co_return false;
     }
     // Others learn of the claim at once, so that they don't claim in turn.
-    asio::co_spawn(
-        context_.executor, claim_.announce_until([self] {
-            return self->lost_ || self->stopping_;
-        }),
-        asio::detached);
+    run_part("announcement", claim_.announce_until([self] {
+        return self->lost_ || self->stopping_;
+    }));
     const bool loaded = co_await load();
     if (!loaded)
     {
@@ -138,12 +137,10 @@
     }
     engine_->begin(read_clocks());
     serving_ = true;
-    asio::co_spawn(context_.executor, store_changes(), asio::detached);
-    asio::co_spawn(context_.executor, plan_regularly(), asio::detached);
-    asio::co_spawn(context_.executor, look_for_unmet_hosts(), asio::detached);
-    for (const auto& [id, host] : engine_->hosts())
-        if (held_hosts_.insert(id).second)
-            asio::co_spawn(context_.executor, hold_host(id), asio::detached);
+    run_part("changes", store_changes());
+    run_part("plans", plan_regularly());
+    run_part("unmet hosts", look_for_unmet_hosts());
+    hold_hosts();
     context_.log.write(
         "owner", "shard_taken",
         log_line()
@@ -282,9 +279,23 @@
     if (!serving_ || lost_)
         return;
     apply(pool_event::hosts_listed{std::move(entries)});
+    hold_hosts();
+}
+
+void shard_owner::hold_hosts()
+{
     for (const auto& [id, host] : engine_->hosts())
         if (held_hosts_.insert(id).second)
-            asio::co_spawn(context_.executor, hold_host(id), asio::detached);
+            run_part("hold", hold_host(id));
+}
+
+// An owner of which a part has failed must not go on without it: the shard is
+// given up, and its next owner begins from what is stored.
+void shard_owner::run_part(std::string_view name, asio::awaitable<void> part)
+{
+    spawn(context_, name, std::move(part), [self = shared_from_this()] {
+        self->lose("a part of the owner failed");
+    });
 }
 
 void shard_owner::poke()
@@ -312,9 +323,7 @@
         }
         if (auto* question = std::get_if<pool_effect::advise>(&effect))
         {
-            asio::co_spawn(
-                context_.executor, ask_advice(std::move(*question)),
-                asio::detached);
+            run_part("advice", ask_advice(std::move(*question)));
             continue;
         }
         std::string host;
@@ -329,8 +338,7 @@
         if (queue.sending < orders_at_once)
         {
             ++queue.sending;
-            asio::co_spawn(
-                context_.executor, send_orders(host), asio::detached);
+            run_part("orders", send_orders(host));
         }
     }
 }
--- a/src/libnode/tack_node.cpp
+++ b/src/libnode/tack_node.cpp
@@ -1,5 +1,6 @@
 #include <dandeliontack/pause.hpp>
 #include <dandeliontack/program.hpp>
+#include <dandeliontack/spawn.hpp>
 #include <dandeliontack/tack_node.hpp>
 
 #include <boost/asio.hpp>
@@ -126,15 +127,15 @@
     announce("metrics", metrics_.listen(listen.metrics));
     announce("callers", callers_.listen(listen.callers));
     announce("readiness", readiness_.listen(listen.readiness));
-    const auto spawn = [this](asio::awaitable<void> task) {
-        asio::co_spawn(context_.executor, std::move(task), asio::detached);
+    const auto go_on = [this](std::string_view name, auto make) {
+        spawn_for_good(context_, name, std::move(make));
     };
-    spawn(operator_records_.run());
-    spawn(registry_.run());
-    spawn(announce_regularly());
-    spawn(learn_layout());
-    spawn(claim_regularly());
-    spawn(write_log_regularly());
+    go_on("operator records", [this] { return operator_records_.run(); });
+    go_on("registry", [this] { return registry_.run(); });
+    go_on("announcements", [this] { return announce_regularly(); });
+    go_on("layout", [this] { return learn_layout(); });
+    go_on("claims", [this] { return claim_regularly(); });
+    go_on("log", [this] { return write_log_regularly(); });
 }
 
 bool tack_node::is_ready() const
@@ -455,10 +456,10 @@
             if (held.contains(shard) || too_soon ||
                 !claiming_.insert(shard).second)
                 continue;
-            asio::co_spawn(
-                context_.executor,
+            spawn(
+                context_, "claim",
                 shard == fleet_shard ? claim_duty() : claim(shard),
-                asio::detached);
+                [this, shard] { claiming_.erase(shard); });
         }
     }
 }
@@ -506,8 +507,9 @@
     {
         router_.own(owner);
         if (!std::exchange(hosts_followed_, true))
-            asio::co_spawn(
-                context_.executor, host_records_.run(), asio::detached);
+            spawn_for_good(context_, "host records", [this] {
+                return host_records_.run();
+            });
         hosts_changed_ = true;
         list_hosts();
     }
@@ -560,7 +562,7 @@
     announce_now_.notify();
     callers_.close_after_responses();
     const auto done = std::make_shared<bool>(false);
-    asio::co_spawn(context_.executor, hand_over_all(done), asio::detached);
+    spawn(context_, "hand-over", hand_over_all(done));
     while (spent() < rotation_time)
         co_await pause_for(context_.executor, log_interval);
     const auto left = grace - stop_margin - spent();
