Forecast arrivals over all cells, and gather the lasting work of a pool in one

Cause: a cell sees an eighth of a turn's beginning, too little to be certain of a rise for a second; and lasting submissions, dealt to cells by id, each held some 24 hosts in another cell and pool.

Change: owners report what their windows have seen; the fleet duty adds the cells up, forecasts the sum and shares it out. Lasting submissions go to one cell of their pool; who asks for an id asks that cell second.

Ruled out: fewer cells (an owner's processor is full at some 900 starts a second on half a core).

--- a/src/include/dandeliontack/caller_front.hpp
+++ b/src/include/dandeliontack/caller_front.hpp
@@ -43,8 +43,8 @@
     boost::asio::awaitable<http_response> state(subject& what);
     boost::asio::awaitable<http_response> cancel(subject& what);
     boost::asio::awaitable<http_response> pending(const subject& what);
-    /// Asks the cell that the id speaks for first, then those that took what
-    /// belongs to their racks. `not_found` means that none knows it.
+    /// Asks one cell after the other, the likeliest first. `not_found` means
+    /// that none knows it.
     boost::asio::awaitable<shard_answer>
     ask_about(subject& what, shard_call::verb verb, std::uint64_t id);
     shard_id shard_in(const subject& what, cell_id cell) const;
--- a/src/include/dandeliontack/fleet_layout.hpp
+++ b/src/include/dandeliontack/fleet_layout.hpp
@@ -47,8 +47,16 @@
 cell_id home_cell(const fleet_layout& layout, std::uint64_t submission);
 
 /// The cell that accepts a submission: the one of the rack that holds its
-/// data, else its home cell.
+/// data; that of the pool's lasting tasks where it has any; else its home cell.
+/// Pattern of load: a lasting step spreads its tasks over as many hosts, one on
+/// each, which then can't leave the pool. In one cell such steps share them.
 cell_id cell_of_submission(
-    const fleet_layout& layout, std::uint64_t id, const submission_spec& spec);
+    const fleet_layout& layout, std::uint64_t id, const submission_spec& spec,
+    std::string_view pool);
+
+/// The cells in which a submission may be of which the id and the pool are
+/// known, the likeliest first.
+std::vector<cell_id> cells_to_ask(
+    const fleet_layout& layout, std::uint64_t id, std::string_view pool);
 
 } // namespace dandeliontack
--- a/src/include/dandeliontack/pool_demand.hpp
+++ b/src/include/dandeliontack/pool_demand.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <dandeliontack/arrival_rate.hpp>
+
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -33,6 +35,8 @@
     /// Host milliseconds that will arrive a second when a machine that is
     /// ordered now takes tasks.
     double arriving_ms = 0;
+    /// What `arriving_ms` was worked out from, in the cell of this demand.
+    arrival_levels arrivals;
     /// Hosts that may take tasks.
     std::uint32_t hosts = 0;
     /// Hosts that are being emptied or leave, and take no tasks.
@@ -50,4 +54,11 @@
 /// their machines can join a pool that needs them more.
 using lendings = std::map<std::string, std::uint32_t>;
 
+/// Works out what will arrive in each pool of each cell, from what all cells
+/// have seen of the pool: submissions are spread evenly over cells, and the
+/// beginning of a turn is certain sooner where more of it is seen.
+void expect_arrivals(
+    std::vector<std::vector<pool_demand>>& cells,
+    std::chrono::milliseconds lead);
+
 } // namespace dandeliontack
--- a/src/include/dandeliontack/pool_engine.hpp
+++ b/src/include/dandeliontack/pool_engine.hpp
@@ -18,8 +18,6 @@
     std::chrono::milliseconds stop_bound{1000};
     /// The longest lease that a host grants.
     std::chrono::milliseconds longest_hold{10'000};
-    /// From the decision that a machine moves until its host takes tasks.
-    std::chrono::milliseconds machine_lead{2200};
     /// How long a finished submission stays known.
     std::chrono::milliseconds keep_finished{180'000};
 };
--- a/src/include/dandeliontack/tack_node_settings.hpp
+++ b/src/include/dandeliontack/tack_node_settings.hpp
@@ -33,6 +33,8 @@
     std::uint64_t partitions = 8;
     std::uint64_t record_bytes = 256 * 1024;
     std::uint64_t call_bytes = 2 * 1024 * 1024;
+    /// What the store reads for all nodes together; 0 for no bound.
+    double read_mb_per_second = 0;
 };
 
 /// Section `[machines]`: where machines are listed and ordered about.
@@ -63,6 +65,8 @@
     double status_seconds = 120;
     double grace_seconds = 6;
     double lease_ms = 3000;
+    /// Within this a configuration is in force on every node.
+    double config_ms = 2000;
 };
 
 /// Section `[limits]`: what the machine gives the process.
@@ -91,5 +95,7 @@
 
 /// What the pools are decided by under these settings.
 pool_terms pool_terms_of(const tack_node_settings& settings);
+/// From the decision that a machine moves until its host takes tasks.
+std::chrono::milliseconds machine_lead_of(const tack_node_settings& settings);
 
 } // namespace dandeliontack
--- a/src/libnode/caller_front.cpp
+++ b/src/libnode/caller_front.cpp
@@ -204,7 +204,9 @@
         co_return retry_later(
             "too little time", "the time that is left is too short to store a "
                                "submission; nothing was sent to its owner");
-    what.shard = shard_in(what, cell_of_submission(what.layout, *id, spec));
+    what.shard = shard_in(
+        what,
+        cell_of_submission(what.layout, *id, spec, what.queue.terms.pool));
     shard_call call{shard_call::verb::submit, what.shard, *id, {}, {}};
     call.record = submission_record{
         *id, std::move(spec), what.queue.terms, read_clocks().wall, 0};
@@ -225,11 +227,10 @@
 caller_front::ask_about(subject& what, shard_call::verb verb, std::uint64_t id)
 {
     const auto began = read_clocks().steady;
-    const auto home = home_cell(what.layout, id);
     shard_answer answer;
-    for (cell_id i = 0; i < what.layout.cells; ++i)
+    for (const auto cell : cells_to_ask(what.layout, id, what.queue.terms.pool))
     {
-        what.shard = shard_in(what, (home + i) % what.layout.cells);
+        what.shard = shard_in(what, cell);
         shard_call call{verb, what.shard, id, {}, {}};
         const auto left = std::max<std::chrono::milliseconds>(
             what.patience - (read_clocks().steady - began), 1ms);
--- a/src/libnode/fleet_duty.cpp
+++ b/src/libnode/fleet_duty.cpp
@@ -24,7 +24,7 @@
 constexpr auto retry_pause = 150ms;
 // How often the machines and the pools' demand are looked at, and while the
 // duty has no right to order.
-constexpr auto look_interval = 250ms;
+constexpr auto look_interval = 150ms;
 constexpr auto idle_interval = 400ms;
 // A move that the platform has not answered is ordered again for this long.
 constexpr int move_tries = 4;
@@ -665,7 +665,8 @@
     for (const auto& pool : table_->pools)
         if (pool.standby)
             standby.insert(pool.name);
-    const auto demands = co_await collect_demands();
+    auto demands = co_await collect_demands();
+    expect_arrivals(demands, machine_lead_of(context_.settings));
     idle_.clear();
     for (const auto& demand : demands | std::views::join)
         idle_.insert(demand.idle.begin(), demand.idle.end());
--- a/src/libnode/stored_records.cpp
+++ b/src/libnode/stored_records.cpp
@@ -309,7 +309,10 @@
         row.set_waiting_ms(demand.waiting_ms);
         row.set_late_running(demand.late_running);
         row.set_late_ms(demand.late_ms);
-        row.set_arriving_ms(demand.arriving_ms);
+        row.set_fast_rate(demand.arrivals.fast.rate);
+        row.set_fast_variance(demand.arrivals.fast.variance);
+        row.set_slow_rate(demand.arrivals.slow.rate);
+        row.set_slow_variance(demand.arrivals.slow.variance);
         row.set_hosts(demand.hosts);
         row.set_lasting_hosts(demand.lasting_hosts);
         row.set_leaving(demand.leaving);
@@ -333,7 +336,9 @@
              row.waiting_ms(),
              row.late_running(),
              row.late_ms(),
-             row.arriving_ms(),
+             0,
+             {{row.fast_rate(), row.fast_variance()},
+              {row.slow_rate(), row.slow_variance()}},
              row.hosts(),
              row.leaving(),
              row.lasting_hosts(),
--- a/src/libnode/tack_node_settings.cpp
+++ b/src/libnode/tack_node_settings.cpp
@@ -42,7 +42,10 @@
         row{.key = "call_bytes",
             .member = &s::call_bytes,
             .least = 1024,
-            .most = most_bytes}};
+            .most = most_bytes},
+        row{.key = "read_mb_per_second",
+            .member = &s::read_mb_per_second,
+            .most = 1'000'000}};
     return table;
 }
 
@@ -92,7 +95,8 @@
         row{.key = "grace_seconds",
             .member = &s::grace_seconds,
             .most = longest_seconds},
-        row{.key = "lease_ms", .member = &s::lease_ms, .most = longest_ms}};
+        row{.key = "lease_ms", .member = &s::lease_ms, .most = longest_ms},
+        row{.key = "config_ms", .member = &s::config_ms, .most = longest_ms}};
     return table;
 }
 
@@ -155,6 +159,15 @@
     return settings;
 }
 
+std::chrono::milliseconds machine_lead_of(const tack_node_settings& settings)
+{
+    // A round of the fleet duty, the order's note, and the new host's entry,
+    // record and first answer.
+    constexpr auto around_a_move = std::chrono::milliseconds(600);
+    return milliseconds_of(settings.machines.move_seconds * 1000) +
+           around_a_move;
+}
+
 pool_terms pool_terms_of(const tack_node_settings& settings)
 {
     // What is kept beyond the time for which callers may ask.
@@ -164,13 +177,6 @@
     terms.longest_hold = milliseconds_of(bounds.hold_max_ms);
     terms.leases.lease = std::min(terms.leases.lease, terms.longest_hold);
     terms.stop_bound = milliseconds_of(bounds.stop_ms);
-    // A round of the fleet duty, the order's note, and the new host's entry,
-    // record and first answer.
-    constexpr auto around_a_move = std::chrono::milliseconds(700);
-    terms.machine_lead =
-        std::chrono::round<std::chrono::milliseconds>(
-            std::chrono::duration<double>(settings.machines.move_seconds)) +
-        around_a_move;
     terms.keep_finished =
         std::chrono::round<std::chrono::milliseconds>(
             std::chrono::duration<double>(bounds.status_seconds)) +
--- a/src/libsched/arrival_rate.cpp
+++ b/src/libsched/arrival_rate.cpp
@@ -29,43 +29,48 @@
     }
 }
 
-arrival_rate::level arrival_rate::level_of(const window& w, boot_time now)
+arrival_level arrival_rate::level_of(const window& w, boot_time now)
 {
     const double part = decay(now - w.at, w.length) /
                         std::chrono::duration<double>(w.length).count();
-    return {part * w.sum, part * std::sqrt(w.squares)};
+    return {part * w.sum, part * part * w.squares};
 }
 
-double arrival_rate::rate(boot_time now) const
+arrival_levels arrival_rate::levels(boot_time now) const
 {
-    double most = 0;
-    for (const auto& w : windows_)
-    {
-        const auto seen = level_of(w, now);
-        most = std::max(most, seen.rate - seen.deviation);
-    }
-    return most;
+    return {level_of(windows_.front(), now), level_of(windows_.back(), now)};
+}
+
+arrival_levels& arrival_levels::operator+=(const arrival_levels& other)
+{
+    fast.rate += other.fast.rate;
+    fast.variance += other.fast.variance;
+    slow.rate += other.slow.rate;
+    slow.variance += other.slow.variance;
+    return *this;
+}
+
+double arrival_levels::sure() const
+{
+    return std::max(
+        {fast.rate - std::sqrt(fast.variance),
+         slow.rate - std::sqrt(slow.variance), 0.0});
 }
 
-double
-arrival_rate::expected(boot_time now, std::chrono::milliseconds lead) const
+double arrival_levels::expected(std::chrono::milliseconds lead) const
 {
     using seconds = std::chrono::duration<double>;
-    const auto fast = level_of(windows_.front(), now);
-    const auto slow = level_of(windows_.back(), now);
-    const double deviation = std::hypot(fast.deviation, slow.deviation);
+    const double deviation = std::sqrt(fast.variance + slow.variance);
     const double rise = fast.rate - slow.rate - deviation;
     if (rise > 0)
     {
         // A window shows what was its length ago.
-        const seconds between =
-            windows_.back().length - windows_.front().length;
-        const seconds ahead = lead + windows_.front().length;
+        constexpr seconds between =
+            arrival_rate::slow_window - arrival_rate::fast_window;
+        const seconds ahead = lead + arrival_rate::fast_window;
         return fast.rate + rise * ahead.count() / between.count();
     }
-    if (fast.rate + deviation < slow.rate)
-        return fast.rate;
-    return rate(now);
+    return fast.rate + deviation < slow.rate ? fast.rate : sure();
 }
 
 } // namespace dandeliontack
--- a/src/libsched/fleet_balance.cpp
+++ b/src/libsched/fleet_balance.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <ranges>
 
 namespace dandeliontack
 {
@@ -46,6 +47,32 @@
     return std::max<std::size_t>(static_cast<std::size_t>(orders), 1);
 }
 
+void expect_arrivals(
+    std::vector<std::vector<pool_demand>>& cells,
+    std::chrono::milliseconds lead)
+{
+    struct pooled
+    {
+        arrival_levels levels;
+        double cells = 0;
+    };
+    std::map<std::string, pooled> pools;
+    for (const auto& demand : cells | std::views::join)
+    {
+        auto& all = pools[demand.pool];
+        all.levels += demand.arrivals;
+        ++all.cells;
+    }
+    for (auto& demand : cells | std::views::join)
+    {
+        const auto& all = pools.at(demand.pool);
+        // A cell that has more than its share keeps what it sees itself.
+        demand.arriving_ms = std::max(
+            all.levels.expected(lead) / all.cells,
+            all.cells > 1 ? demand.arrivals.expected({}) : 0.0);
+    }
+}
+
 // What a round of planning looks at.
 struct fleet_balance::round
 {
--- a/src/libsched/fleet_layout.cpp
+++ b/src/libsched/fleet_layout.cpp
@@ -2,6 +2,7 @@
 #include <dandeliontack/stable_hash.hpp>
 
 #include <algorithm>
+#include <iterator>
 
 namespace dandeliontack
 {
@@ -57,12 +58,30 @@
 }
 
 cell_id cell_of_submission(
-    const fleet_layout& layout, std::uint64_t id, const submission_spec& spec)
+    const fleet_layout& layout, std::uint64_t id, const submission_spec& spec,
+    std::string_view pool)
 {
     const auto step = std::ranges::find_if(
         spec.steps, [](const step_spec& s) { return !s.rack.empty(); });
-    return step == spec.steps.end() ? home_cell(layout, id)
-                                    : cell_of_host(layout, step->rack, {});
+    if (step != spec.steps.end())
+        return cell_of_host(layout, step->rack, {});
+    return std::ranges::any_of(spec.steps, &step_spec::long_running)
+               ? cell_of_name(layout, pool)
+               : home_cell(layout, id);
+}
+
+std::vector<cell_id> cells_to_ask(
+    const fleet_layout& layout, std::uint64_t id, std::string_view pool)
+{
+    std::vector<cell_id> order{
+        home_cell(layout, id), cell_of_name(layout, pool)};
+    for (cell_id cell = 0; cell < layout.cells; ++cell)
+        order.push_back(cell);
+    std::vector<cell_id> out;
+    std::ranges::copy_if(order, std::back_inserter(out), [&](cell_id cell) {
+        return std::ranges::find(out, cell) == out.end();
+    });
+    return out;
 }
 
 } // namespace dandeliontack
--- a/src/libsched/fleet_layout_test.cpp
+++ b/src/libsched/fleet_layout_test.cpp
@@ -62,10 +62,40 @@
     const auto layout = choose_layout(fleet_of(1100), machines_per_cell);
     submission_spec spec;
     spec.steps.resize(2);
-    EXPECT_EQ(cell_of_submission(layout, 7, spec), home_cell(layout, 7));
+    EXPECT_EQ(
+        cell_of_submission(layout, 7, spec, "pool"), home_cell(layout, 7));
     spec.steps[1].rack = "r3-2";
     EXPECT_EQ(
-        cell_of_submission(layout, 7, spec), cell_of_host(layout, "r3-2", {}));
+        cell_of_submission(layout, 7, spec, "pool"),
+        cell_of_host(layout, "r3-2", {}));
+}
+
+TEST(fleet_layout, gathers_the_lasting_submissions_of_a_pool)
+{
+    const auto layout = choose_layout(fleet_of(1100), machines_per_cell);
+    submission_spec spec;
+    spec.steps.resize(1);
+    spec.steps[0].long_running = true;
+    for (std::uint64_t id = 1; id <= 100; ++id)
+        EXPECT_EQ(
+            cell_of_submission(layout, id, spec, "pool"),
+            cell_of_submission(layout, 0, spec, "pool"));
+}
+
+TEST(fleet_layout, asks_every_cell_once_and_the_likeliest_first)
+{
+    const auto layout = choose_layout(fleet_of(1100), machines_per_cell);
+    auto order = cells_to_ask(layout, 7, "pool");
+    submission_spec lasting;
+    lasting.steps.resize(1);
+    lasting.steps[0].long_running = true;
+    EXPECT_EQ(order[0], home_cell(layout, 7));
+    const auto second = cell_of_submission(layout, 7, lasting, "pool");
+    EXPECT_TRUE(order[0] == second || order[1] == second);
+    std::ranges::sort(order);
+    std::vector<cell_id> all(layout.cells);
+    std::ranges::generate(all, [next = 0U]() mutable { return next++; });
+    EXPECT_EQ(order, all);
 }
 
 TEST(fleet_layout, has_a_cell_for_racks_that_came_later)
--- a/src/libsched/pool_engine.cpp
+++ b/src/libsched/pool_engine.cpp
@@ -1507,8 +1507,7 @@
     {
         demand.pool = pool;
         if (const auto sum = arrivals_.find(pool); sum != arrivals_.end())
-            demand.arriving_ms =
-                sum->second.expected(now.steady, terms_.machine_lead);
+            demand.arrivals = sum->second.levels(now.steady);
         list.push_back(std::move(demand));
     }
     return list;
