Read a large configuration at the pace that the store allows to all nodes

Change: a follower of the operator's topic pauses by the bytes that it read, against its share of half the store's reading, up to 0.3 of the bound in which a configuration has to be in force, and then loads the newest instead of what came in between. A record that was delivered is not delivered again, and none that is older.

Ruled out: reading with a smaller bound (a record comes whole or not at all).

--- a/src/include/dandeliontack/tack_node.hpp
+++ b/src/include/dandeliontack/tack_node.hpp
@@ -44,6 +44,7 @@
     boost::asio::awaitable<shard_answer> store_announcement(std::string record);
     std::chrono::milliseconds announce_interval() const;
     boost::asio::awaitable<void> give_up_through_duty();
+    double read_share() const;
     store_use use_of_store() const;
     std::set<shard_id> held_shards() const;
     boost::asio::awaitable<void> claim_regularly();
--- a/src/libnode/tack_node.cpp
+++ b/src/libnode/tack_node.cpp
@@ -43,7 +43,7 @@
 // is noticed within this and the call's own timeout.
 constexpr auto operator_wait = 800ms;
 constexpr auto registry_interval = 250ms;
-constexpr auto hosts_interval = 150ms;
+constexpr auto hosts_interval = 100ms;
 constexpr auto log_interval = 100ms;
 // How often the layout is asked for until there is one.
 constexpr auto layout_interval = 200ms;
@@ -66,6 +66,17 @@
     return {header_bytes, body_bytes, connections, 60s, 10s};
 }
 
+// A new configuration is in force everywhere within the operator's bound: what
+// a follower may pause, read and load once more stays well under it.
+std::chrono::milliseconds
+configuration_pause(const tack_node_settings& settings)
+{
+    constexpr double share = 0.3;
+    return std::chrono::round<std::chrono::milliseconds>(
+        std::chrono::duration<double, std::milli>(
+            settings.bounds.config_ms * share));
+}
+
 } // namespace
 
 tack_node::tack_node(node_context& context)
@@ -76,10 +87,14 @@
       front_(context, router_),
       operator_records_(
           context, store_,
-          {{std::string(platform::operator_topic), 0}, operator_wait, 0ms},
+          {{std::string(platform::operator_topic), 0},
+           operator_wait,
+           0ms,
+           configuration_pause(context.settings),
+           [this] { return read_share(); }},
           [this](const keyed_record& r) { take_operator_record(r); }, [] {}),
       registry_(
-          context, store_, {registry_place(), 0ms, registry_interval},
+          context, store_, {registry_place(), 0ms, registry_interval, 0ms, {}},
           [this](const keyed_record& r) {
               shards_.take(r, read_clocks().steady);
               router_.changed();
@@ -87,7 +102,11 @@
           [this] { shards_.confirmed(read_clocks().steady); }),
       host_records_(
           context, store_,
-          {{std::string(platform::hosts_topic), 0}, 0ms, hosts_interval},
+          {{std::string(platform::hosts_topic), 0},
+           0ms,
+           hosts_interval,
+           0ms,
+           {}},
           [this](const keyed_record& r) { take_host_record(r); },
           [this] { list_hosts(); }),
       callers_(
@@ -160,6 +179,17 @@
         without_store_};
 }
 
+// The bytes a second of the operator's topic that this node may read, so that
+// all nodes together leave half of what the store reads to everything else.
+double tack_node::read_share() const
+{
+    constexpr double bytes = 1e6;
+    constexpr double share = 0.5;
+    const auto nodes = shards_.alive_nodes(read_clocks().steady).size();
+    return context_.settings.store.read_mb_per_second * bytes * share /
+           static_cast<double>(std::max<std::size_t>(nodes, 1));
+}
+
 std::chrono::milliseconds tack_node::announce_interval() const
 {
     const bool owns = duty_ || !router_.owned().empty() || !claiming_.empty();
--- /dev/null
+++ b/src/libnode/topic_follower_test.cpp
@@ -0,0 +1,189 @@
+// A follower of a topic against a small store that counts what it sends.
+
+#include <dandeliontack/http_server.hpp>
+#include <dandeliontack/topic_follower.hpp>
+
+#include <absl/strings/escaping.h>
+#include <boost/asio.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json.hpp>
+#include <fcntl.h>
+#include <gtest/gtest.h>
+
+namespace dandeliontack
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+using namespace std::chrono_literals;
+
+constexpr std::size_t record_bytes = 100'000;
+constexpr int versions = 40;
+
+// One key, written anew with each read or load, so that there is always more.
+class storm_store
+{
+public:
+    explicit storm_store(asio::io_context& context)
+        : server_(
+              context.get_executor(), {}, metrics_,
+              [this](http_request request) {
+                  return answer(std::move(request));
+              }),
+          address(server_.listen({"127.0.0.1", 0}))
+    {}
+
+    int end = 1;
+    int sent = 0;
+
+private:
+    static std::string value_of(int version)
+    {
+        auto value = std::to_string(version) + ";";
+        value.resize(record_bytes, 'x');
+        return value;
+    }
+
+    static void put(std::string& out, std::uint64_t value, int bytes)
+    {
+        for (int i = bytes - 1; i >= 0; --i)
+            out += static_cast<char>(value >> (8U * static_cast<unsigned>(i)));
+    }
+
+    asio::awaitable<http_response> answer(http_request request)
+    {
+        auto response = answer_to(std::string(request.target()));
+        co_return response;
+    }
+
+    http_response answer_to(const std::string& target)
+    {
+        // Several versions come between two calls.
+        end = std::min(end + 5, versions);
+        if (target.starts_with("/log-newest"))
+        {
+            ++sent;
+            const json::object item{
+                {"key", "config"},
+                {"value", absl::Base64Escape(value_of(end - 1))},
+                {"offset", end - 1}};
+            return make_response(
+                http::status::ok, "application/json",
+                json::serialize(json::object{
+                    {"items", json::array{item}},
+                    {"hasMore", false},
+                    {"endOffset", end}}));
+        }
+        const auto from = std::stoi(target.substr(target.find("from=") + 5));
+        std::string body;
+        put(body, static_cast<std::uint64_t>(end), 8);
+        put(body, 0, 8);
+        for (int i = from; i < end; ++i, ++sent)
+        {
+            const auto value = value_of(i);
+            put(body, 1 + 6 + value.size(), 4);
+            put(body, 6, 1);
+            body += "config" + value;
+        }
+        return make_response(
+            http::status::ok, "application/octet-stream", std::move(body));
+    }
+
+    metric_registry metrics_;
+    http_server server_;
+
+public:
+    endpoint address;
+};
+
+class topic_follower_test : public testing::Test
+{
+protected:
+    topic_follower_test()
+        : null_(::open("/dev/null", O_WRONLY)), log_("node", null_, {})
+    {
+        settings_.store.address = store.address;
+    }
+
+    ~topic_follower_test() override
+    {
+        ::close(null_);
+    }
+
+    // Follows until the last version was seen; how often one was delivered.
+    int follow(follow_terms terms)
+    {
+        int delivered = 0;
+        int newest = -1;
+        topic_follower follower(
+            node_, client_, std::move(terms),
+            [&](const keyed_record& record) {
+                ++delivered;
+                const int version = std::stoi(record.value);
+                EXPECT_GT(version, newest);
+                newest = version;
+            },
+            [] {});
+        bool ended = false;
+        asio::co_spawn(
+            context_, follower.run(),
+            [&](const std::exception_ptr&) { ended = true; });
+        while (newest < versions - 1)
+            context_.run_one();
+        follower.stop();
+        while (!ended)
+            context_.run_one();
+        return delivered;
+    }
+
+    asio::io_context context_{1};
+    storm_store store{context_};
+
+private:
+    int null_;
+    event_log log_;
+    metric_registry metrics_;
+    http_pool connections_{context_.get_executor(), {}};
+    tack_node_settings settings_;
+    node_context node_{context_.get_executor(),
+                       settings_,
+                       log_,
+                       metrics_,
+                       connections_,
+                       {},
+                       {},
+                       {}};
+    store_client client_{node_};
+};
+
+} // namespace
+
+// Found by the bench on trouble-2 of teranga-jobs-large: a large configuration
+// was written five times a second, and 147 nodes read each version, more than
+// the store reads for all.
+TEST_F(topic_follower_test, passes_over_versions_that_are_out_of_date)
+{
+    const auto all = follow({{"keyed.op", 0}, 0ms, 0ms, 0ms, {}});
+    EXPECT_EQ(all, versions - 5);
+    const int read_whole = store.sent;
+    store.end = 1;
+    store.sent = 0;
+    const auto few =
+        follow({{"keyed.op", 0}, 0ms, 0ms, 150ms, [] { return 1e5; }});
+    EXPECT_LT(few, all);
+    EXPECT_LT(store.sent, read_whole);
+}
+
+TEST(pause_after, follows_the_bytes_up_to_its_bound)
+{
+    const follow_terms terms{{}, 0ms, 10ms, 600ms, [] { return 1e6; }};
+    EXPECT_EQ(pause_after(0, terms), 10ms);
+    EXPECT_EQ(pause_after(200'000, terms), 200ms);
+    EXPECT_EQ(pause_after(5'000'000, terms), 600ms);
+}
+
+} // namespace dandeliontack
