Take cells of 240 machines, and document every setting of tack-node

Change: 240 machines a cell, so that 350 machines are one cell and 1,100 are five. The page of settings has tack-node's, and its test checks them.

--- a/src/include/dandeliontack/tack_node_settings.hpp
+++ b/src/include/dandeliontack/tack_node_settings.hpp
@@ -48,7 +48,7 @@
     double orders_per_second = 32;
     /// The size of a cell when the layout is chosen: what one owner of each
     /// pool on half a core can serve (docs/CAPACITY.md).
-    std::uint64_t machines_per_cell = 140;
+    std::uint64_t machines_per_cell = 240;
 };
 
 /// Section `[advice]`: the service that says which hosts may run a step.
@@ -93,6 +93,9 @@
 checked<tack_node_settings>
 parse_tack_node_settings(const ini_document& document);
 
+/// Every key that the settings may hold, as `section.key`.
+std::vector<std::string> tack_node_setting_keys();
+
 /// What the pools are decided by under these settings.
 pool_terms pool_terms_of(const tack_node_settings& settings);
 /// From the decision that a machine moves until its host takes tasks.
--- a/src/libnode/tack_node_settings.cpp
+++ b/src/libnode/tack_node_settings.cpp
@@ -159,6 +159,11 @@
     return settings;
 }
 
+std::vector<std::string> tack_node_setting_keys()
+{
+    return setting_keys<tack_node_settings>(readers);
+}
+
 std::chrono::milliseconds machine_lead_of(const tack_node_settings& settings)
 {
     // A round of the fleet duty, the order's note, and the new host's entry,
--- a/testsuite/settings_reference/settings_reference_test.cpp
+++ b/testsuite/settings_reference/settings_reference_test.cpp
@@ -3,6 +3,7 @@
 
 #include <dandeliontack/control_settings.hpp>
 #include <dandeliontack/entry_settings.hpp>
+#include <dandeliontack/tack_node_settings.hpp>
 
 #include <gtest/gtest.h>
 
@@ -53,4 +54,9 @@
         to_set(entry_setting_keys()));
 }
 
+TEST(settings_reference, every_key_of_tack_node_is_documented_once)
+{
+    EXPECT_EQ(documented_keys({"tack-node"}), to_set(tack_node_setting_keys()));
+}
+
 } // namespace
