Let no machine rest for orders of the node that takes the duty again

Cause: after a loss of all power the node that had held the fleet duty takes it again, as every node works out the same plan.

Change: a noted order names its holder; a node lets no machine rest for orders of its own name. Records without a name are of another node. A node is ready only once it knows the layout, too.

Ruled out: no rest where the process has just started (another holder's orders may be on their way).

--- a/src/libnode/fleet_duty.cpp
+++ b/src/libnode/fleet_duty.cpp
@@ -224,8 +224,9 @@
             context_.settings.bounds.lease_ms));
     for (const auto& [machine, order] : orders)
     {
-        const auto left =
-            lease + retry_pause - least_age(order, last, longest_call);
+        const auto left = rest_after(
+            order, last, longest_call, lease + retry_pause,
+            context_.settings.node.name);
         if (left > 0ms)
             rested_at_[machine] = now + left;
     }
@@ -241,7 +242,9 @@
 keyed_record
 fleet_duty::order_record(const std::string& machine, bool ended) const
 {
-    const noted_order order{claim_.epoch(), read_clocks().steady, ended};
+    const noted_order order{
+        claim_.epoch(), read_clocks().steady, ended,
+        context_.settings.node.name};
     return {std::string(order_prefix) + machine, encode(order), 0};
 }
 
--- a/src/libnode/noted_order.cpp
+++ b/src/libnode/noted_order.cpp
@@ -50,7 +50,7 @@
 std::string encode(const noted_order& order)
 {
     return std::to_string(order.epoch) + " " + text_of(order.at) +
-           (order.ended ? " 1" : " 0");
+           (order.ended ? " 1 " : " 0 ") + order.holder;
 }
 
 std::string encode(const duty_tick& tick)
@@ -61,11 +61,17 @@
 
 std::optional<noted_order> decode_noted_order(std::string_view text)
 {
-    const auto numbers = numbers_of(text, 3);
+    constexpr std::size_t count = 3;
+    std::size_t end = 0;
+    for (std::size_t i = 0; i < count && end != std::string_view::npos; ++i)
+        end = text.find(' ', end + (i > 0 ? 1 : 0));
+    const auto numbers = numbers_of(text.substr(0, end), count);
     if (!numbers)
         return std::nullopt;
     return noted_order{
-        numbers->at(0), time_of(numbers->at(1)), numbers->at(2) != 0};
+        numbers->at(0), time_of(numbers->at(1)), numbers->at(2) != 0,
+        end == std::string_view::npos ? std::string()
+                                      : std::string(text.substr(end + 1))};
 }
 
 std::optional<duty_tick> decode_duty_tick(std::string_view text)
@@ -77,6 +83,18 @@
         numbers->at(0), time_of(numbers->at(1)), time_of(numbers->at(2))};
 }
 
+std::chrono::milliseconds rest_after(
+    const noted_order& order, const std::optional<duty_tick>& last,
+    std::chrono::milliseconds longest_call, std::chrono::milliseconds lease,
+    std::string_view self)
+{
+    if (order.holder == self && !self.empty())
+        return std::chrono::milliseconds(0);
+    return std::max<std::chrono::milliseconds>(
+        lease - least_age(order, last, longest_call),
+        std::chrono::milliseconds(0));
+}
+
 std::chrono::milliseconds least_age(
     const noted_order& order, const std::optional<duty_tick>& last,
     std::chrono::milliseconds longest_call)
--- a/src/libnode/tack_node.cpp
+++ b/src/libnode/tack_node.cpp
@@ -159,7 +159,7 @@
 
 bool tack_node::is_ready() const
 {
-    return !leaving_ && front_.table() &&
+    return !leaving_ && front_.table() && shards_.layout() &&
            read_clocks().steady - store_.last_success() < ready_without_store;
 }
 
