Log claims of the fleet duty, and claims that failed

Change: shard_claimed is written for the duty too, claim_failed with the epoch after which the claim was made.

Conclusion: logging only; the cause is open.

--- a/src/libnode/tack_node.cpp
+++ b/src/libnode/tack_node.cpp
@@ -486,6 +486,11 @@
             if (held.contains(shard) || too_soon ||
                 !claiming_.insert(shard).second)
                 continue;
+            context_.log.write(
+                "node", "shard_claimed",
+                log_line()
+                    .add("shard", shard)
+                    .add("after_epoch", last_epoch(shard)));
             spawn(
                 context_, "claim",
                 shard == fleet_shard ? claim_duty() : claim(shard),
@@ -519,7 +524,12 @@
     if (taken)
         failed_claims_.erase(shard);
     else
+    {
         failed_claims_[shard] = {after + 1, read_clocks().steady};
+        context_.log.write(
+            "node", "claim_failed",
+            log_line().add("shard", shard).add("after_epoch", after));
+    }
 }
 
 asio::awaitable<void> tack_node::claim(shard_id shard)
@@ -528,9 +538,6 @@
     const auto last = last_epoch(shard);
     // An owner's right needs a fresh announcement.
     announce_now_.notify();
-    context_.log.write(
-        "node", "shard_claimed",
-        log_line().add("shard", shard).add("after_epoch", last));
     const bool taken = co_await owner->take_over(last);
     note_claim(shard, last, taken);
     if (taken && !leaving_)
