Give nothing to a node that left before a restart

Cause: a process that starts finds the last announcement of every node in the registry, and took each for a sign of life.

Change: announcements carry the node's time of day. What the first look finds that was said over 10 s ago is no candidate until it announces itself again. Owners are still lost by silence alone, so a clock that jumps takes no shard from anyone.

Ruled out: counting only nodes that announce themselves after the first look; nodes that start together would each miss others and claim the same shards.

Measured: gives_nothing_to_a_node_that_left_before_the_restart fails without the change.

--- a/src/include/dandeliontack/shard_map.hpp
+++ b/src/include/dandeliontack/shard_map.hpp
@@ -55,6 +55,10 @@
     /// A node that has not used the store for this long, some four reads of
     /// the registry, says so by its silence.
     std::chrono::milliseconds cut_off{800};
+    /// What the first look finds that was announced this long ago, by the time
+    /// of day, is of a node that has left. More than clocks differ or jump by,
+    /// and more than the longest interval of announcements.
+    std::chrono::milliseconds forgotten{10'000};
 };
 
 /// What a node knows of its own calls to the store.
@@ -88,7 +92,7 @@
     explicit shard_map(takeover_terms terms);
 
     /// A record of the registry; one that can't be read is ignored and false.
-    bool take(const keyed_record& record, boot_time now);
+    bool take(const keyed_record& record, moment now);
     /// The registry was read up to its end at this time.
     void confirmed(boot_time now);
 
@@ -113,6 +117,8 @@
     {
         node_announcement said;
         boot_time changed;
+        /// It was announced too long ago to be given anything.
+        bool left = false;
     };
 
     bool is_silent(const seen_node& node, boot_time now) const;
--- a/src/include/dandeliontack/stored_records.hpp
+++ b/src/include/dandeliontack/stored_records.hpp
@@ -34,6 +34,8 @@
     std::chrono::milliseconds interval{0};
     /// It can't use the store and has given up what it owned.
     bool without_store = false;
+    /// The node's time of day; the start of the clock where not said.
+    wall_time at;
 
     bool operator==(const node_announcement&) const = default;
 };
--- a/src/libnode/shard_map.cpp
+++ b/src/libnode/shard_map.cpp
@@ -105,7 +105,7 @@
 
 shard_map::shard_map(takeover_terms terms) : terms_(terms) {}
 
-bool shard_map::take(const keyed_record& record, boot_time now)
+bool shard_map::take(const keyed_record& record, moment now)
 {
     const std::string_view key = record.key;
     if (key.starts_with(announcement_prefix))
@@ -121,7 +121,11 @@
             return false;
         if (is_outdated(name, *said))
             return true;
-        nodes_[name] = {*said, now};
+        // A process that starts can't tell from a record whether its node still
+        // lives; one that was said long ago is no node to count on.
+        const bool left = !first_read_ && said->at != wall_time{} &&
+                          now.wall - said->at > terms_.forgotten;
+        nodes_[name] = {*said, now.steady, left};
         return true;
     }
     if (!key.starts_with(owner_prefix))
@@ -195,7 +199,7 @@
 {
     std::vector<node_announcement> out;
     for (const auto& [name, node] : nodes_)
-        if (!is_silent(node, now) && !node.said.leaving &&
+        if (!is_silent(node, now) && !node.left && !node.said.leaving &&
             !node.said.without_store)
             out.push_back(node.said);
     return out;
--- a/src/libnode/shard_map_test.cpp
+++ b/src/libnode/shard_map_test.cpp
@@ -26,7 +26,7 @@
 protected:
     void announce(const node_announcement& said)
     {
-        map.take({announcement_key(said.name), encode(said), 0}, now);
+        map.take({announcement_key(said.name), encode(said), 0}, {now, wall});
     }
 
     void
@@ -38,7 +38,7 @@
              encode(
                  owner_record{by.name, by.address, by.life, epoch, released}),
              0},
-            now);
+            {now, wall});
     }
 
     // Time passes while the registry is read and these nodes announce.
@@ -65,6 +65,7 @@
 
     shard_map map{takeover_terms{}};
     boot_time now{1h};
+    wall_time wall{1000h};
     const node_announcement a = node("a");
     const node_announcement b = node("b");
 };
@@ -152,7 +153,7 @@
     EXPECT_EQ(map.owner(5)->node, "a");
     own(5, a, 4, true);
     EXPECT_FALSE(map.owner(5));
-    EXPECT_FALSE(map.take({owner_key(5), "\xff\xff", 0}, now));
+    EXPECT_FALSE(map.take({owner_key(5), "\xff\xff", 0}, {now, wall}));
 }
 
 // Found by the bench on belfry-ops, scale-1: while nodes are restarted one
@@ -282,4 +283,33 @@
     EXPECT_EQ(claims({5}, second, now), std::vector<shard_id>{5});
 }
 
+// Found by the bench on trouble-3 of teranga-jobs-large: after the kill of all
+// nodes a machine that had been removed half a minute before was given shards,
+// and the fleet duty, for as long as it takes to notice a node's silence.
+TEST_F(shard_map_test, gives_nothing_to_a_node_that_left_before_the_restart)
+{
+    auto gone = node("0");
+    gone.cpu_milli = 4000;
+    gone.at = wall - 30s;
+    auto alive = a;
+    alive.at = wall - 1s;
+    announce(gone);
+    announce(alive);
+    map.confirmed(now);
+    pass(500ms, {alive});
+    EXPECT_EQ(claims({1, 2, 3}, alive, now).size(), 3U);
+}
+
+TEST_F(shard_map_test, counts_on_a_node_again_that_announces_itself)
+{
+    auto slow_clock = b;
+    slow_clock.at = wall - 30s;
+    announce(slow_clock);
+    announce(a);
+    map.confirmed(now);
+    EXPECT_EQ(map.alive_nodes(now).size(), 1U);
+    announce(slow_clock);
+    EXPECT_EQ(map.alive_nodes(now).size(), 2U);
+}
+
 } // namespace dandeliontack
--- a/src/libnode/stored_records.cpp
+++ b/src/libnode/stored_records.cpp
@@ -226,6 +226,7 @@
     out.set_epoch(record.epoch);
     out.set_interval_ms(static_cast<std::uint32_t>(record.interval.count()));
     out.set_without_store(record.without_store);
+    out.set_said_ms(record.at.time_since_epoch().count());
     return out.SerializeAsString();
 }
 
@@ -243,7 +244,8 @@
         in->cpu_milli(),
         in->epoch(),
         std::chrono::milliseconds(in->interval_ms()),
-        in->without_store()};
+        in->without_store(),
+        wall_time(std::chrono::milliseconds(in->said_ms()))};
 }
 
 std::string encode(const owner_record& record)
--- a/src/libnode/tack_node.cpp
+++ b/src/libnode/tack_node.cpp
@@ -96,7 +96,7 @@
       registry_(
           context, store_, {registry_place(), 0ms, registry_interval, 0ms, {}},
           [this](const keyed_record& r) {
-              shards_.take(r, read_clocks().steady);
+              shards_.take(r, read_clocks());
               router_.changed();
           },
           [this] { shards_.confirmed(read_clocks().steady); }),
@@ -176,7 +176,8 @@
         static_cast<std::uint32_t>(limits.cpu_share * limits.cores * milli),
         node_epoch_,
         announce_interval(),
-        without_store_};
+        without_store_,
+        read_clocks().wall};
 }
 
 // The bytes a second of the operator's topic that this node may read, so that
