--- a/src/libnode/caller_front.cpp
+++ b/src/libnode/caller_front.cpp
@@ -273,6 +273,7 @@
 asio::awaitable<http_response> caller_front::pending(const subject& what)
 {
     std::vector<shard_call> calls;
+    calls.reserve(what.layout.cells);
     for (cell_id cell = 0; cell < what.layout.cells; ++cell)
         calls.push_back(
             {shard_call::verb::pending,
--- a/src/libnode/fleet_duty.cpp
+++ b/src/libnode/fleet_duty.cpp
@@ -573,6 +573,7 @@
             shards[shard_of(pool, cell, context_.settings.store.partitions)] =
                 cell;
     std::vector<shard_call> calls;
+    calls.reserve(shards.size());
     for (const auto& [shard, cell] : shards)
         calls.push_back(
             {shard_call::verb::demands,
