--- a/src/libnode/fenced_writer_test.cpp
+++ b/src/libnode/fenced_writer_test.cpp
@@ -1,13 +1,13 @@
 // A writer against a small store that keeps producers, epochs and sequence
 // numbers as the platform's does, and may lose answers.
 
+#include "node_fixture.hpp"
 #include <dandeliontack/http_server.hpp>
 #include <dandeliontack/store_client.hpp>
 
 #include <boost/asio.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/json.hpp>
-#include <fcntl.h>
 #include <gtest/gtest.h>
 
 namespace dandeliontack
@@ -98,20 +98,14 @@
     endpoint address;
 };
 
-class fenced_writer_test : public testing::Test
+class fenced_writer_test : public test::node_fixture
 {
 protected:
     fenced_writer_test()
-        : null_(::open("/dev/null", O_WRONLY)), log_("node", null_, {})
     {
         settings_.store.address = store.address;
     }
 
-    ~fenced_writer_test() override
-    {
-        ::close(null_);
-    }
-
     fenced_writer writer()
     {
         return {node_, client_, {"keyed.pools0", 0}, "owner"};
@@ -140,23 +134,7 @@
         return settle(by.append({{"o", "x", 0}}));
     }
 
-    asio::io_context context_{1};
     small_store store{context_};
-
-private:
-    int null_;
-    event_log log_;
-    metric_registry metrics_;
-    http_pool connections_{context_.get_executor(), {}};
-    tack_node_settings settings_;
-    node_context node_{context_.get_executor(),
-                       settings_,
-                       log_,
-                       metrics_,
-                       connections_,
-                       {},
-                       {},
-                       {}};
     store_client client_{node_};
 };
 
--- /dev/null
+++ b/src/libnode/node_fixture.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <dandeliontack/node_context.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+namespace dandeliontack::test
+{
+
+/// What the parts of a node share, with a log that goes nowhere.
+class node_fixture : public testing::Test
+{
+protected:
+    node_fixture()
+        : null_(::open("/dev/null", O_WRONLY)), log_("node", null_, {})
+    {}
+
+    ~node_fixture() override
+    {
+        ::close(null_);
+    }
+
+    boost::asio::io_context context_{1};
+
+private:
+    int null_;
+    event_log log_;
+    metric_registry metrics_;
+    http_pool connections_{context_.get_executor(), {}};
+
+protected:
+    tack_node_settings settings_;
+    node_context node_{context_.get_executor(),
+                       settings_,
+                       log_,
+                       metrics_,
+                       connections_,
+                       {},
+                       {},
+                       {}};
+};
+
+} // namespace dandeliontack::test
--- a/src/libnode/spawn_test.cpp
+++ b/src/libnode/spawn_test.cpp
@@ -1,7 +1,7 @@
+#include "node_fixture.hpp"
 #include <dandeliontack/spawn.hpp>
 
 #include <boost/asio.hpp>
-#include <fcntl.h>
 #include <gtest/gtest.h>
 
 #include <stdexcept>
@@ -14,41 +14,14 @@
 
 namespace asio = boost::asio;
 
-class spawn_test : public testing::Test
+class spawn_test : public test::node_fixture
 {
 protected:
-    spawn_test() : null_(::open("/dev/null", O_WRONLY)), log_("node", null_, {})
-    {}
-
-    ~spawn_test() override
-    {
-        ::close(null_);
-    }
-
     static asio::awaitable<void> fail()
     {
         throw std::out_of_range("unexpected");
         co_return;
     }
-
-    asio::io_context context_{1};
-
-private:
-    int null_;
-    event_log log_;
-    metric_registry metrics_;
-    http_pool connections_{context_.get_executor(), {}};
-    tack_node_settings settings_;
-
-protected:
-    node_context node_{context_.get_executor(),
-                       settings_,
-                       log_,
-                       metrics_,
-                       connections_,
-                       {},
-                       {},
-                       {}};
 };
 
 } // namespace
--- a/src/libnode/topic_follower_test.cpp
+++ b/src/libnode/topic_follower_test.cpp
@@ -1,5 +1,6 @@
 // A follower of a topic against a small store that counts what it sends.
 
+#include "node_fixture.hpp"
 #include <dandeliontack/http_server.hpp>
 #include <dandeliontack/topic_follower.hpp>
 
@@ -7,7 +8,6 @@
 #include <boost/asio.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/json.hpp>
-#include <fcntl.h>
 #include <gtest/gtest.h>
 
 namespace dandeliontack
@@ -100,20 +100,14 @@
     endpoint address;
 };
 
-class topic_follower_test : public testing::Test
+class topic_follower_test : public test::node_fixture
 {
 protected:
     topic_follower_test()
-        : null_(::open("/dev/null", O_WRONLY)), log_("node", null_, {})
     {
         settings_.store.address = store.address;
     }
 
-    ~topic_follower_test() override
-    {
-        ::close(null_);
-    }
-
     // Follows until the last version was seen; how often one was delivered.
     int follow(follow_terms terms)
     {
@@ -140,23 +134,7 @@
         return delivered;
     }
 
-    asio::io_context context_{1};
     storm_store store{context_};
-
-private:
-    int null_;
-    event_log log_;
-    metric_registry metrics_;
-    http_pool connections_{context_.get_executor(), {}};
-    tack_node_settings settings_;
-    node_context node_{context_.get_executor(),
-                       settings_,
-                       log_,
-                       metrics_,
-                       connections_,
-                       {},
-                       {},
-                       {}};
     store_client client_{node_};
 };
 
