Restart the tasks of hosts that the machine list no longer names

The platform's list, which the fleet duty reads several times a second, names the host no more 0.1 s after the crash. Change: departure_watch compares successive lists; the duty reports a host that two lists in a row don't name to its owner, as it does after its own orders, until the owner knows. A host without a machine has ended is what owners rely on after a takeover already. The end of a submission is logged with what it spent its time on (unplaced, running, restarts), which the losses were read from.

--- /dev/null
+++ b/src/include/dandeliontack/departure_watch.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <dandeliontack/machine_list.hpp>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace dandeliontack
+{
+
+/// Finds hosts that have ended by comparing successive machine lists. Load
+/// pattern: the hosts of a rack fall silent during a load peak. Their owners
+/// can't tell a crash from a cut link and would wait for every lease to expire,
+/// while the platform already lists the machines without a host.
+class departure_watch
+{
+public:
+    /// Records a list that was requested after the previous one was answered.
+    void observe(const std::vector<listed_machine>& machines);
+
+    /// The machines, as last listed with their host, whose host is named in
+    /// none of the last `lists_to_confirm` lists and has not been taken from
+    /// here by `forget`.
+    std::vector<listed_machine> departed() const;
+
+    /// The owner of the host's pool knows that it has ended.
+    void forget(const std::string& host);
+
+    /// Pages of a list are not a snapshot, so that a single list may lack a
+    /// machine that is up.
+    static constexpr std::uint32_t lists_to_confirm = 2;
+
+private:
+    struct known_host
+    {
+        listed_machine machine;
+        /// Successive lists that did not name the host.
+        std::uint32_t missed = 0;
+    };
+
+    std::map<std::string, known_host> hosts_;
+};
+
+} // namespace dandeliontack
--- a/src/include/dandeliontack/fleet_duty.hpp
+++ b/src/include/dandeliontack/fleet_duty.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <dandeliontack/append_queue.hpp>
+#include <dandeliontack/departure_watch.hpp>
 #include <dandeliontack/fleet_balance.hpp>
 #include <dandeliontack/machine_client.hpp>
 #include <dandeliontack/machine_list.hpp>
@@ -81,6 +82,8 @@
     boost::asio::awaitable<void> store_layout();
     shard_id shard_of_machine(const listed_machine& machine) const;
     boost::asio::awaitable<bool> report_host_ended(listed_machine machine);
+    void report_departures();
+    boost::asio::awaitable<void> report_departure(listed_machine machine);
     /// Demands by cell, from the shard owners that answered.
     boost::asio::awaitable<std::vector<std::vector<pool_demand>>>
     collect_demands();
@@ -114,6 +117,9 @@
     shard_claim claim_;
     std::map<std::string, wave_state> waves_;
     std::vector<listed_machine> machines_;
+    departure_watch departures_;
+    /// Hosts whose end is being reported to their owners.
+    std::set<std::string> reporting_;
     /// Hosts that their owners reported as empty and keep empty for a while,
     /// with the time of the request.
     std::map<std::string, boot_time> confirmed_empty_;
--- a/src/include/dandeliontack/pool_events.hpp
+++ b/src/include/dandeliontack/pool_events.hpp
@@ -187,6 +187,23 @@
     pool_event::evacuation_requested, pool_event::lending_requested,
     pool_event::tick>;
 
+/// What a submission spent its time on, summed over its steps.
+struct submission_delays
+{
+    /// Since it was due.
+    std::chrono::milliseconds age{0};
+    /// Its latency objective.
+    std::chrono::milliseconds objective{0};
+    /// The length of the longest chain of its steps, as estimated.
+    std::chrono::milliseconds chain{0};
+    /// Steps were ready, and tasks of them had no host.
+    std::chrono::milliseconds unplaced{0};
+    /// From the start of a step's last task to the end of its last task.
+    std::chrono::milliseconds running{0};
+    /// Starts of tasks that had been started before.
+    std::uint32_t restarts = 0;
+};
+
 namespace pool_effect
 {
 
@@ -231,11 +248,21 @@
     std::string reason;
 };
 
+/// A log entry for the end of a submission.
+struct finished
+{
+    std::uint64_t submission = 0;
+    std::string_view phase;
+    std::string route;
+    std::string pool;
+    submission_delays delays;
+};
+
 } // namespace pool_effect
 
 using pool_effect_body = std::variant<
     pool_effect::start, pool_effect::stop, pool_effect::pace,
-    pool_effect::advise, pool_effect::decision>;
+    pool_effect::advise, pool_effect::decision, pool_effect::finished>;
 using pool_effects = std::vector<pool_effect_body>;
 
 } // namespace dandeliontack
--- a/src/include/dandeliontack/pool_state.hpp
+++ b/src/include/dandeliontack/pool_state.hpp
@@ -53,10 +53,25 @@
     boot_time retry_at;
 };
 
+/// When a step passed the stages of its life; zero before each. A successor of
+/// an owner knows only what happened under itself.
+struct step_times
+{
+    /// The steps that it depends on were done and stored.
+    boot_time ready;
+    /// The newest first start of a task was ordered.
+    boot_time placed;
+    /// The newest end of a task as done was reported.
+    boot_time ended;
+};
+
 struct step_state
 {
     std::vector<task_state> tasks;
     std::uint32_t done = 0;
+    step_times times;
+    /// Starts of tasks that had been started before.
+    std::uint32_t restarts = 0;
     /// Set while a request to the advice service is pending; `tickets` holds
     /// the granted hosts with their tickets.
     bool asking = false;
--- a/src/include/dandeliontack/shard_owner.hpp
+++ b/src/include/dandeliontack/shard_owner.hpp
@@ -93,6 +93,7 @@
     void apply(const pool_event_body& event);
     void run_effects(pool_effects effects);
     void log_decision(const pool_effect::decision& decision);
+    void log_finished(const pool_effect::finished& end);
     void log_submission(const submission_record& record);
     void request_planning();
     void mark_lost(std::string_view reason);
--- a/src/libnode/fleet_duty.cpp
+++ b/src/libnode/fleet_duty.cpp
@@ -380,8 +380,10 @@
         if (listed)
         {
             machines_ = std::move(*listed);
+            departures_.observe(machines_);
             if (!router_.layout())
                 co_await store_layout();
+            report_departures();
             // A machine whose upkeep began after the list was requested may
             // be listed as up.
             std::erase_if(recently_begun_, [&](const auto& item) {
@@ -568,9 +570,37 @@
         {}};
     const auto answer =
         co_await router_.ask(call, owner_call_timeout, owner_call_timeout);
+    if (answer.outcome == shard_outcome::done)
+        departures_.forget(machine.host);
     co_return answer.outcome == shard_outcome::done;
 }
 
+// Tells the owners which hosts have ended without an order of the duty, so that
+// their tasks need not wait until every lease has expired.
+void fleet_duty::report_departures()
+{
+    if (!router_.layout())
+        return;
+    for (const auto& machine : departures_.departed())
+        if (reporting_.insert(machine.host).second)
+            start_coroutine("departure", report_departure(machine));
+}
+
+asio::awaitable<void> fleet_duty::report_departure(listed_machine machine)
+{
+    const auto self = shared_from_this();
+    const bool known = co_await report_host_ended(machine);
+    context_.log.write(
+        "fleet", "host_departed",
+        log_line()
+            .add("machine", machine.name)
+            .add("host", machine.host)
+            .add("pool", machine.pool)
+            .add("epoch", claim_.epoch())
+            .add("answered", known));
+    reporting_.erase(machine.host);
+}
+
 asio::awaitable<std::vector<std::vector<pool_demand>>>
 fleet_duty::collect_demands()
 {
--- a/src/libnode/shard_owner.cpp
+++ b/src/libnode/shard_owner.cpp
@@ -329,6 +329,11 @@
             log_decision(*decision);
             continue;
         }
+        if (const auto* end = std::get_if<pool_effect::finished>(&effect))
+        {
+            log_finished(*end);
+            continue;
+        }
         if (auto* question = std::get_if<pool_effect::advise>(&effect))
         {
             start_coroutine("advice", request_advice(std::move(*question)));
@@ -370,6 +375,29 @@
         .add();
 }
 
+void shard_owner::log_finished(const pool_effect::finished& end)
+{
+    const auto& delays = end.delays;
+    context_.log.write(
+        "pool", "submission_finished",
+        log_line()
+            .add("submission", submission_name(end.submission))
+            .add("reason", end.phase)
+            .add("route", end.route)
+            .add("pool", end.pool)
+            .add("age_ms", delays.age.count())
+            .add("objective_ms", delays.objective.count())
+            .add("chain_ms", delays.chain.count())
+            .add("unplaced_ms", delays.unplaced.count())
+            .add("running_ms", delays.running.count())
+            .add("restarts", delays.restarts)
+            .add("shard", shard_)
+            .add("epoch", epoch()));
+    context_.metrics
+        .get_counter("tack_decisions_total{name=\"submission_finished\"}")
+        .add();
+}
+
 void shard_owner::log_submission(const submission_record& record)
 {
     log_line line;
--- a/src/libsched/completion_forecast.cpp
+++ b/src/libsched/completion_forecast.cpp
@@ -59,4 +59,43 @@
     return out;
 }
 
+submission_delays
+delays_of(const submission_state& s, double estimate_factor, boot_time now)
+{
+    using std::chrono::duration_cast;
+    using std::chrono::milliseconds;
+    submission_delays out;
+    const auto& terms = s.record.terms;
+    out.chain = milliseconds(static_cast<std::int64_t>(
+        estimate_factor *
+        static_cast<double>(critical_path(s.record.spec, nullptr).count())));
+    out.objective =
+        milliseconds(static_cast<std::int64_t>(
+            terms.stretch * static_cast<double>(out.chain.count()))) +
+        terms.target;
+    const auto first = s.occurrences.begin();
+    out.age = duration_cast<milliseconds>(
+        now - (first == s.occurrences.end() ? s.arrived : first->second.due));
+    if (first == s.occurrences.end())
+        return out;
+    const auto between = [](boot_time from, boot_time to) {
+        return from == boot_time{} || to < from
+                   ? 0ms
+                   : duration_cast<milliseconds>(to - from);
+    };
+    for (const auto& step : first->second.steps)
+    {
+        const auto& times = step.times;
+        // A step that was never placed waits until now.
+        const auto placed =
+            times.placed == boot_time{} && step.done < step.tasks.size()
+                ? now
+                : times.placed;
+        out.unplaced += between(times.ready, placed);
+        out.running += between(times.placed, times.ended);
+        out.restarts += step.restarts;
+    }
+    return out;
+}
+
 } // namespace dandeliontack
--- a/src/libsched/completion_forecast.hpp
+++ b/src/libsched/completion_forecast.hpp
@@ -32,6 +32,10 @@
     const submission_state& s, const occurrence_state& o,
     double estimate_factor, boot_time now);
 
+/// What the submission's first occurrence has spent its time on until `now`.
+submission_delays
+delays_of(const submission_state& s, double estimate_factor, boot_time now);
+
 /// The length of the critical path through the steps, from their estimates.
 /// If `progress` is given, completed steps count as zero.
 std::chrono::milliseconds
--- /dev/null
+++ b/src/libsched/departure_watch.cpp
@@ -0,0 +1,32 @@
+#include <dandeliontack/departure_watch.hpp>
+
+#include <algorithm>
+#include <ranges>
+
+namespace dandeliontack
+{
+
+void departure_watch::observe(const std::vector<listed_machine>& machines)
+{
+    for (auto& [id, host] : hosts_)
+        ++host.missed;
+    for (const auto& machine : machines)
+        if (!machine.host.empty())
+            hosts_[machine.host] = {machine, 0};
+}
+
+std::vector<listed_machine> departure_watch::departed() const
+{
+    std::vector<listed_machine> out;
+    for (const auto& [id, host] : hosts_)
+        if (host.missed >= lists_to_confirm)
+            out.push_back(host.machine);
+    return out;
+}
+
+void departure_watch::forget(const std::string& host)
+{
+    hosts_.erase(host);
+}
+
+} // namespace dandeliontack
--- a/src/libsched/pool_engine.cpp
+++ b/src/libsched/pool_engine.cpp
@@ -653,6 +653,8 @@
         h.health.suspensions = 0;
         h.health.failed_submissions.clear();
         t.ended_done = true;
+        s.occurrences.at(row.task.occurrence).steps[row.task.step].times.ended =
+            now_.steady;
         if (step.estimate.count() > 0 && t.started != boot_time{} &&
             t.checkpoint.empty())
         {
@@ -984,8 +986,9 @@
 {
     const auto id = s.record.id;
     stop_all_runs(s, to_string(phase));
-    effects_.emplace_back(pool_effect::decision{
-        "submission_finished", {}, id, 0, {}, std::string(to_string(phase))});
+    effects_.emplace_back(pool_effect::finished{
+        id, to_string(phase), s.record.terms.route, s.record.terms.pool,
+        delays_of(s, estimate_factor(s), now_.steady)});
     finished_[id] = {phase, now_.steady};
     changes_.finished.push_back(id);
     std::erase(changes_.progressed, id);
--- a/src/libsched/pool_planner.cpp
+++ b/src/libsched/pool_planner.cpp
@@ -97,12 +97,15 @@
         for (auto& [k, o] : s.occurrences)
             for (std::uint32_t i = 0; i < o.steps.size(); ++i)
             {
-                const auto& step = o.steps[i];
-                if (step.done < step.tasks.size() &&
-                    pool_engine::is_ready(s, o, i) &&
-                    std::ranges::any_of(
-                        step.tasks,
-                        [&](const task_state& t) { return may_start(t); }))
+                auto& step = o.steps[i];
+                if (step.done == step.tasks.size() ||
+                    !pool_engine::is_ready(s, o, i))
+                    continue;
+                if (step.times.ready == boot_time{})
+                    step.times.ready = now_.steady;
+                if (std::ranges::any_of(step.tasks, [&](const task_state& t) {
+                        return may_start(t);
+                    }))
                     out.push_back(make_candidate(s, k, i));
             }
     }
@@ -322,6 +325,10 @@
     auto& step = c.submission->occurrences.at(c.occurrence).steps[c.step];
     auto& t = step.tasks[index];
     const task_ref task{c.submission->record.id, c.occurrence, c.step, index};
+    if (t.run == 0)
+        step.times.placed = now_.steady;
+    else
+        ++step.restarts;
     t.phase = task_phase::starting;
     t.run = run;
     t.host = h.entry.id;
