Hand shards over in 0.1 s: tell the nodes, and change nothing meanwhile

Reports of hosts reopened the hosts it had closed and added ends to store, so the handover went on for 0.8 s; the successor saw the release with the next read of the registry, every 250 ms, and the next look at it, every 150 ms. An owner that had lost the store was waited for until its announcements had stopped for 1.8 s. Change: once a handover has begun, host reports change nothing; what they list stays with the host for the successor. An owner that has stopped acting tells all live nodes by a call (owner-changed) before the release is stored, also when it gives a shard up for want of the store; a successor tells them of its claim. The node that released a shard is its last candidate. A release outlasts an older record of the same epoch. Ruled out: an earlier claim than the lease inequality allows: a shard is claimed early only after its owner has said that it has stopped, which is what a stored release says already. Orders still in flight are fenced by the successor's token, as after a kill, which the ownership exploration plays.

--- a/src/include/dandeliontack/fleet_duty.hpp
+++ b/src/include/dandeliontack/fleet_duty.hpp
@@ -37,8 +37,12 @@
     /// Claims the duty with epoch `last` + 1 and loads its records. Returns
     /// false if another node claimed it first or the store is unavailable.
     boost::asio::awaitable<bool> take_over(std::uint64_t last);
-    /// Releases the duty.
-    boost::asio::awaitable<void> hand_over();
+    /// Stops acting; the duty is lost then.
+    void hand_over();
+    /// Stores the release of the lost duty in the registry.
+    boost::asio::awaitable<void> announce_release();
+    /// The registry's record of this holder; released once the duty is lost.
+    owner_record record() const;
 
     /// Adds or updates a wave that the operator has requested.
     void request(wave_request wave);
--- a/src/include/dandeliontack/pool_engine.hpp
+++ b/src/include/dandeliontack/pool_engine.hpp
@@ -57,8 +57,8 @@
 
     /// Closes every contacted host: records which tasks may run there and
     /// starts no more. A successor then holds back only these tasks while a
-    /// host is unreachable.
-    void close_hosts();
+    /// host is unreachable. Later reports of hosts change nothing.
+    void begin_handover();
     /// The record to be stored for a host.
     host_use use_of(const host_state& h) const;
 
@@ -207,6 +207,7 @@
     std::map<std::string, std::set<task_ref>> uncontacted_closed_hosts_;
     boot_time takeover_deadline_;
     bool settling_ = false;
+    bool handing_over_ = false;
     /// When every host without a recorded list had answered, or its leases had
     /// expired.
     std::optional<boot_time> settled_at_;
--- a/src/include/dandeliontack/shard_claim.hpp
+++ b/src/include/dandeliontack/shard_claim.hpp
@@ -52,6 +52,8 @@
     std::chrono::milliseconds until_renewal() const;
 
     std::uint64_t epoch() const;
+    /// The registry's record of this node as the owner, or of its release.
+    owner_record record(bool released) const;
     /// The writer of the shard's partition, for the outcome of the last append.
     const fenced_writer& writer() const;
 
--- a/src/include/dandeliontack/shard_owner.hpp
+++ b/src/include/dandeliontack/shard_owner.hpp
@@ -34,8 +34,12 @@
     /// unavailable.
     boost::asio::awaitable<bool> take_over(std::uint64_t last);
 
-    /// Stops scheduling, stores pending changes, and releases the shard.
+    /// Stops scheduling and stores pending changes; the shard is lost then.
     boost::asio::awaitable<void> hand_over();
+    /// Stores the release of a lost shard in the registry.
+    boost::asio::awaitable<void> announce_release();
+    /// The registry's record of this owner; released once the shard is lost.
+    owner_record record() const;
 
     /// Replaces the list of the shard's hosts that are alive.
     void set_hosts(std::vector<host_entry> entries);
--- a/src/include/dandeliontack/shard_router.hpp
+++ b/src/include/dandeliontack/shard_router.hpp
@@ -30,14 +30,17 @@
         host_ended,
         demands,
         /// Asks the holder of the fleet duty to store a node's announcement.
-        announce
+        announce,
+        /// Tells a node who owns a shard, or that its owner released it.
+        owner_changed
     };
     verb kind = verb::state;
     shard_id shard = 0;
     std::uint64_t submission = 0;
     /// The argument: a route for `pending`, a host for `evacuate` and
     /// `host_ended`, the encoded host loans for `demands`, the encoded
-    /// announcement for `announce`.
+    /// announcement for `announce`, the encoded owner record for
+    /// `owner_changed`.
     std::string name;
     std::optional<submission_record> record;
 };
@@ -82,6 +85,14 @@
 
     /// Wakes calls that wait for an owner after the registry has changed.
     void notify_owner_change();
+    /// Returns at the next change of an owner, or when `longest` has passed.
+    boost::asio::awaitable<void>
+    wait_for_owner_change(std::chrono::milliseconds longest);
+
+    /// Tells the live nodes about a claim or a release at once; the registry
+    /// says the same to those that it does not reach, but is read only a few
+    /// times a second. A released shard's owner must have stopped acting.
+    void tell_nodes(shard_id shard, const owner_record& owner);
 
     /// The deployment's layout; empty until it has been read.
     const std::optional<fleet_layout>& layout() const;
@@ -94,6 +105,8 @@
     boost::asio::awaitable<shard_answer> ask_remote(
         const owner_record& owner, const shard_call& call,
         std::chrono::milliseconds timeout);
+    boost::asio::awaitable<void>
+    tell_node(std::string address, shard_call call);
 
     node_context& context_;
     shard_map& shards_;
--- a/src/include/dandeliontack/tack_node.hpp
+++ b/src/include/dandeliontack/tack_node.hpp
@@ -55,6 +55,8 @@
     void record_claim_result(shard_id shard, std::uint64_t after, bool taken);
     boost::asio::awaitable<void> load_layout();
     boost::asio::awaitable<void> write_log_regularly();
+    boost::asio::awaitable<void> hand_over(std::shared_ptr<shard_owner> owner);
+    boost::asio::awaitable<void> hand_over(std::shared_ptr<fleet_duty> duty);
     boost::asio::awaitable<void> hand_over_all(std::shared_ptr<bool> done);
     void apply_operator_record(const keyed_record& record);
     void apply_host_record(const keyed_record& record);
--- a/src/libnode/fleet_duty.cpp
+++ b/src/libnode/fleet_duty.cpp
@@ -169,14 +169,22 @@
         claim_.epoch() - 1, std::move(records), announcement_claim_timeout);
 }
 
-asio::awaitable<void> fleet_duty::hand_over()
+void fleet_duty::hand_over()
 {
-    const auto self = shared_from_this();
-    if (!lost_)
-        co_await claim_.announce(true);
     mark_lost("the duty was released for a planned handover");
 }
 
+asio::awaitable<void> fleet_duty::announce_release()
+{
+    const auto self = shared_from_this();
+    co_await claim_.announce(true);
+}
+
+owner_record fleet_duty::record() const
+{
+    return claim_.record(lost_);
+}
+
 asio::awaitable<bool> fleet_duty::load()
 {
     const auto place =
--- a/src/libnode/ownership_property_test.cpp
+++ b/src/libnode/ownership_property_test.cpp
@@ -208,7 +208,7 @@
     {
         if (!store_up_)
             return;
-        current_.engine->close_hosts();
+        current_.engine->begin_handover();
         store();
         take_over();
     }
--- a/src/libnode/shard_claim.cpp
+++ b/src/libnode/shard_claim.cpp
@@ -139,6 +139,11 @@
     return writer_.epoch();
 }
 
+owner_record shard_claim::record(bool released) const
+{
+    return own_record(epoch(), released);
+}
+
 const fenced_writer& shard_claim::writer() const
 {
     return writer_;
--- a/src/libnode/shard_map.cpp
+++ b/src/libnode/shard_map.cpp
@@ -140,7 +140,11 @@
     if (error != std::errc() || stop != end || !owner)
         return false;
     auto& known = owners_[shard];
-    if (owner->epoch >= known.epoch)
+    // An owner does not take a released epoch again; an older record of that
+    // epoch may still be read.
+    const bool is_past = owner->epoch < known.epoch ||
+                         (owner->epoch == known.epoch && known.released);
+    if (!is_past)
         known = *owner;
     return true;
 }
@@ -233,7 +237,8 @@
 // CPU; a shard of the same pool in another cell counts twice, as both are busy
 // at the same time. Among equally loaded nodes, a shard that was released in a
 // planned stop goes to the node that started last, as the others may be stopped
-// next. If that node does not claim it, the next candidate does.
+// next. The node that released it comes last: it is being stopped, or can't
+// reach the store. If the first candidate does not claim it, the next does.
 std::vector<shard_id> shard_map::shards_to_claim(
     const std::set<shard_id>& wanted, const claimant& self, boot_time now)
 {
@@ -273,6 +278,11 @@
     {
         const auto known = owners_.find(shard);
         const bool released = known != owners_.end() && known->second.released;
+        const auto has_released = [&](const node_announcement& node) {
+            return released && node.name == known->second.node &&
+                   node.process_incarnation ==
+                       known->second.process_incarnation;
+        };
         std::ranges::sort(nodes, {}, [&](const node_announcement& node) {
             const auto cpu = std::max<std::uint32_t>(node.cpu_milli, 1);
             const auto shards = load[node.name] +
@@ -282,7 +292,8 @@
             const auto age = std::numeric_limits<std::uint64_t>::max() -
                              (released ? node.epoch : 0);
             return std::tuple(
-                share, age, stable_hash(node.name + std::to_string(shard)));
+                has_released(node), share, age,
+                stable_hash(node.name + std::to_string(shard)));
         });
         for (std::size_t rank = 0; rank < nodes.size(); ++rank)
             if (nodes[rank].name == self.announcement.name &&
--- a/src/libnode/shard_map_test.cpp
+++ b/src/libnode/shard_map_test.cpp
@@ -322,4 +322,46 @@
     EXPECT_EQ(map.alive_nodes(now).size(), 2U);
 }
 
+// Load pattern: an owner loses the store in its pool's load peak, and tells the
+// others that it has given the shard up. The shard is claimed at once, and not
+// only when the owner's announcements have stopped for `node_timeout`.
+TEST_F(shard_map_test, claims_shard_as_soon_as_its_owner_gives_it_up)
+{
+    map.mark_caught_up(now);
+    advance(1250ms, {a, b});
+    set_owner(5, b, 3);
+    EXPECT_TRUE(claims({5}, a, now).empty());
+    set_owner(5, b, 3, true);
+    EXPECT_EQ(claims({5}, a, now), std::vector<shard_id>{5});
+    EXPECT_EQ(map.last_epoch(5), 3U);
+}
+
+// The node that gave it up has the least load then, and still counts as alive.
+TEST_F(shard_map_test, node_that_released_a_shard_is_its_last_candidate)
+{
+    map.mark_caught_up(now);
+    advance(1250ms, {a, b});
+    set_owner(1, a, 1);
+    set_owner(2, a, 1);
+    set_owner(5, b, 3);
+    set_owner(5, b, 3, true);
+    EXPECT_EQ(claims({1, 2, 5}, a, now, {}, {1, 2}), std::vector<shard_id>{5});
+    EXPECT_TRUE(claims({1, 2, 5}, b, now).empty());
+    advance(takeover_timing{}.stagger, {a, b});
+    EXPECT_EQ(claims({1, 2, 5}, b, now), std::vector<shard_id>{5});
+}
+
+// The registry may still hold the owner's record when its release is known.
+TEST_F(shard_map_test, release_outlasts_an_older_record_of_the_same_epoch)
+{
+    map.mark_caught_up(now);
+    advance(1250ms, {a, b});
+    set_owner(5, b, 3, true);
+    set_owner(5, b, 3);
+    EXPECT_FALSE(map.owner(5));
+    set_owner(5, a, 4);
+    ASSERT_TRUE(map.owner(5));
+    EXPECT_EQ(map.owner(5)->epoch, 4U);
+}
+
 } // namespace dandeliontack
--- a/src/libnode/shard_owner.cpp
+++ b/src/libnode/shard_owner.cpp
@@ -252,18 +252,27 @@
     stopping_ = true;
     if (serving_ && !lost_)
     {
-        engine_->close_hosts();
+        engine_->begin_handover();
         change_signal_.notify();
     }
     const auto deadline = read_clocks().steady + hand_over_timeout;
     while (serving_ && !lost_ && read_clocks().steady < deadline &&
            (engine_->has_changes() || appending_))
         co_await stored_signal_.wait(batch_delay);
-    if (!lost_)
-        co_await claim_.announce(true);
     mark_lost("the shard was released for a planned handover");
 }
 
+asio::awaitable<void> shard_owner::announce_release()
+{
+    const auto self = shared_from_this();
+    co_await claim_.announce(true);
+}
+
+owner_record shard_owner::record() const
+{
+    return claim_.record(lost_);
+}
+
 void shard_owner::mark_lost(std::string_view reason)
 {
     if (std::exchange(lost_, true))
@@ -567,7 +576,7 @@
 asio::awaitable<void> shard_owner::poll_host(std::string id)
 {
     const auto self = shared_from_this();
-    while (!lost_)
+    while (!lost_ && !stopping_)
     {
         const auto found = engine_->hosts().find(id);
         if (found == engine_->hosts().end())
@@ -583,8 +592,7 @@
         const platform::host_address address{id, host.entry.address, epoch()};
         // The first request must not wait: its answer brings the clock that a
         // lease needs. With ends awaiting storage the host answers at once.
-        const bool wait =
-            host.contacted && host.unstored_ends.empty() && !stopping_;
+        const bool wait = host.contacted && host.unstored_ends.empty();
         const auto sent = read_clocks();
         const auto lease_end = engine_->extend_lease(id, sent);
         auto request = platform::encode_hold(
@@ -592,7 +600,7 @@
         auto result = co_await context_.connections.exchange(
             *peer, std::move(request), order_timeout + (wait ? hold_wait : 0ms),
             order_permission());
-        if (lost_)
+        if (lost_ || stopping_)
             co_return;
         const auto* response = std::get_if<http_response>(&result);
         if (!response || response->result() != boost::beast::http::status::ok)
--- a/src/libnode/shard_router.cpp
+++ b/src/libnode/shard_router.cpp
@@ -1,4 +1,5 @@
 #include <dandeliontack/shard_router.hpp>
+#include <dandeliontack/spawn.hpp>
 
 #include <boost/asio.hpp>
 
@@ -21,6 +22,8 @@
 // Timeout of one attempt to call an owner, and the delay before the next.
 constexpr auto attempt_timeout = 900ms;
 constexpr auto retry_delay = 60ms;
+// Timeout of a message about an owner, which is not repeated.
+constexpr auto tell_timeout = 500ms;
 constexpr int http_version = 11;
 constexpr std::size_t path_segments = 3;
 
@@ -37,7 +40,8 @@
     verb_row{shard_call::verb::evacuate, "evacuate"},
     verb_row{shard_call::verb::host_ended, "host-ended"},
     verb_row{shard_call::verb::demands, "demands"},
-    verb_row{shard_call::verb::announce, "announce"}};
+    verb_row{shard_call::verb::announce, "announce"},
+    verb_row{shard_call::verb::owner_changed, "owner-changed"}};
 
 struct outcome_row
 {
@@ -137,6 +141,40 @@
     owner_changed_.notify();
 }
 
+asio::awaitable<void>
+shard_router::wait_for_owner_change(std::chrono::milliseconds longest)
+{
+    co_await owner_changed_.wait(longest);
+}
+
+void shard_router::tell_nodes(shard_id shard, const owner_record& owner)
+{
+    shards_.apply({owner_key(shard), encode(owner), 0}, read_clocks());
+    owner_changed_.notify();
+    for (const auto& node : shards_.alive_nodes(read_clocks().steady))
+        if (node.process_incarnation != context_.process_incarnation)
+            spawn(
+                context_, "owner news",
+                tell_node(
+                    node.address, {shard_call::verb::owner_changed,
+                                   shard,
+                                   0,
+                                   encode(owner),
+                                   {}}));
+}
+
+asio::awaitable<void>
+shard_router::tell_node(std::string address, shard_call call)
+{
+    const auto peer = parse_endpoint(address);
+    if (!peer)
+        co_return;
+    owner_record to;
+    to.address = std::move(address);
+    co_await context_.connections.exchange(
+        *peer, encode_call(to, call), tell_timeout);
+}
+
 asio::awaitable<shard_answer>
 shard_router::ask_local(shard_owner& owner, shard_call call)
 {
@@ -297,6 +335,13 @@
     {
         answer = co_await announcement_store_(std::move(call->name));
     }
+    else if (call->kind == shard_call::verb::owner_changed)
+    {
+        const bool known = shards_.apply(
+            {owner_key(call->shard), std::move(call->name), 0}, read_clocks());
+        answer.outcome = known ? shard_outcome::done : shard_outcome::rejected;
+        owner_changed_.notify();
+    }
     else if (local != owners_.end())
     {
         const auto owner = local->second;
--- a/src/libnode/tack_node.cpp
+++ b/src/libnode/tack_node.cpp
@@ -231,7 +231,10 @@
         co_return;
     const auto owned = router_.owners();
     for (const auto& [shard, owner] : owned)
+    {
         owner->give_up();
+        router_.tell_nodes(shard, owner->record());
+    }
     without_store_ = true;
     ++sequence_;
     auto record = encode(announcement());
@@ -482,7 +485,7 @@
 {
     while (true)
     {
-        co_await pause_for(context_.executor, claim_interval);
+        co_await router_.wait_for_owner_change(claim_interval);
         drop_lost_shards();
         if (leaving_ || !front_.table())
             continue;
@@ -563,6 +566,7 @@
     if (taken && !leaving_)
     {
         router_.add_owner(owner);
+        router_.tell_nodes(shard, owner->record());
         if (!std::exchange(following_hosts_, true))
             spawn_with_restart(context_, "host records", [this] {
                 return host_records_.run();
@@ -572,7 +576,7 @@
     }
     else if (taken)
     {
-        co_await owner->hand_over();
+        co_await hand_over(owner);
     }
     claiming_.erase(shard);
 }
@@ -591,21 +595,42 @@
             duty->request(wave);
         duty->set_table(front_.shared_table());
         duty_ = duty;
+        router_.tell_nodes(fleet_shard, duty->record());
     }
     else if (taken)
     {
-        co_await duty->hand_over();
+        co_await hand_over(duty);
     }
     claiming_.erase(fleet_shard);
 }
 
+// The successor is told before the release is stored: it may claim as soon as
+// this owner has stopped acting.
+asio::awaitable<void> tack_node::hand_over(std::shared_ptr<shard_owner> owner)
+{
+    if (owner->is_lost())
+        co_return;
+    co_await owner->hand_over();
+    router_.tell_nodes(owner->shard(), owner->record());
+    co_await owner->announce_release();
+}
+
+asio::awaitable<void> tack_node::hand_over(std::shared_ptr<fleet_duty> duty)
+{
+    if (duty->is_lost())
+        co_return;
+    duty->hand_over();
+    router_.tell_nodes(fleet_shard, duty->record());
+    co_await duty->announce_release();
+}
+
 asio::awaitable<void> tack_node::hand_over_all(std::shared_ptr<bool> done)
 {
     if (duty_)
-        co_await duty_->hand_over();
+        co_await hand_over(duty_);
     const auto owned = router_.owners();
     for (const auto& [shard, owner] : owned)
-        co_await owner->hand_over();
+        co_await hand_over(owner);
     *done = true;
 }
 
--- a/src/libsched/pool_engine.cpp
+++ b/src/libsched/pool_engine.cpp
@@ -289,6 +289,11 @@
     const auto found = hosts_.find(e.host);
     if (found == hosts_.end() || found->second.entry.born != e.born)
         return;
+    // What the host lists stays there, unacknowledged, for the successor.
+    // Applying it would reopen the host, and add changes to store for as long
+    // as tasks end.
+    if (handing_over_)
+        return;
     auto& h = found->second;
     if (e.report.born && *e.report.born != h.entry.born)
         begin_incarnation(h, *e.report.born);
@@ -1277,8 +1282,9 @@
     changes_.used_hosts.push_back(h.entry.id);
 }
 
-void pool_engine::close_hosts()
+void pool_engine::begin_handover()
 {
+    handing_over_ = true;
     for (auto& [id, h] : hosts_)
         if (!uncontacted_hosts_.contains(id) &&
             !uncontacted_closed_hosts_.contains(id))
--- a/src/libsched/pool_takeover_test.cpp
+++ b/src/libsched/pool_takeover_test.cpp
@@ -126,6 +126,30 @@
     EXPECT_EQ(d.effects_of<pool_effect::start>(d.tick()).size(), 1U);
 }
 
+// Load pattern: the node that owns a pool is stopped in the pool's load peak,
+// when tasks end all the time. The handover needs one append, whatever the
+// hosts report meanwhile, and the recorded lists stay as they are.
+TEST(pool_takeover, handover_in_a_load_peak_needs_one_append)
+{
+    constexpr std::uint32_t tasks = 12;
+    pool_driver d;
+    d.connect_hosts({"a"});
+    d.submit(pool_driver::make_submission(tasks));
+    d.answer_starts(d.tick());
+    d.engine.begin_handover();
+    EXPECT_TRUE(d.engine.has_changes());
+    d.store();
+    for (std::uint32_t i = 0; i < tasks; ++i)
+    {
+        d.advance(30ms);
+        d.hold("a", {}, {ended_run(i + 1, i, 1, run_outcome::done)});
+        EXPECT_FALSE(d.engine.has_changes());
+    }
+    const auto use = d.engine.use_of(d.engine.hosts().at("a"));
+    EXPECT_TRUE(use.closed);
+    EXPECT_EQ(use.tasks.size(), tasks);
+}
+
 TEST(pool_takeover, silent_host_is_closed_with_its_tasks_recorded)
 {
     pool_driver d;
