Let tasks that end soon run to their end in an evacuation

Change: a checkpointed task of bounded duration that is expected to end within 2 s, the time that an evacuation is planned with, is left to run, unless the host is about to leave or the task is beyond twice its estimate. Ruled out: leaving all checkpointed tasks, as long ones would hold a wave up.

--- a/src/libsched/pool_engine.cpp
+++ b/src/libsched/pool_engine.cpp
@@ -57,6 +57,10 @@
 // How long a task's progress must have been at 100 % before the task counts as
 // available.
 constexpr auto min_available_time = 300ms;
+// A task that ends within this time is not stopped for an evacuation, which
+// takes about as long in any case: a stop throws away the time until the task
+// runs again elsewhere.
+constexpr auto evacuation_patience = 2000ms;
 // How long a host gets no new tasks after a lending request; more than two
 // rounds of the fleet duty, which repeats the request while it holds.
 constexpr auto lending_duration = 800ms;
@@ -1080,9 +1084,27 @@
     }
 }
 
+// Whether a task of bounded duration is expected to end within
+// `evacuation_patience`.
+bool pool_engine::ends_soon(const task_ref& task) const
+{
+    const auto* s = state_of(task.submission);
+    if (!s)
+        return false;
+    const auto occurrence = s->occurrences.find(task.occurrence);
+    if (occurrence == s->occurrences.end())
+        return false;
+    const auto& t = occurrence->second.steps.at(task.step).tasks.at(task.index);
+    const std::chrono::duration<double, std::milli> duration =
+        s->record.spec.steps[task.step].estimate * estimate_factor(*s);
+    const auto age = now_.steady - t.started;
+    // The estimate of a task that exceeds it by far tells nothing.
+    return age < 2 * duration && duration - age <= evacuation_patience;
+}
+
 // Evacuates a host that is draining or due for maintenance, within each step's
 // `max_unavailable`. Tasks that are neither long-running nor checkpointed run
-// to their end, and so do gangs without checkpoints.
+// to their end, and so do gangs without checkpoints and tasks that end soon.
 void pool_engine::evacuate(host_state& h)
 {
     std::vector<task_ref> tasks;
@@ -1091,7 +1113,8 @@
         const auto* step = spec_of(task);
         if (run.stop_ordered || !step || (step->gang && !step->checkpoints))
             continue;
-        if (step->long_running || step->checkpoints)
+        if (step->long_running ||
+            (step->checkpoints && (h.entry.draining || !ends_soon(task))))
             tasks.push_back(task);
     }
     for (const auto& task : tasks)
--- a/src/libsched/pool_hosts_test.cpp
+++ b/src/libsched/pool_hosts_test.cpp
@@ -426,4 +426,59 @@
     EXPECT_EQ(stops[0].task, task(0));
 }
 
+// Load pattern: a wave of upkeep empties hosts in a load peak. Tasks that would
+// end within the time that an evacuation takes are left to run; those that
+// would not, and those of a host that is about to leave, are stopped and resume
+// elsewhere.
+TEST(pool_hosts, evacuation_leaves_tasks_that_end_soon)
+{
+    struct load
+    {
+        std::chrono::milliseconds estimate;
+        bool draining = false;
+        std::size_t stops = 0;
+    };
+    for (const auto& [estimate, draining, stops] :
+         {load{1300ms, false, 0}, load{6000ms, false, 4},
+          load{1300ms, true, 4}})
+    {
+        pool_driver d;
+        auto submission = pool_driver::make_submission(4);
+        submission.spec.steps[0].checkpoints = true;
+        submission.spec.steps[0].estimate = estimate;
+        d.connect_hosts({"a"});
+        d.submit(submission);
+        d.answer_starts(d.tick());
+        d.advance(200ms);
+        if (draining)
+        {
+            auto entry = pool_driver::host("a");
+            entry.draining = true;
+            d.apply(pool_event::hosts_listed{{entry}});
+            d.tick();
+        }
+        else
+            d.apply(pool_event::evacuation_requested{"a", d.now.steady + 3s});
+        EXPECT_EQ(d.effects_of<pool_effect::stop>(d.all_effects).size(), stops);
+    }
+}
+
+// A task that runs far beyond its estimate may run for long.
+TEST(pool_hosts, evacuation_stops_a_task_far_beyond_its_estimate)
+{
+    pool_driver d;
+    auto submission = pool_driver::make_submission(1);
+    submission.spec.steps[0].checkpoints = true;
+    d.connect_hosts({"a"});
+    d.submit(submission);
+    d.answer_starts(d.tick());
+    for (std::uint32_t percent = 1; percent < 30; ++percent)
+    {
+        d.advance(100ms);
+        d.hold("a", {running_run(0, 1, percent)});
+    }
+    d.apply(pool_event::evacuation_requested{"a", d.now.steady + 3s});
+    EXPECT_EQ(d.effects_of<pool_effect::stop>(d.all_effects).size(), 1U);
+}
+
 } // namespace dandeliontack::test
