--- a/src/libsched/demand_memory_test.cpp
+++ b/src/libsched/demand_memory_test.cpp
@@ -55,6 +55,7 @@
         std::vector<pool_demand> demands{demand_of(rate, now)};
         memory.complete(demands, pools, now);
         const auto counted = demand_of(rate, now).arrivals;
+        EXPECT_NEAR(demands[0].arrivals.fast.rate, counted.fast.rate, 1e-6);
         EXPECT_NEAR(demands[0].arrivals.slow.rate, counted.slow.rate, 1e-6);
         EXPECT_EQ(demands[0].idle.size(), 1U);
     }
