Forget a departed host whose pool has no owner

Cause: a host of a pool without an owner would be reported in every round for ever. Change: it is forgotten after 100 machine lists, long after every lease on it has expired.

--- a/src/include/dandeliontack/departure_watch.hpp
+++ b/src/include/dandeliontack/departure_watch.hpp
@@ -31,6 +31,9 @@
     /// Pages of a list are not a snapshot, so that a single list may lack a
     /// machine that is up.
     static constexpr std::uint32_t lists_to_confirm = 2;
+    /// A host is forgotten after so many lists: its pool may have no owner, and
+    /// every lease on the host has expired long before.
+    static constexpr std::uint32_t lists_to_forget = 100;
 
 private:
     struct known_host
--- a/src/libsched/departure_watch.cpp
+++ b/src/libsched/departure_watch.cpp
@@ -1,15 +1,13 @@
 #include <dandeliontack/departure_watch.hpp>
 
-#include <algorithm>
-#include <ranges>
-
 namespace dandeliontack
 {
 
 void departure_watch::observe(const std::vector<listed_machine>& machines)
 {
-    for (auto& [id, host] : hosts_)
-        ++host.missed;
+    std::erase_if(hosts_, [](auto& item) {
+        return ++item.second.missed > lists_to_forget;
+    });
     for (const auto& machine : machines)
         if (!machine.host.empty())
             hosts_[machine.host] = {machine, 0};
--- a/src/libsched/departure_watch_test.cpp
+++ b/src/libsched/departure_watch_test.cpp
@@ -55,6 +55,17 @@
     EXPECT_TRUE(watch.departed().empty());
 }
 
+TEST(departure_watch, host_of_a_pool_without_an_owner_is_forgotten)
+{
+    departure_watch watch;
+    watch.observe({machine("a", "h1")});
+    for (std::uint32_t i = 0; i < departure_watch::lists_to_forget; ++i)
+        watch.observe({});
+    EXPECT_EQ(watch.departed().size(), 1U);
+    watch.observe({});
+    EXPECT_TRUE(watch.departed().empty());
+}
+
 // Load pattern: a rack falls silent in a load peak. The tasks of its hosts
 // start elsewhere within two lists and one planning round; without the watch
 // they would wait until the last lease of 5 s has expired.
