--- a/src/libsched/departure_watch.cpp
+++ b/src/libsched/departure_watch.cpp
@@ -5,8 +5,10 @@
 
 void departure_watch::observe(const std::vector<listed_machine>& machines)
 {
-    std::erase_if(hosts_, [](auto& item) {
-        return ++item.second.missed > lists_to_forget;
+    for (auto& [id, host] : hosts_)
+        ++host.missed;
+    std::erase_if(hosts_, [](const auto& item) {
+        return item.second.missed > lists_to_forget;
     });
     for (const auto& machine : machines)
         if (!machine.host.empty())
