Read the change as a newcomer: share what was written again, reword comments

Found and mended: the latency objective computed twice, by the forecast and by the delays; a second constant for the time of an evacuation; two functions for one owner record; a call encoded with an empty owner record for its address; an owner record that can't be read answered as rejected and not as a malformed call; look-ups in ends_soon that the engine has already; comments of demand_memory and departure_watch that needed their author.

--- a/src/include/dandeliontack/demand_memory.hpp
+++ b/src/include/dandeliontack/demand_memory.hpp
@@ -28,8 +28,8 @@
         std::vector<pool_demand>& demands, const std::set<std::string>& pools,
         boot_time now);
 
-    /// Rejected callers return within this time, as a request's timeout is
-    /// 3 s. Longer than a takeover takes.
+    /// The default timeout of a caller's request, within which rejected callers
+    /// return. A takeover takes less.
     static constexpr std::chrono::milliseconds retention{3000};
 
 private:
--- a/src/include/dandeliontack/departure_watch.hpp
+++ b/src/include/dandeliontack/departure_watch.hpp
@@ -17,22 +17,22 @@
 class departure_watch
 {
 public:
-    /// Records a list that was requested after the previous one was answered.
+    /// Records a list, which must have been requested after the last one was
+    /// answered.
     void observe(const std::vector<listed_machine>& machines);
 
-    /// The machines, as last listed with their host, whose host is named in
-    /// none of the last `lists_to_confirm` lists and has not been taken from
-    /// here by `forget`.
+    /// The machines whose host is missing from the last `lists_to_confirm`
+    /// lists, as listed before; without those passed to `forget`.
     std::vector<listed_machine> departed() const;
 
-    /// The owner of the host's pool knows that it has ended.
+    /// To be called once the host's owner knows that it has ended.
     void forget(const std::string& host);
 
     /// Pages of a list are not a snapshot, so that a single list may lack a
     /// machine that is up.
     static constexpr std::uint32_t lists_to_confirm = 2;
-    /// A host is forgotten after so many lists: its pool may have no owner, and
-    /// every lease on the host has expired long before.
+    /// A host is forgotten after it was missing from this many lists, in which
+    /// time every lease on it expires: its pool may have no owner.
     static constexpr std::uint32_t lists_to_forget = 100;
 
 private:
--- a/src/include/dandeliontack/pool_engine.hpp
+++ b/src/include/dandeliontack/pool_engine.hpp
@@ -145,7 +145,7 @@
     void expire_host(host_state& h);
     void check_runs(host_state& h);
     void evacuate(host_state& h);
-    bool ends_soon(const task_ref& task) const;
+    bool ends_soon(const task_ref& task);
     void pace_fillers(host_state& h);
     void mark_contacted(const std::string& host);
     void update_takeover();
--- a/src/include/dandeliontack/upkeep_plan.hpp
+++ b/src/include/dandeliontack/upkeep_plan.hpp
@@ -12,6 +12,9 @@
 namespace dandeliontack
 {
 
+/// Typical time to evacuate a host.
+inline constexpr std::chrono::milliseconds evacuation_time{2000};
+
 /// Progress of a wave of upkeep (machine maintenance) as known to its owner.
 struct wave_progress_view
 {
--- a/src/libnode/fleet_duty.cpp
+++ b/src/libnode/fleet_duty.cpp
@@ -32,8 +32,6 @@
 // age of its answer with which an order is planned, and with which it is sent.
 constexpr auto max_empty_age_to_plan = 900ms;
 constexpr auto max_empty_age_to_order = 1800ms;
-// Typical time to evacuate a host.
-constexpr auto evacuation_time = 2000ms;
 constexpr auto owner_call_timeout = 600ms;
 // Announcements of nodes within this period, which is well below the interval
 // of announcements, are stored together.
--- a/src/libnode/shard_claim.cpp
+++ b/src/libnode/shard_claim.cpp
@@ -61,7 +61,7 @@
         co_return false;
     announcing_ = true;
     std::vector<keyed_record> records{
-        {owner_key(shard_), encode(own_record(epoch(), released)), 0}};
+        {owner_key(shard_), encode(record(released)), 0}};
     bool stored = false;
     // Registry records use the shard's epoch, which only one node ever holds.
     if (registry_writer_.current_state() == fenced_writer::state::held)
@@ -110,8 +110,7 @@
 {
     if (records.empty())
         records.push_back(
-            {std::string(shard_owner_key), encode(own_record(epoch(), false)),
-             0});
+            {std::string(shard_owner_key), encode(record(false)), 0});
     return writer_.append(std::move(records));
 }
 
--- a/src/libnode/shard_router.cpp
+++ b/src/libnode/shard_router.cpp
@@ -57,14 +57,14 @@
 
 // The path is `/VERB/SHARD/SUBMISSION`, the body an encoded submission record
 // or the call's `name`.
-http_request encode_call(const owner_record& owner, const shard_call& call)
+http_request encode_call(const std::string& address, const shard_call& call)
 {
     const auto* verb = std::ranges::find(verbs, call.kind, &verb_row::kind);
     const auto target = "/" + std::string(verb->name) + "/" +
                         std::to_string(call.shard) + "/" +
                         submission_name(call.submission);
     http_request request(http::verb::post, target, http_version);
-    request.set(http::field::host, owner.address);
+    request.set(http::field::host, address);
     request.body() = call.record ? encode(*call.record) : call.name;
     request.prepare_payload();
     return request;
@@ -103,6 +103,14 @@
     return call;
 }
 
+http_response malformed_call()
+{
+    return make_problem(
+        http::status::bad_request, outcome::not_run, "malformed call",
+        "the path must be /VERB/SHARD/SUBMISSION, with a body that matches "
+        "the verb");
+}
+
 shard_answer decode_answer(const http_response& response)
 {
     const auto* row =
@@ -169,10 +177,9 @@
     const auto peer = parse_endpoint(address);
     if (!peer)
         co_return;
-    owner_record to;
-    to.address = std::move(address);
+    // A node that this does not reach reads the same in the registry.
     co_await context_.connections.exchange(
-        *peer, encode_call(to, call), tell_timeout);
+        *peer, encode_call(address, call), tell_timeout);
 }
 
 asio::awaitable<shard_answer>
@@ -204,7 +211,7 @@
     const auto peer = parse_endpoint(owner.address);
     if (!peer)
         co_return shard_answer{shard_outcome::not_owner, {}};
-    auto request = encode_call(owner, call);
+    auto request = encode_call(owner.address, call);
     auto result = co_await context_.connections.exchange(
         *peer, std::move(request), timeout);
     const auto* error = std::get_if<exchange_error>(&result);
@@ -325,10 +332,7 @@
 {
     auto call = decode_call(request);
     if (!call)
-        co_return make_problem(
-            http::status::bad_request, outcome::not_run, "malformed call",
-            "the path must be /VERB/SHARD/SUBMISSION, with a body that matches "
-            "the verb");
+        co_return malformed_call();
     shard_answer answer{shard_outcome::not_owner, {}};
     const auto local = owners_.find(call->shard);
     if (call->kind == shard_call::verb::announce && announcement_store_)
@@ -337,9 +341,11 @@
     }
     else if (call->kind == shard_call::verb::owner_changed)
     {
-        const bool known = shards_.apply(
-            {owner_key(call->shard), std::move(call->name), 0}, read_clocks());
-        answer.outcome = known ? shard_outcome::done : shard_outcome::rejected;
+        if (!shards_.apply(
+                {owner_key(call->shard), std::move(call->name), 0},
+                read_clocks()))
+            co_return malformed_call();
+        answer.outcome = shard_outcome::done;
         owner_changed_.notify();
     }
     else if (local != owners_.end())
--- a/src/libsched/completion_forecast.cpp
+++ b/src/libsched/completion_forecast.cpp
@@ -15,6 +15,21 @@
 // value.
 constexpr double late_limit_factor = 3.0;
 
+using exact_milliseconds = std::chrono::duration<double, std::milli>;
+
+// The expected length of the longest chain of steps.
+exact_milliseconds chain_of(const submission_state& s, double estimate_factor)
+{
+    return critical_path(s.record.spec, nullptr) * estimate_factor;
+}
+
+exact_milliseconds
+objective_of(const submission_state& s, double estimate_factor)
+{
+    return chain_of(s, estimate_factor) * s.record.terms.stretch +
+           s.record.terms.target;
+}
+
 } // namespace
 
 std::chrono::milliseconds
@@ -40,15 +55,10 @@
     const submission_state& s, const occurrence_state& o,
     double estimate_factor, boot_time now)
 {
-    const auto& terms = s.record.terms;
     const auto& spec = s.record.spec;
     const double remaining =
         estimate_factor * static_cast<double>(critical_path(spec, &o).count());
-    const double total =
-        estimate_factor *
-        static_cast<double>(critical_path(spec, nullptr).count());
-    const double objective =
-        terms.stretch * total + static_cast<double>(terms.target.count());
+    const double objective = objective_of(s, estimate_factor).count();
     completion_forecast out;
     out.age = now - o.due;
     const double end = static_cast<double>(out.age.count()) + remaining;
@@ -65,14 +75,9 @@
     using std::chrono::duration_cast;
     using std::chrono::milliseconds;
     submission_delays out;
-    const auto& terms = s.record.terms;
-    out.chain = milliseconds(static_cast<std::int64_t>(
-        estimate_factor *
-        static_cast<double>(critical_path(s.record.spec, nullptr).count())));
+    out.chain = duration_cast<milliseconds>(chain_of(s, estimate_factor));
     out.objective =
-        milliseconds(static_cast<std::int64_t>(
-            terms.stretch * static_cast<double>(out.chain.count()))) +
-        terms.target;
+        duration_cast<milliseconds>(objective_of(s, estimate_factor));
     const auto first = s.occurrences.begin();
     out.age = duration_cast<milliseconds>(
         now - (first == s.occurrences.end() ? s.arrived : first->second.due));
--- a/src/libsched/demand_memory.cpp
+++ b/src/libsched/demand_memory.cpp
@@ -8,9 +8,9 @@
 namespace
 {
 
-// Without arrivals the rates decay to a known share. An owner that reports less
-// than this part of it has not counted the arrivals of a previous owner; the
-// rest allows for the time between its answer and `now`.
+// An owner's rates never fall below what is left of the last ones after decay.
+// An owner that reports less than this share of that has not counted the
+// arrivals of a previous owner. The margin covers the age of its answer.
 constexpr double min_counted_share = 0.5;
 
 } // namespace
@@ -44,7 +44,7 @@
         const auto known = pools_.find(pool);
         if (known == pools_.end() || now - known->second.reported > retention)
             continue;
-        // The callers of this time wait or will return, so the rates hold.
+        // Rates don't decay without an owner: callers still arrive and wait.
         known->second.counted = now;
         known->second.demand.idle.clear();
         demands.push_back(known->second.demand);
--- a/src/libsched/pool_engine.cpp
+++ b/src/libsched/pool_engine.cpp
@@ -1,6 +1,7 @@
 #include "completion_forecast.hpp"
 #include "pool_planner.hpp"
 #include <dandeliontack/pool_engine.hpp>
+#include <dandeliontack/upkeep_plan.hpp>
 
 #include <algorithm>
 #include <array>
@@ -57,10 +58,6 @@
 // How long a task's progress must have been at 100 % before the task counts as
 // available.
 constexpr auto min_available_time = 300ms;
-// A task that ends within this time is not stopped for an evacuation, which
-// takes about as long in any case: a stop throws away the time until the task
-// runs again elsewhere.
-constexpr auto evacuation_patience = 2000ms;
 // How long a host gets no new tasks after a lending request; more than two
 // rounds of the fleet duty, which repeats the request while it holds.
 constexpr auto lending_duration = 800ms;
@@ -1084,22 +1081,20 @@
     }
 }
 
-// Whether a task of bounded duration is expected to end within
-// `evacuation_patience`.
-bool pool_engine::ends_soon(const task_ref& task) const
+// Whether a task of bounded duration is expected to end within the time that an
+// evacuation takes. Stopping it would delay it until it runs again elsewhere
+// and empty the host hardly sooner.
+bool pool_engine::ends_soon(const task_ref& task)
 {
-    const auto* s = state_of(task.submission);
-    if (!s)
-        return false;
-    const auto occurrence = s->occurrences.find(task.occurrence);
-    if (occurrence == s->occurrences.end())
+    const auto* t = find_task(task);
+    const auto* step = spec_of(task);
+    if (!t || !step)
         return false;
-    const auto& t = occurrence->second.steps.at(task.step).tasks.at(task.index);
     const std::chrono::duration<double, std::milli> duration =
-        s->record.spec.steps[task.step].estimate * estimate_factor(*s);
-    const auto age = now_.steady - t.started;
-    // The estimate of a task that exceeds it by far tells nothing.
-    return age < 2 * duration && duration - age <= evacuation_patience;
+        step->estimate * estimate_factor(active_.at(task.submission));
+    const auto age = now_.steady - t->started;
+    // The estimate says nothing about the rest of a task that far exceeds it.
+    return age < 2 * duration && duration - age <= evacuation_time;
 }
 
 // Evacuates a host that is draining or due for maintenance, within each step's
