--- a/src/include/dandeliontack/arrival_rate.hpp
+++ b/src/include/dandeliontack/arrival_rate.hpp
@@ -26,9 +26,6 @@
     arrival_levels& operator+=(const arrival_levels& other);
     bool operator==(const arrival_levels&) const = default;
 
-    /// What the levels become in `age` without arrivals.
-    arrival_levels decayed(std::chrono::nanoseconds age) const;
-
     /// The larger of the two rates after subtracting one standard deviation
     /// from each; at least 0.
     double lower_bound() const;
--- a/src/include/dandeliontack/fleet_duty.hpp
+++ b/src/include/dandeliontack/fleet_duty.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <dandeliontack/append_queue.hpp>
-#include <dandeliontack/demand_memory.hpp>
 #include <dandeliontack/departure_watch.hpp>
 #include <dandeliontack/fleet_balance.hpp>
 #include <dandeliontack/machine_client.hpp>
@@ -131,8 +130,6 @@
     std::set<std::string> evacuating_;
     /// Hosts that ran no tasks according to the last answers of their owners.
     std::set<std::string> idle_;
-    /// By cell.
-    std::vector<demand_memory> memories_;
     /// By cell; empty until the layout is known.
     std::vector<fleet_balance> balances_;
     std::shared_ptr<const queue_table> table_;
--- a/src/libnode/fleet_duty.cpp
+++ b/src/libnode/fleet_duty.cpp
@@ -645,9 +645,6 @@
                     return serving.contains(demand.pool);
                 });
     }
-    memories_.resize(all.size());
-    for (cell_id cell = 0; cell < all.size(); ++cell)
-        memories_[cell].complete(all[cell], serving, read_clocks().steady);
     co_return all;
 }
 
--- a/src/libsched/arrival_rate.cpp
+++ b/src/libsched/arrival_rate.cpp
@@ -9,15 +9,11 @@
 namespace
 {
 
-double decay(std::chrono::nanoseconds age, std::chrono::milliseconds length)
+double decay(std::chrono::milliseconds age, std::chrono::milliseconds length)
 {
-    using milliseconds = std::chrono::duration<double, std::milli>;
-    return std::exp(-milliseconds(age) / milliseconds(length));
-}
-
-arrival_level decayed_level(const arrival_level& level, double factor)
-{
-    return {level.rate * factor, level.variance * factor * factor};
+    return std::exp(
+        -static_cast<double>(age.count()) /
+        static_cast<double>(length.count()));
 }
 
 } // namespace
@@ -54,13 +50,6 @@
     return *this;
 }
 
-arrival_levels arrival_levels::decayed(std::chrono::nanoseconds age) const
-{
-    return {
-        decayed_level(fast, decay(age, arrival_rate::fast_window)),
-        decayed_level(slow, decay(age, arrival_rate::slow_window))};
-}
-
 double arrival_levels::lower_bound() const
 {
     return std::max(
