--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -377,10 +377,15 @@
             for run in list(self.runs.values()):
                 self.end(run, "lapsed")
         for run in list(self.runs.values()):
+            if (run.task, run.number) not in self.runs:
+                continue
             if run.stop_at is not None and now >= run.stop_at:
                 self.end(run, "stopped")
             elif (self.fails or run.step.get("hopeless")) and now - run.began >= 0.05:
-                self.end(run, "failed")
+                # A gang fails as one: with it fail its other members here.
+                for other in list(self.runs.values()):
+                    if other is run or (run.step.get("gang") and other.key() == run.key()):
+                        self.end(other, "failed")
             elif run.works_since is not None and not run.step.get("gang") and not run.step.get("longRunning"):
                 if now - run.works_since >= run.step["estimateMs"] / 1000:
                     self.end(run, "done")
@@ -393,6 +398,8 @@
             raise Drop()
         if self.world.worker_delay:
             await asyncio.sleep(self.world.random.uniform(0, self.world.worker_delay))
+            if not self.up:
+                raise Drop()
         if self.cut:
             await asyncio.sleep(30)
             raise Drop()
