--- a/review/1/case.py
+++ b/review/1/case.py
@@ -21,34 +21,6 @@
 CHECKS_A_SECOND = 7
 
 
-async def lost(world, identity):
-    """LOST, as far as it is checked here: the submission is accepted, for 3 s
-    it has nothing running, and all subtasks of the steps that a waiting
-    subtask comes after have ended `done`. The workers are all but idle then:
-    they have 20 times the room that the subtask needs."""
-    phases = world.submissions[identity]["phases"]
-
-    def waiting():
-        rows = [r for r in world.history if r["task"].startswith(identity)]
-        if any(r["end"] is None for r in rows):
-            return None
-        done = {r["task"] for r in rows if r["how"] == "done"}
-        ended = [
-            all(f"{identity}.0.{i}.{j}" in done for j in range(step["count"]))
-            for i, step in enumerate(phases)]
-        for i, step in enumerate(phases):
-            if not ended[i] and all(ended[j] for j in step.get("after", [])):
-                return i
-        return None
-
-    for _ in range(30):
-        step = waiting()
-        if step is None:
-            return None
-        await asyncio.sleep(0.1)
-    return step
-
-
 async def case(world, trouble):
     world.worker_delay = 0.02
     for i in range(9):
@@ -98,7 +70,7 @@
     broken = 0
     for name in names:
         state = await world.state_within(name)
-        step = None if state in ("completed",) else await lost(world, name)
+        step = None if state in ("completed",) else await world.lost(name)
         if state == "completed" and step is None:
             continue
         broken += 1
--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -864,6 +864,34 @@
                     broken.append(row)
         return broken
 
+    def waiting_step(self, identity):
+        """A step of which a subtask's turn has come, while nothing of the
+        submission runs and under half of the capacity is in use."""
+        phases = self.submissions[identity]["phases"]
+        rows = [r for r in self.history if r["task"].startswith(identity)]
+        if any(r["end"] is None for r in rows):
+            return None
+        if 2 * sum(w.used()[0] for w in self.workers) >= sum(w.cpu for w in self.workers):
+            return None
+        done = {r["task"] for r in rows if r["how"] == "done"}
+        ended = [
+            all(f"{identity}.0.{i}.{j}" in done for j in range(step["count"]))
+            for i, step in enumerate(phases)]
+        for i, step in enumerate(phases):
+            if not ended[i] and all(ended[j] for j in step.get("after", [])):
+                return i
+        return None
+
+    async def lost(self, identity):
+        """LOST: the step that waits like this for 3 s on end; or None."""
+        step = None
+        for _ in range(30):
+            step = self.waiting_step(identity)
+            if step is None:
+                return None
+            await asyncio.sleep(0.1)
+        return step
+
     def twice(self):
         """Runs of one subtask that break TWICE: two at the same time, or a
         start after a run that ended `done` and whose end was taken note of."""
