--- a/review/2/case.py
+++ b/review/2/case.py
@@ -46,6 +46,7 @@
                 lost.append(name)
                 world.rec.write("LOST", submission=name, node=node, answer=410)
                 print(f"LOST: {name}, accepted and not cancelled, is answered 410 by {node}")
+    await world.call("n1", "DELETE", PREFIX + names[-1])
     # "Occasionally, such a request also arrives seconds after the 2xx
     # response for that ID. It remains one submission."
     for name in names[:2]:
