--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -530,12 +530,11 @@
     """Says which workers may run a step: two of three of them. Handles one call
     at a time for each calling machine, in turn, and answers 429 where 32 calls
     wait. It forgets a call whose caller has closed the channel by the time that
-    its turn comes, if `forgets` is set."""
+    its turn comes."""
 
-    def __init__(self, world, decide_ms, each_ms, valid_ms, forgets):
+    def __init__(self, world, decide_ms, each_ms, valid_ms):
         self.world = world
         self.terms = {"decideMs": decide_ms, "eachMs": each_ms, "validMs": valid_ms}
-        self.forgets = forgets
         self.ip = "127.0.0.1"
         self.port = free_port(self.ip)
         self.address = f"{self.ip}:{self.port}"
@@ -580,7 +579,7 @@
         self.waiting += 1
         try:
             async with self.turn:
-                if self.forgets and reader.at_eof():
+                if reader.at_eof():
                     self.counts["too late"] += 1
                     return 0, b""
                 await asyncio.sleep((self.terms["decideMs"] + self.terms["eachMs"] * len(body["workers"])) / 1000)
