--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -29,6 +29,7 @@
     "checkpointS": 0.5, "restoreMs": 600, "moveS": 1.5, "upkeepS": 2,
     "leaseMs": 3000, "paceMs": 100,
 }
+METRICS_PORT = 9464  # deploy/node.ini.in
 PLATFORM = {
     "parts": 8, "appendMs": 4.0, "recordBytes": 262144,
     "callBytes": 2097152, "readMbPerS": 80.0,
@@ -617,7 +618,10 @@
         self.history = []
         self.worker_delay = 0.0
         self.folder = tempfile.mkdtemp(prefix="review-")
-        self.net = random.randrange(16, 240)
+        # A network of loopback addresses whose metrics port is free.
+        self.net = next(
+            n for n in random.sample(range(16, 240), 200)
+            if all(is_free(f"127.0.{n}.{host}", METRICS_PORT) for host in range(2, 8)))
         self.platform_ip = "127.0.0.1"
         self.platform_port = free_port(self.platform_ip)
         self.version = 0
@@ -777,7 +781,7 @@
         return not waiting
 
     async def metric(self, name, metric):
-        status, text = await http(self.nodes[name]["ip"], 9464, "GET", "/metrics", "x", timeout=1)
+        status, text = await http(self.nodes[name]["ip"], METRICS_PORT, "GET", "/metrics", "x", timeout=1)
         if status != 200:
             return None
         found = re.search(rf"^{re.escape(metric)} (\S+)", text.decode(), re.M)
