Take the request by value in the fake store of fenced_writer_test

Cause: fake_store::answer is a coroutine that took its request by reference to the parameter of the server's handler, a lambda that has returned when the coroutine starts. On arm64 the request was gone by then: five tests failed after 5 s without an append.

Change: the request is taken by value and moved in. No check is changed.

Ruled out: a fault of fenced_writer; the other coroutines of src/ and testsuite/ that take references are awaited where their arguments live.

--- a/src/libnode/fenced_writer_test.cpp
+++ b/src/libnode/fenced_writer_test.cpp
@@ -36,7 +36,9 @@
     explicit fake_store(asio::io_context& context)
         : server_(
               context.get_executor(), {}, metrics_,
-              [this](http_request request) { return answer(request); }),
+              [this](http_request request) {
+                  return answer(std::move(request));
+              }),
           address(server_.listen({"127.0.0.1", 0}))
     {}
 
@@ -45,7 +47,7 @@
     int appends = 0;
 
 private:
-    asio::awaitable<http_response> answer(const http_request& request)
+    asio::awaitable<http_response> answer(http_request request)
     {
         const std::string target(request.target());
         const auto epoch = std::stoull(parameter(target, "epoch"));
