Wait for the whole list of a host's ends after a takeover

Cause: a host lists at most 500 ends at a time and the rest once these are acknowledged. pool_engine took each answer for the whole list: after a takeover the first one settled the host, and under one owner two that did not show a run gave it up.

A host is settled, and a run taken for gone, on a whole list only. The takeover's deadline, which covers the leases of the previous owner, no longer ends the wait for a host whose lease this owner extends, and a host whose ends are not all known is not closed. The search for missing runs is a set look-up instead of a scan for each run.

Ruled out: the acknowledgement's order and end numbers (the second answer was acknowledged after the second starts); a lapse of the lease (5 s).

--- a/src/include/dandeliontack/pool_engine.hpp
+++ b/src/include/dandeliontack/pool_engine.hpp
@@ -82,8 +82,9 @@
     bool is_wanted(const pool_effect::start& order) const;
     /// Whether no task of this shard can be running on the host.
     bool is_empty(const std::string& host, moment now) const;
-    /// Hosts that a previous owner used and that have not answered yet.
-    std::vector<std::string> uncontacted_hosts() const;
+    /// Hosts that a previous owner used and whose runs and ends this owner does
+    /// not know completely yet.
+    std::vector<std::string> unsettled_hosts() const;
     /// Whether tasks from before the takeover are still held back.
     bool is_settling() const;
     /// The demand and the hosts of each pool of the shard.
@@ -147,7 +148,8 @@
     void evacuate(host_state& h);
     bool ends_soon(const task_ref& task);
     void pace_fillers(host_state& h);
-    void mark_contacted(const std::string& host);
+    void settle_host(const std::string& host);
+    bool has_expired(const std::string& host) const;
     void update_takeover();
     void release_inherited();
     void set_closed(host_state& h, bool closed);
@@ -204,8 +206,8 @@
     /// Hosts that a previous owner used and that have not answered this one:
     /// hosts that may run any task, and closed hosts with the recorded list of
     /// tasks that may run there.
-    std::set<std::string> uncontacted_hosts_;
-    std::map<std::string, std::set<task_ref>> uncontacted_closed_hosts_;
+    std::set<std::string> unsettled_hosts_;
+    std::map<std::string, std::set<task_ref>> unsettled_closed_hosts_;
     boot_time takeover_deadline_;
     bool settling_ = false;
     bool handing_over_ = false;
--- a/src/include/dandeliontack/pool_events.hpp
+++ b/src/include/dandeliontack/pool_events.hpp
@@ -76,6 +76,9 @@
     std::optional<std::chrono::milliseconds> born;
     std::vector<running_row> running;
     std::vector<ended_row> ended;
+    /// Whether `ended` holds every end that is not acknowledged yet. A host
+    /// lists a limited number at a time, the oldest first.
+    bool ends_complete = true;
 };
 
 /// How a host answered a start request.
--- a/src/include/dandeliontack/pool_state.hpp
+++ b/src/include/dandeliontack/pool_state.hpp
@@ -149,6 +149,9 @@
     boot_time unlisted_since;
     /// Whether this incarnation has answered this owner.
     bool contacted = false;
+    /// Whether this owner has seen every end that this incarnation lists. Until
+    /// then it may list the end of any task that a previous owner started.
+    bool caught_up = false;
     boot_time last_answer;
     /// The batch that contains its `host_use` record; 0 once that is stored.
     std::uint64_t recorded_in = 0;
--- a/src/libnode/ownership_property_test.cpp
+++ b/src/libnode/ownership_property_test.cpp
@@ -13,6 +13,7 @@
 #include <algorithm>
 #include <deque>
 #include <memory>
+#include <ranges>
 
 namespace dandeliontack
 {
@@ -264,6 +265,12 @@
         failure_percent_ = percent;
     }
 
+    // Makes hosts list at most this many ends in an answer.
+    void set_ends_per_answer(std::size_t count)
+    {
+        ends_per_answer_ = count;
+    }
+
     bool all_ended(std::set<submission_phase> as) const
     {
         for (std::uint64_t id = 1; id <= submission_count; ++id)
@@ -542,7 +549,10 @@
         report.born = h.born;
         for (const auto& [task, run] : h.running)
             report.running.push_back({task, run.run, {}, 50, 0});
-        report.ended.assign(h.ended.begin(), h.ended.end());
+        std::ranges::copy(
+            h.ended | std::views::take(ends_per_answer_),
+            std::back_inserter(report.ended));
+        report.ends_complete = report.ended.size() < ends_per_answer_;
         apply_event(
             o, pool_event::host_reported{
                    h.id, known->second.entry.born, now_.steady,
@@ -567,6 +577,7 @@
     bool store_up_ = true;
     int order_delay_percent_ = 0;
     int failure_percent_ = 0;
+    std::size_t ends_per_answer_ = 500;
     std::map<std::string, std::string> stored_hosts_;
     std::map<std::uint64_t, std::string> stored_submissions_;
     std::map<std::uint64_t, std::string> stored_progress_;
@@ -663,6 +674,16 @@
     run_scenario(sim, {submission_phase::completed});
 }
 
+// Guards against taking a list of ends that a host has cut for the whole list:
+// tasks whose end was in the rest ran again after a takeover.
+RC_GTEST_PROP(ownership, cut_lists_of_ends_are_read_to_their_end, ())
+{
+    simulation sim;
+    sim.set_ends_per_answer(*rc::gen::inRange<std::size_t>(1, 4));
+    sim.set_failure_percent(*rc::gen::element(0, 0, 60));
+    run_scenario(sim, {submission_phase::completed, submission_phase::failed});
+}
+
 RC_GTEST_PROP(ownership, acknowledged_failures_count_against_attempt_limit, ())
 {
     simulation sim;
--- a/src/libnode/shard_owner.cpp
+++ b/src/libnode/shard_owner.cpp
@@ -548,9 +548,9 @@
     const auto self = shared_from_this();
     machine_client platform(context_);
     co_await pause_for(context_.executor, first_departure_check);
-    while (!lost_ && !engine_->uncontacted_hosts().empty())
+    while (!lost_ && !engine_->unsettled_hosts().empty())
     {
-        const auto asked = engine_->uncontacted_hosts();
+        const auto asked = engine_->unsettled_hosts();
         const auto machines = co_await platform.list();
         if (lost_)
             co_return;
--- a/src/libsched/pool_driver.hpp
+++ b/src/libsched/pool_driver.hpp
@@ -88,6 +88,20 @@
         return effects;
     }
 
+    /// The host answers a hold call with a part of its list of ends.
+    pool_effects
+    hold_cut(const std::string& id, std::vector<ended_row> first_ends)
+    {
+        host_report report;
+        report.clock = now.steady.time_since_epoch();
+        report.ended = std::move(first_ends);
+        report.ends_complete = false;
+        auto effects = apply(
+            pool_event::host_reported{id, 1ms, now.steady, std::move(report)});
+        engine.extend_lease(id, now);
+        return effects;
+    }
+
     /// Lists the hosts, stores their `host_use` records, and has each host
     /// answer once.
     void connect_hosts(const std::vector<std::string>& ids)
--- a/src/libsched/pool_engine.cpp
+++ b/src/libsched/pool_engine.cpp
@@ -176,10 +176,9 @@
     h.lease.begin_incarnation(now.steady, terms_.leases.takeover_wait());
     h.closed = use.closed;
     if (use.closed)
-        uncontacted_closed_hosts_[use.id] = {
-            use.tasks.begin(), use.tasks.end()};
+        unsettled_closed_hosts_[use.id] = {use.tasks.begin(), use.tasks.end()};
     else
-        uncontacted_hosts_.insert(use.id);
+        unsettled_hosts_.insert(use.id);
 }
 
 void pool_engine::begin(moment now)
@@ -313,12 +312,11 @@
     }
     for (const auto& row : e.report.running)
         apply_running(h, row, e.report.clock);
-    release_missing(h, e);
-    if (!h.contacted)
-    {
-        h.contacted = true;
-        mark_contacted(e.host);
-    }
+    if (e.report.ends_complete)
+        release_missing(h, e);
+    h.contacted = true;
+    if (e.report.ends_complete && !std::exchange(h.caught_up, true))
+        settle_host(e.host);
     if (h.closed)
         set_closed(h, false);
     advance_ack_cursor(h);
@@ -333,7 +331,7 @@
     release_all(
         found->second,
         "another incarnation answers at the address of the host");
-    mark_contacted(e.host);
+    settle_host(e.host);
     changes_.dropped_hosts.push_back(e.host);
     hosts_.erase(found);
     update_takeover();
@@ -525,7 +523,8 @@
     {
         expire_host(h);
         check_runs(h);
-        if (!h.closed && h.contacted && is_silent(h, now_.steady))
+        if (!h.closed && h.contacted && h.caught_up &&
+            is_silent(h, now_.steady))
             set_closed(h, true);
         if (h.evacuate_until > now_.steady || h.entry.draining)
             evacuate(h);
@@ -536,8 +535,8 @@
         const bool gone = !h.listed && h.runs.empty() &&
                           now_.steady - h.unlisted_since > unlisted_grace &&
                           h.lease.has_ended(now_.steady) &&
-                          !uncontacted_hosts_.contains(id) &&
-                          !uncontacted_closed_hosts_.contains(id);
+                          !unsettled_hosts_.contains(id) &&
+                          !unsettled_closed_hosts_.contains(id);
         if (gone)
             changes_.dropped_hosts.push_back(id);
         return gone;
@@ -567,6 +566,7 @@
     h.entry.born = born;
     h.lease.begin_incarnation(now_.steady, terms_.max_lease);
     h.contacted = false;
+    h.caught_up = false;
     h.last_seen_end = 0;
     h.ack_cursor = 0;
     h.unstored_ends.clear();
@@ -842,18 +842,19 @@
     }
 }
 
-// Releases runs that the host reports neither as running nor as ended.
+// Releases runs that the host reports neither as running nor as ended. Valid
+// for a complete report only: the end of such a run may be among those that an
+// incomplete one leaves out.
 void pool_engine::release_missing(
     host_state& h, const pool_event::host_reported& e)
 {
+    std::set<std::pair<task_ref, std::uint32_t>> listed;
+    for (const auto& row : e.report.running)
+        listed.emplace(row.task, row.run);
     std::vector<task_ref> gone;
     for (auto& [task, run] : h.runs)
     {
-        const bool listed =
-            std::ranges::any_of(e.report.running, [&](const running_row& row) {
-                return row.task == task && row.run == run.run;
-            });
-        if (listed)
+        if (listed.contains({task, run.run}))
             continue;
         const bool stopped =
             run.stop_acknowledged && *run.stop_acknowledged < e.sent;
@@ -1235,30 +1236,44 @@
                 h.entry.id, h.entry.born, task, run.run, wanted});
 }
 
-void pool_engine::mark_contacted(const std::string& host)
+// Nothing that a previous owner started on the host is unknown any more.
+void pool_engine::settle_host(const std::string& host)
 {
-    uncontacted_hosts_.erase(host);
-    if (uncontacted_closed_hosts_.erase(host) > 0 && settled_at_)
+    unsettled_hosts_.erase(host);
+    if (unsettled_closed_hosts_.erase(host) > 0 && settled_at_)
         release_inherited();
 }
 
+// Whether nothing that a previous owner started on the host can still run, or
+// be listed as ended under a lease that holds. `takeover_deadline_` covers the
+// leases of the previous owner only; this one extends those of a host that
+// answers.
+bool pool_engine::has_expired(const std::string& host) const
+{
+    const auto found = hosts_.find(host);
+    return now_.steady > takeover_deadline_ &&
+           (found == hosts_.end() || !found->second.contacted ||
+            found->second.lease.has_ended(now_.steady));
+}
+
 // Tasks from before the takeover may start once every host that the previous
-// owner used has answered, or the last lease on it has expired for certain. For
-// a host that the previous owner closed, only the tasks on the recorded list
-// are held back.
+// owner used has listed all ends, or the last lease on it has expired for
+// certain. For a host that the previous owner closed, only the tasks on the
+// recorded list are held back.
 void pool_engine::update_takeover()
 {
     if (!settling_)
         return;
-    const bool over = now_.steady > takeover_deadline_;
-    if (over)
-    {
-        uncontacted_hosts_.clear();
-        uncontacted_closed_hosts_.clear();
-    }
-    if (!uncontacted_hosts_.empty())
+    const auto expired =
+        std::erase_if(
+            unsettled_hosts_,
+            [this](const std::string& id) { return has_expired(id); }) +
+        std::erase_if(unsettled_closed_hosts_, [this](const auto& item) {
+            return has_expired(item.first);
+        });
+    if (!unsettled_hosts_.empty())
         return;
-    if (!settled_at_ || over)
+    if (!settled_at_ || expired > 0)
     {
         settled_at_ = settled_at_.value_or(now_.steady);
         release_inherited();
@@ -1268,17 +1283,19 @@
             {},
             0,
             {},
-            over ? "the leases of unreachable hosts have expired"
-                 : "every host has answered or has a recorded task list"});
+            expired > 0
+                ? "the leases of unreachable hosts have expired"
+                : "every host has listed its ends or has a recorded task "
+                  "list"});
     }
-    settling_ = !uncontacted_closed_hosts_.empty();
+    settling_ = !unsettled_closed_hosts_.empty();
 }
 
 void pool_engine::release_inherited()
 {
     const auto may_run = [&](const task_ref& task) {
         return std::ranges::any_of(
-            uncontacted_closed_hosts_,
+            unsettled_closed_hosts_,
             [&](const auto& item) { return item.second.contains(task); });
     };
     for (auto& [id, s] : active_)
@@ -1304,8 +1321,8 @@
 {
     handing_over_ = true;
     for (auto& [id, h] : hosts_)
-        if (!uncontacted_hosts_.contains(id) &&
-            !uncontacted_closed_hosts_.contains(id))
+        if (!unsettled_hosts_.contains(id) &&
+            !unsettled_closed_hosts_.contains(id))
             set_closed(h, true);
 }
 
@@ -1415,11 +1432,11 @@
     return h.runs.empty() && (h.contacted || h.lease.has_ended(now.steady));
 }
 
-std::vector<std::string> pool_engine::uncontacted_hosts() const
+std::vector<std::string> pool_engine::unsettled_hosts() const
 {
     std::vector<std::string> out(
-        uncontacted_hosts_.begin(), uncontacted_hosts_.end());
-    for (const auto& [id, tasks] : uncontacted_closed_hosts_)
+        unsettled_hosts_.begin(), unsettled_hosts_.end());
+    for (const auto& [id, tasks] : unsettled_closed_hosts_)
         out.push_back(id);
     return out;
 }
--- a/src/libsched/pool_hosts_test.cpp
+++ b/src/libsched/pool_hosts_test.cpp
@@ -481,4 +481,47 @@
     EXPECT_EQ(d.effects_of<pool_effect::stop>(d.all_effects).size(), 1U);
 }
 
+// Guards against giving up runs whose ends are in the part of a host's list
+// that several answers in a row leave out, as happens under one owner while the
+// store is slow. The tasks ran again after they had ended as done.
+TEST(pool_hosts, runs_missing_from_cut_lists_are_kept)
+{
+    pool_driver d;
+    d.connect_hosts({"a"});
+    d.submit(pool_driver::make_submission(2));
+    d.answer_starts(d.tick());
+    for (int i = 0; i < 4; ++i)
+    {
+        d.advance(50ms);
+        d.hold_cut("a", {ended_run(1, 0, 1, run_outcome::done)});
+        d.tick();
+    }
+    EXPECT_EQ(d.engine.hosts().at("a").runs.size(), 1U);
+    d.store();
+    d.hold("a", {}, {ended_run(2, 1, 1, run_outcome::done)});
+    d.store();
+    EXPECT_EQ(d.effects_of<pool_effect::start>(d.all_effects).size(), 2U);
+    EXPECT_EQ(d.engine.find(submission_id)->phase, submission_phase::completed);
+}
+
+// A stop that the host has acknowledged says nothing about the run's end while
+// the list is cut: it may have ended as done before the stop.
+TEST(pool_hosts, stopped_run_missing_from_a_cut_list_is_kept)
+{
+    pool_driver d;
+    d.connect_hosts({"a"});
+    d.submit(pool_driver::make_submission(1));
+    d.answer_starts(d.tick());
+    d.advance(50ms);
+    d.hold("a", {running_run(0, 1, 10)});
+    d.apply(pool_event::cancelled{submission_id});
+    d.store();
+    d.apply(pool_event::stop_answered{"a", 1ms, task(0), 1, true});
+    d.advance(50ms);
+    d.hold_cut("a", {ended_run(1, 7, 1, run_outcome::done)});
+    EXPECT_EQ(d.engine.hosts().at("a").runs.size(), 1U);
+    d.hold("a");
+    EXPECT_TRUE(d.engine.hosts().at("a").runs.empty());
+}
+
 } // namespace dandeliontack::test
--- a/src/libsched/pool_takeover_test.cpp
+++ b/src/libsched/pool_takeover_test.cpp
@@ -291,4 +291,93 @@
     EXPECT_EQ(d.engine.hosts().at("b").ack_cursor, 1U);
 }
 
+// Guards against a second run of a task whose end is in the part of a host's
+// list that its first answer leaves out. review/1 saw 140 such tasks.
+TEST(pool_takeover, tasks_wait_for_the_rest_of_a_cut_list_of_ends)
+{
+    pool_driver d(2);
+    d.restore_host("a");
+    d.restore(pool_driver::make_submission(2));
+    d.begin();
+    d.list_hosts({"a"});
+    d.store();
+    d.hold_cut("a", {ended_run(1, 0, 1, run_outcome::done)});
+    d.tick();
+    d.store();
+    EXPECT_EQ(d.engine.hosts().at("a").ack_cursor, 1U);
+    EXPECT_EQ(d.engine.unsettled_hosts(), std::vector<std::string>{"a"});
+    d.tick();
+    d.hold("a", {}, {ended_run(2, 1, 1, run_outcome::done)});
+    d.tick();
+    d.store();
+    EXPECT_TRUE(d.effects_of<pool_effect::start>(d.all_effects).empty());
+    EXPECT_EQ(d.engine.find(submission_id)->phase, submission_phase::completed);
+}
+
+// The same for a host with a recorded list of tasks.
+TEST(pool_takeover, recorded_tasks_wait_for_the_rest_of_a_cut_list_of_ends)
+{
+    pool_driver d(2);
+    d.restore_host("b");
+    d.restore_closed_host("a", {task(0), task(1)});
+    d.restore(pool_driver::make_submission(2));
+    d.begin();
+    d.list_hosts({"a", "b"});
+    d.store();
+    d.hold("b");
+    d.hold_cut("a", {ended_run(1, 0, 1, run_outcome::done)});
+    d.store();
+    d.hold("b");
+    EXPECT_TRUE(d.effects_of<pool_effect::start>(d.tick()).empty());
+    d.hold("a", {}, {ended_run(2, 1, 1, run_outcome::done)});
+    d.store();
+    EXPECT_EQ(d.engine.find(submission_id)->phase, submission_phase::completed);
+}
+
+// The wait after a takeover covers the leases of the previous owner; while this
+// one extends the lease, ends that the host has not listed yet stay valid.
+TEST(pool_takeover, deadline_does_not_end_the_wait_for_a_host_under_lease)
+{
+    pool_driver d(2);
+    d.restore_host("a");
+    d.restore_host("gone");
+    d.restore(pool_driver::make_submission(2));
+    d.begin();
+    d.list_hosts({"a"});
+    d.store();
+    const auto wait = pool_terms().leases.takeover_wait();
+    for (auto waited = 0ms; waited <= wait + 500ms; waited += 500ms)
+    {
+        d.hold_cut("a", {ended_run(1, 0, 1, run_outcome::done)});
+        d.tick();
+        d.advance(500ms);
+    }
+    EXPECT_EQ(d.engine.unsettled_hosts(), std::vector<std::string>{"a"});
+    EXPECT_TRUE(d.effects_of<pool_effect::start>(d.all_effects).empty());
+    // Once that lease has expired too, the end does not count any more.
+    d.advance(pool_terms().leases.takeover_wait());
+    d.hold("a");
+    EXPECT_EQ(d.effects_of<pool_effect::start>(d.tick()).size(), 1U);
+}
+
+// A record that names the tasks which may run on a host must be complete. That
+// of a host whose ends are not all known can't be, neither when the host stops
+// answering nor in a planned handover.
+TEST(pool_takeover, host_with_a_cut_list_of_ends_is_not_closed)
+{
+    pool_driver d(2);
+    d.restore_host("a");
+    d.restore(pool_driver::make_submission(2));
+    d.begin();
+    d.list_hosts({"a"});
+    d.store();
+    d.hold_cut("a", {ended_run(1, 0, 1, run_outcome::done)});
+    d.store();
+    d.advance(3000ms);
+    d.tick();
+    EXPECT_FALSE(d.engine.hosts().at("a").closed);
+    d.engine.begin_handover();
+    EXPECT_FALSE(d.engine.hosts().at("a").closed);
+}
+
 } // namespace dandeliontack::test
--- a/testsuite/fleet_nodes/fleet_nodes_test.cpp
+++ b/testsuite/fleet_nodes/fleet_nodes_test.cpp
@@ -47,9 +47,9 @@
 class node_fleet : public testing::Test
 {
 protected:
-    node_fleet()
+    explicit node_fleet(const std::vector<std::string>& platform_flags = {})
         : platform_(
-              "testsuite/standins/fleet/standin-fleet", {},
+              "testsuite/standins/fleet/standin-fleet", platform_flags,
               folder_.path() / "platform.err"),
           platform_address_(platform_.address_of("platform"))
     {
@@ -190,6 +190,12 @@
     std::map<std::string, endpoint> metrics_;
 };
 
+class node_fleet_with_one_host : public node_fleet
+{
+protected:
+    node_fleet_with_one_host() : node_fleet({"--hosts=1"}) {}
+};
+
 std::string id_of(unsigned number)
 {
     const auto digits = std::to_string(number);
@@ -241,6 +247,24 @@
         2);
 }
 
+// Guards against a second run of tasks that ended while the pool had no owner:
+// the successor took a full answer of a host for the whole list of its ends.
+TEST_F(node_fleet_with_one_host, reads_all_ends_after_the_loss_of_an_owner)
+{
+    start_nodes();
+    constexpr unsigned tasks = 800;
+    ASSERT_TRUE(hand_in(
+        "n1", id_of(1),
+        R"({"spec":"1500","phases":[{"count":)" + std::to_string(tasks) +
+            R"(,"cpu":5,"memMb":5,"estimateMs":1500}]})"));
+    ASSERT_TRUE(eventually([&] { return all_runs().size() == tasks; }));
+    const auto lost = owner();
+    ASSERT_FALSE(lost.empty());
+    nodes_.at(lost).send_signal(SIGKILL);
+    EXPECT_TRUE(reaches(lost == "n1" ? "n2" : "n1", id_of(1), "completed"));
+    EXPECT_EQ(all_runs().size(), tasks);
+}
+
 TEST_F(node_fleet, survives_the_kill_of_every_node)
 {
     start_nodes();
--- a/testsuite/standins/fleet/main.cpp
+++ b/testsuite/standins/fleet/main.cpp
@@ -20,6 +20,8 @@
 ABSL_FLAG(std::string, listen, "127.0.0.1:0", "Where to serve.");
 ABSL_FLAG(std::string, pool, "pool", "The pool that the hosts belong to.");
 ABSL_FLAG(std::uint32_t, hosts, 3, "How many hosts run.");
+ABSL_FLAG(
+    std::size_t, ends_per_answer, 500, "How many ends a host lists at most.");
 
 namespace
 {
@@ -50,7 +52,8 @@
     running_host(
         asio::any_io_executor executor, metric_registry& metrics,
         const std::string& id)
-        : host(id), server(executor, {}, metrics, [this](http_request request) {
+        : host(id, absl::GetFlag(FLAGS_ends_per_answer)),
+          server(executor, {}, metrics, [this](http_request request) {
               return handle(std::move(request));
           })
     {
--- a/testsuite/standins/fleet/task_host.cpp
+++ b/testsuite/standins/fleet/task_host.cpp
@@ -34,8 +34,9 @@
 
 } // namespace
 
-task_host::task_host(std::string id)
+task_host::task_host(std::string id, std::size_t ends_per_answer)
     : id_(std::move(id)),
+      ends_per_answer_(ends_per_answer),
       born_(std::chrono::duration_cast<std::chrono::milliseconds>(
                 std::chrono::system_clock::now().time_since_epoch())
                 .count()),
@@ -171,8 +172,12 @@
     json::array running;
     for (const auto& [task, run] : running_)
         running.push_back(json::array{task, run.number, "", 100, 0});
+    const auto listed = std::min(finished_.size(), ends_per_answer_);
+    json::array ends(
+        finished_.begin(),
+        finished_.begin() + static_cast<std::ptrdiff_t>(listed));
     return answer(
-        200, {{"running", std::move(running)}, {"finished", finished_}});
+        200, {{"running", std::move(running)}, {"finished", std::move(ends)}});
 }
 
 std::string task_host::entry(
--- a/testsuite/standins/fleet/task_host.hpp
+++ b/testsuite/standins/fleet/task_host.hpp
@@ -19,7 +19,8 @@
 class task_host
 {
 public:
-    explicit task_host(std::string id);
+    /// `ends_per_answer` is the most ends that a hold lists.
+    task_host(std::string id, std::size_t ends_per_answer);
 
     http_response start(const http_request& request);
     http_response stop(const http_request& request);
@@ -53,6 +54,7 @@
     http_response answer(unsigned status, boost::json::object body) const;
 
     std::string id_;
+    std::size_t ends_per_answer_;
     std::int64_t born_;
     std::chrono::steady_clock::time_point start_;
     std::uint64_t fence_ = 0;
