Find submissions where they were accepted, whatever the configuration says now

Cause: caller_front derived the shard of a submission from the pool of its queue in the newest configuration, and shards were claimed by that configuration alone.

Change: an owner lists a queue for its shard in the registry before it accepts the first submission of it. The list only grows, and outlives configurations, owners and restarts. Nodes ask the shards of the queue's pool and all others that list the queue; a second copy is looked for there before it is accepted. Queues are identified by host and path. A shard that a configuration takes a queue from accepts nothing of it under older versions. Shards that list queues keep an owner, and their pools machines while work is left. New gauge tack_configuration_version.

Ruled out: 410 from a lost record (the old owner still had it); asking all shards on each request, which would cost calls for queues that never move.

--- a/src/include/dandeliontack/caller_front.hpp
+++ b/src/include/dandeliontack/caller_front.hpp
@@ -48,6 +48,13 @@
     boost::asio::awaitable<shard_answer>
     ask_cells(request_scope& scope, shard_call::verb verb, std::uint64_t id);
     shard_id shard_in(const request_scope& scope, cell_id cell) const;
+    /// The shards outside the queue's pool that may hold submissions of it,
+    /// since earlier configurations sent it to other pools.
+    std::vector<shard_id> former_shards(const request_scope& scope) const;
+    /// Asks all former shards. The answer of the one that has the submission;
+    /// `not_found` if none has; else that of one that does not say.
+    boost::asio::awaitable<shard_answer>
+    ask_former_shards(request_scope& scope, shard_call call);
     http_response owner_error_response(
         const shard_answer& answer, const request_scope& scope);
 
--- a/src/include/dandeliontack/queue_table.hpp
+++ b/src/include/dandeliontack/queue_table.hpp
@@ -43,6 +43,10 @@
     std::chrono::milliseconds idle_timeout{15'000};
 };
 
+/// Identifies a queue by what callers address, which stays the same when a
+/// version of the configuration renames the queue or sends it to another pool.
+std::uint64_t queue_id_of(std::string_view host, std::string_view path_prefix);
+
 /// Returns the queue with a matching host and the longest matching path prefix,
 /// or null if there is none. A port in `host` is ignored.
 const queue_entry* find_queue(
--- a/src/include/dandeliontack/shard_claim.hpp
+++ b/src/include/dandeliontack/shard_claim.hpp
@@ -31,6 +31,11 @@
     /// meanwhile.
     boost::asio::awaitable<bool> announce(bool released);
 
+    /// Writes the queues of which the shard may hold submissions to the
+    /// registry. Returns false if the store did not accept the record in time,
+    /// or the shard was released.
+    boost::asio::awaitable<bool> list_queues(shard_queues queues);
+
     /// Repeats the announcement until the registry has stored it or `is_over`
     /// returns true: other nodes send no requests to an unregistered owner.
     boost::asio::awaitable<void> announce_until(std::function<bool()> is_over);
@@ -58,6 +63,9 @@
     const fenced_writer& writer() const;
 
 private:
+    /// Writes records to the registry; one call at a time.
+    boost::asio::awaitable<bool>
+    write_registry(std::vector<keyed_record> records);
     boost::asio::awaitable<bool>
     claim_registry(std::vector<keyed_record> records);
     owner_record own_record(std::uint64_t epoch, bool released) const;
--- a/src/include/dandeliontack/shard_map.hpp
+++ b/src/include/dandeliontack/shard_map.hpp
@@ -36,6 +36,9 @@
 shard_id
 shard_of(std::string_view pool, cell_id cell, std::uint64_t partitions);
 
+/// The cell that a pool shard belongs to.
+cell_id cell_of_shard(shard_id shard);
+
 /// When a node is considered failed, and in which order others take over.
 struct takeover_timing
 {
@@ -107,6 +110,17 @@
     bool is_alive(const owner_record& owner, boot_time now) const;
     std::vector<node_announcement> alive_nodes(boot_time now) const;
 
+    /// Whether the registry has been read to its end once. Before that, it is
+    /// not known which shards hold submissions of a queue.
+    bool has_been_read() const;
+    /// The queues that the registry lists for a shard.
+    shard_queues queues_of(shard_id shard) const;
+    /// The shards that may hold submissions of a queue, in order.
+    std::vector<shard_id> shards_with(std::uint64_t queue) const;
+    /// All shards that may hold submissions. Each needs an owner, even if no
+    /// queue of the configuration leads to it any more.
+    std::set<shard_id> shards_with_queues() const;
+
     /// Sets the layout, which never changes once it has been read.
     void set_layout(fleet_layout layout);
     const std::optional<fleet_layout>& layout() const;
@@ -134,6 +148,7 @@
     takeover_timing timing_;
     std::map<std::string, node_entry> nodes_;
     std::map<shard_id, owner_record> owners_;
+    std::map<shard_id, shard_queues> queues_;
     std::map<shard_id, boot_time> unowned_since_;
     std::optional<fleet_layout> layout_;
     std::optional<boot_time> first_read_;
@@ -143,6 +158,7 @@
 /// Keys of registry records.
 std::string announcement_key(std::string_view node);
 std::string owner_key(shard_id shard);
+std::string queues_key(shard_id shard);
 
 /// The shards that a configuration's pools need, and `fleet_shard`. Only
 /// `fleet_shard` while the layout is unknown.
--- a/src/include/dandeliontack/shard_owner.hpp
+++ b/src/include/dandeliontack/shard_owner.hpp
@@ -2,6 +2,7 @@
 
 #include <dandeliontack/answer_times.hpp>
 #include <dandeliontack/pool_engine.hpp>
+#include <dandeliontack/queue_admission.hpp>
 #include <dandeliontack/shard_claim.hpp>
 #include <dandeliontack/shard_map.hpp>
 #include <dandeliontack/shard_service.hpp>
@@ -27,7 +28,10 @@
                     public std::enable_shared_from_this<shard_owner>
 {
 public:
-    shard_owner(node_context& context, store_client& store, shard_id shard);
+    /// `listed` are the queues that the registry lists for the shard.
+    shard_owner(
+        node_context& context, store_client& store, shard_id shard,
+        shard_queues listed);
 
     /// Claims the shard with epoch `last` + 1, loads its state and starts
     /// serving. Returns false if another node claimed it first or the store is
@@ -41,11 +45,17 @@
     /// The registry's record of this owner; released once the shard is lost.
     owner_record record() const;
 
+    /// Applies a newer configuration: lists the queues that it sends to this
+    /// shard, and closes those that it sends elsewhere.
+    void set_queues(const queue_table& table);
+
     /// Replaces the list of the shard's hosts that are alive.
     void set_hosts(std::vector<host_entry> entries);
 
     boost::asio::awaitable<shard_answer>
     submit(submission_record record) override;
+    boost::asio::awaitable<shard_answer>
+    find(std::uint64_t id, queue_terms terms) override;
     boost::asio::awaitable<shard_answer> cancel(std::uint64_t id) override;
     boost::asio::awaitable<shard_answer> state(std::uint64_t id) override;
     boost::asio::awaitable<shard_answer> pending(std::string route) override;
@@ -75,6 +85,11 @@
     boost::asio::awaitable<bool> load();
     void restore(const std::vector<keyed_record>& records, moment now);
     boost::asio::awaitable<void> store_changes();
+    /// Stores the shard's list of queues in the registry whenever it has grown.
+    boost::asio::awaitable<void> list_queues();
+    /// Waits until the registry lists the queue for this shard; false if that
+    /// takes too long.
+    boost::asio::awaitable<bool> wait_until_listed(std::uint64_t queue);
     boost::asio::awaitable<void> run_planning();
     boost::asio::awaitable<void> detect_departed_hosts();
     /// Starts polling each host that is not polled yet.
@@ -118,6 +133,7 @@
     /// Response times of hosts to orders, from which time-outs are derived.
     answer_times order_times_;
     std::unique_ptr<pool_engine> engine_;
+    queue_admission admission_;
     std::set<std::string> polled_hosts_;
     std::map<std::string, host_queue> queues_;
     /// The last batch of engine changes that the store has accepted.
@@ -125,6 +141,8 @@
     wake_signal stored_signal_;
     wake_signal change_signal_;
     wake_signal planning_signal_;
+    /// A queue has to be listed, or was.
+    wake_signal queues_signal_;
     bool planning_requested_ = false;
     bool serving_ = false;
     bool appending_ = false;
--- a/src/include/dandeliontack/shard_router.hpp
+++ b/src/include/dandeliontack/shard_router.hpp
@@ -23,6 +23,9 @@
     enum class verb : std::uint8_t
     {
         submit,
+        /// Whether a submission that would now go to another shard was accepted
+        /// by this one.
+        find,
         cancel,
         state,
         pending,
@@ -98,6 +101,8 @@
     const std::optional<fleet_layout>& layout() const;
     /// Whether any pool has ever had an owner.
     bool has_pool_owners() const;
+    /// The registry as this node has read it.
+    const shard_map& shards() const;
 
 private:
     boost::asio::awaitable<shard_answer>
--- a/src/include/dandeliontack/shard_service.hpp
+++ b/src/include/dandeliontack/shard_service.hpp
@@ -47,6 +47,12 @@
     /// Idempotent: `done` once the record is stored, also if it was before.
     virtual boost::asio::awaitable<shard_answer>
     submit(submission_record record) = 0;
+    /// Whether the submission was accepted here: `done` once its record is
+    /// stored. For a queue that `terms` sends to another shard; if the answer
+    /// is `not_found`, nothing of the queue is accepted here any more under
+    /// this or an earlier version of the configuration.
+    virtual boost::asio::awaitable<shard_answer>
+    find(std::uint64_t id, queue_terms terms) = 0;
     virtual boost::asio::awaitable<shard_answer> cancel(std::uint64_t id) = 0;
     /// The value is the name of the submission's phase.
     virtual boost::asio::awaitable<shard_answer> state(std::uint64_t id) = 0;
--- a/src/include/dandeliontack/stored_records.hpp
+++ b/src/include/dandeliontack/stored_records.hpp
@@ -55,6 +55,23 @@
     bool operator==(const owner_record&) const = default;
 };
 
+/// The queues of which a shard may hold submissions, by `queue_terms::queue`.
+/// Stored before the shard accepts the first submission of a queue, and kept
+/// after the queue was sent to a pool of another shard.
+struct shard_queues
+{
+    std::set<std::uint64_t> queues;
+    /// The shard may hold submissions of any queue: a longer list would not fit
+    /// a record.
+    bool all = false;
+
+    bool contains(std::uint64_t queue) const;
+    /// Adds a queue, or sets `all` if the list is full.
+    void insert(std::uint64_t queue);
+
+    bool operator==(const shard_queues&) const = default;
+};
+
 /// The progress of a maintenance wave, by machine.
 struct wave_record
 {
@@ -87,6 +104,7 @@
 std::string encode(const host_use& record);
 std::string encode(const node_announcement& record);
 std::string encode(const owner_record& record);
+std::string encode(const shard_queues& record);
 std::string encode(const wave_record& record);
 std::string encode(const std::vector<pool_demand>& demands);
 std::string encode(const lent_hosts& wanted);
@@ -100,6 +118,7 @@
 std::optional<host_use> decode_host_use(std::string_view bytes);
 std::optional<node_announcement> decode_announcement(std::string_view bytes);
 std::optional<owner_record> decode_owner(std::string_view bytes);
+std::optional<shard_queues> decode_shard_queues(std::string_view bytes);
 std::optional<wave_record> decode_wave_record(std::string_view bytes);
 std::optional<std::vector<pool_demand>> decode_demands(std::string_view bytes);
 std::optional<lent_hosts> decode_lent_hosts(std::string_view bytes);
--- a/src/include/dandeliontack/submission.hpp
+++ b/src/include/dandeliontack/submission.hpp
@@ -96,6 +96,11 @@
     double stretch = 1.0;
     std::chrono::milliseconds target{0};
     std::optional<advice_terms> advice;
+    /// Identifies the queue in every version of the configuration, whatever
+    /// pool it is sent to (`queue_id_of`); 0 if not known.
+    std::uint64_t queue = 0;
+    /// The version of the configuration.
+    std::uint64_t version = 0;
 
     bool operator==(const queue_terms&) const = default;
 };
--- a/src/libnode/caller_front.cpp
+++ b/src/libnode/caller_front.cpp
@@ -100,6 +100,8 @@
             .add("queues", std::uint64_t{table->queues.size()})
             .add("before", table_ ? table_->version : 0));
     table_ = std::move(table);
+    context_.metrics.get_gauge("tack_configuration_version")
+        .set(static_cast<std::int64_t>(table_->version));
 }
 
 const queue_table* caller_front::table() const
@@ -127,6 +129,11 @@
     if (!queue)
         co_return error_response(
             http::status::not_found, outcome::not_run, "no such queue", path);
+    if (!router_.shards().has_been_read())
+        co_return retry_later(
+            "no registry",
+            "this node has not read which shards hold the queue's submissions "
+            "yet");
     const auto& layout = router_.layout();
     if (!layout)
         co_return retry_later(
@@ -223,6 +230,17 @@
     shard_call call{shard_call::verb::submit, scope.shard, *id, {}, {}};
     call.record = submission_record{
         *id, std::move(spec), scope.queue.terms, read_clocks().wall, 0};
+    const auto began = read_clocks().steady;
+    auto former_call = call;
+    former_call.kind = shard_call::verb::find;
+    const auto former =
+        co_await ask_former_shards(scope, std::move(former_call));
+    if (former.outcome == shard_outcome::done)
+        co_return make_response(http::status::ok, "application/json", "{}");
+    if (former.outcome != shard_outcome::not_found)
+        co_return owner_error_response(former, scope);
+    scope.timeout = std::max<std::chrono::milliseconds>(
+        scope.timeout - (read_clocks().steady - began), 1ms);
     const auto answer = co_await router_.ask(
         std::move(call), scope.timeout, owner_reach_timeout);
     if (answer.outcome == shard_outcome::done)
@@ -236,6 +254,44 @@
         scope.queue.terms.pool, cell, context_.settings.store.partitions);
 }
 
+std::vector<shard_id>
+caller_front::former_shards(const request_scope& scope) const
+{
+    auto shards = router_.shards().shards_with(scope.queue.terms.queue);
+    std::erase_if(shards, [&](shard_id shard) {
+        return shard == shard_in(scope, cell_of_shard(shard));
+    });
+    return shards;
+}
+
+asio::awaitable<shard_answer>
+caller_front::ask_former_shards(request_scope& scope, shard_call call)
+{
+    const auto shards = former_shards(scope);
+    shard_answer undecided{shard_outcome::not_found, {}};
+    if (shards.empty())
+        co_return undecided;
+    std::vector<shard_call> calls;
+    std::ranges::transform(
+        shards, std::back_inserter(calls), [&](shard_id shard) {
+            auto copy = call;
+            copy.shard = shard;
+            return copy;
+        });
+    const auto answers = co_await router_.ask_all(
+        std::move(calls), scope.timeout, owner_reach_timeout);
+    for (std::size_t i = 0; i < shards.size(); ++i)
+    {
+        if (answers[i].outcome == shard_outcome::not_found)
+            continue;
+        scope.shard = shards[i];
+        undecided = answers[i];
+        if (undecided.outcome == shard_outcome::done)
+            break;
+    }
+    co_return undecided;
+}
+
 asio::awaitable<shard_answer> caller_front::ask_cells(
     request_scope& scope, shard_call::verb verb, std::uint64_t id)
 {
@@ -251,9 +307,12 @@
         answer =
             co_await router_.ask(std::move(call), left, owner_reach_timeout);
         if (answer.outcome != shard_outcome::not_found)
-            break;
+            co_return answer;
     }
-    co_return answer;
+    scope.timeout = std::max<std::chrono::milliseconds>(
+        scope.timeout - (read_clocks().steady - began), 1ms);
+    shard_call call{verb, 0, id, {}, {}};
+    co_return co_await ask_former_shards(scope, std::move(call));
 }
 
 asio::awaitable<http_response> caller_front::state(request_scope& scope)
@@ -297,6 +356,9 @@
              0,
              scope.queue.terms.route,
              {}});
+    for (const auto shard : former_shards(scope))
+        calls.push_back(
+            {shard_call::verb::pending, shard, 0, scope.queue.terms.route, {}});
     const auto answers = co_await router_.ask_all(
         std::move(calls), scope.timeout, owner_reach_timeout);
     std::size_t sum = 0;
--- a/src/libnode/fleet_duty.cpp
+++ b/src/libnode/fleet_duty.cpp
@@ -48,6 +48,14 @@
 // Upper bound on the time that an order to the platform is in flight.
 constexpr auto max_call_time = 2000ms;
 
+// Whether submissions of the pool run or wait.
+bool has_work(const pool_demand& demand)
+{
+    return demand.running > 0 || demand.long_running > 0 ||
+           demand.waiting_ms > 0 || demand.late_running > 0 ||
+           demand.late_ms > 0;
+}
+
 balance_terms
 balance_terms_of(const tack_node_settings& settings, cell_id cells)
 {
@@ -620,6 +628,10 @@
         for (const auto& pool : serving)
             shards[shard_of(pool, cell, context_.settings.store.partitions)] =
                 cell;
+    // Shards of pools to which earlier configurations sent queues.
+    for (const auto shard : router_.shards().shards_with_queues())
+        if (cell_of_shard(shard) < balances_.size())
+            shards.emplace(shard, cell_of_shard(shard));
     std::vector<shard_call> calls;
     calls.reserve(shards.size());
     for (const auto& [shard, cell] : shards)
@@ -642,7 +654,7 @@
             std::ranges::copy_if(
                 *demands, std::back_inserter(all[cell]),
                 [&](const auto& demand) {
-                    return serving.contains(demand.pool);
+                    return serving.contains(demand.pool) || has_work(demand);
                 });
     }
     co_return all;
--- a/src/libnode/shard_claim.cpp
+++ b/src/libnode/shard_claim.cpp
@@ -59,9 +59,25 @@
         co_await announced_.wait(announce_retry_interval);
     if (released_ && !released)
         co_return false;
-    announcing_ = true;
     std::vector<keyed_record> records{
         {owner_key(shard_), encode(record(released)), 0}};
+    co_return co_await write_registry(std::move(records));
+}
+
+asio::awaitable<bool> shard_claim::list_queues(shard_queues queues)
+{
+    while (announcing_)
+        co_await announced_.wait(announce_retry_interval);
+    if (released_)
+        co_return false;
+    std::vector<keyed_record> records{{queues_key(shard_), encode(queues), 0}};
+    co_return co_await write_registry(std::move(records));
+}
+
+asio::awaitable<bool>
+shard_claim::write_registry(std::vector<keyed_record> records)
+{
+    announcing_ = true;
     bool stored = false;
     // Registry records use the shard's epoch, which only one node ever holds.
     if (registry_writer_.current_state() == fenced_writer::state::held)
--- a/src/libnode/shard_map.cpp
+++ b/src/libnode/shard_map.cpp
@@ -21,6 +21,7 @@
 constexpr shard_id cell_stride = 50'000;
 constexpr std::string_view announcement_prefix = "node/";
 constexpr std::string_view owner_prefix = "own/";
+constexpr std::string_view queues_prefix = "queues/";
 // After a longer gap between two reads of the registry, the time without
 // announcements is counted from zero again.
 constexpr auto max_read_gap = std::chrono::milliseconds(1200);
@@ -37,6 +38,18 @@
     return shard % cell_stride;
 }
 
+// The shard that a key names after `prefix`.
+std::optional<shard_id>
+shard_in_key(std::string_view key, std::string_view prefix)
+{
+    shard_id shard = 0;
+    const auto text = key.substr(prefix.size());
+    const auto* end = text.data() + text.size();
+    const auto [stop, error] = std::from_chars(text.data(), end, shard);
+    return error == std::errc() && stop == end ? std::optional(shard)
+                                               : std::nullopt;
+}
+
 } // namespace
 
 topic_partition registry_partition()
@@ -67,6 +80,11 @@
                stable_hash(pool) % (pool_topics * partitions));
 }
 
+cell_id cell_of_shard(shard_id shard)
+{
+    return shard / cell_stride;
+}
+
 std::string announcement_key(std::string_view node)
 {
     return std::string(announcement_prefix) + std::string(node);
@@ -77,6 +95,11 @@
     return std::string(owner_prefix) + std::to_string(shard);
 }
 
+std::string queues_key(shard_id shard)
+{
+    return std::string(queues_prefix) + std::to_string(shard);
+}
+
 std::set<shard_id> wanted_shards(
     const queue_table& table, const std::optional<fleet_layout>& layout,
     std::uint64_t partitions)
@@ -130,16 +153,26 @@
         nodes_[name] = {*announcement, now.steady, departed};
         return true;
     }
+    if (key.starts_with(queues_prefix))
+    {
+        const auto shard = shard_in_key(key, queues_prefix);
+        const auto listed = decode_shard_queues(record.value);
+        if (!shard || !listed)
+            return false;
+        // A shard's list only grows, so an older one takes nothing away.
+        auto& known = queues_[*shard];
+        known.all = known.all || listed->all;
+        for (const auto queue : listed->queues)
+            known.insert(queue);
+        return true;
+    }
     if (!key.starts_with(owner_prefix))
         return false;
-    shard_id shard = 0;
-    const auto text = key.substr(owner_prefix.size());
-    const auto* end = text.data() + text.size();
-    const auto [stop, error] = std::from_chars(text.data(), end, shard);
+    const auto shard = shard_in_key(key, owner_prefix);
     const auto owner = decode_owner(record.value);
-    if (error != std::errc() || stop != end || !owner)
+    if (!shard || !owner)
         return false;
-    auto& known = owners_[shard];
+    auto& known = owners_[*shard];
     // An owner does not take a released epoch again; an older record of that
     // epoch may still be read.
     const bool is_past = owner->epoch < known.epoch ||
@@ -216,6 +249,34 @@
     return out;
 }
 
+bool shard_map::has_been_read() const
+{
+    return first_read_.has_value();
+}
+
+shard_queues shard_map::queues_of(shard_id shard) const
+{
+    const auto found = queues_.find(shard);
+    return found == queues_.end() ? shard_queues{} : found->second;
+}
+
+std::vector<shard_id> shard_map::shards_with(std::uint64_t queue) const
+{
+    std::vector<shard_id> out;
+    for (const auto& [shard, listed] : queues_)
+        if (listed.contains(queue))
+            out.push_back(shard);
+    return out;
+}
+
+std::set<shard_id> shard_map::shards_with_queues() const
+{
+    std::set<shard_id> out;
+    for (const auto& [shard, listed] : queues_)
+        out.insert(shard);
+    return out;
+}
+
 void shard_map::set_layout(fleet_layout layout)
 {
     layout_ = std::move(layout);
--- a/src/libnode/shard_owner.cpp
+++ b/src/libnode/shard_owner.cpp
@@ -52,6 +52,8 @@
 constexpr auto first_departure_check = 300ms;
 constexpr auto departure_check_interval = 1000ms;
 constexpr auto hand_over_timeout = 1500ms;
+// Longest wait for a queue that the registry does not list yet.
+constexpr auto queues_check_interval = 10s;
 
 } // namespace
 
@@ -63,16 +65,19 @@
 }
 
 shard_owner::shard_owner(
-    node_context& context, store_client& store, shard_id shard)
+    node_context& context, store_client& store, shard_id shard,
+    shard_queues listed)
     : context_(context),
       store_(store),
       shard_(shard),
       terms_(pool_terms_of(context.settings)),
       claim_(context, store, shard),
       order_times_({.most = order_timeout}),
+      admission_(std::move(listed)),
       stored_signal_(context.executor),
       change_signal_(context.executor),
-      planning_signal_(context.executor)
+      planning_signal_(context.executor),
+      queues_signal_(context.executor)
 {}
 
 bool shard_owner::is_lost() const
@@ -145,6 +150,7 @@
     engine_->begin(read_clocks());
     serving_ = true;
     start_coroutine("changes", store_changes());
+    start_coroutine("queues", list_queues());
     start_coroutine("plans", run_planning());
     start_coroutine("unmet hosts", detect_departed_hosts());
     poll_hosts();
@@ -288,6 +294,49 @@
     stored_signal_.notify();
     change_signal_.notify();
     planning_signal_.notify();
+    queues_signal_.notify();
+}
+
+void shard_owner::set_queues(const queue_table& table)
+{
+    admission_.apply(table, shard_, context_.settings.store.partitions);
+    queues_signal_.notify();
+}
+
+asio::awaitable<void> shard_owner::list_queues()
+{
+    const auto self = shared_from_this();
+    while (!lost_)
+    {
+        const auto* unlisted = admission_.unlisted();
+        if (!unlisted)
+        {
+            co_await queues_signal_.wait(queues_check_interval);
+            continue;
+        }
+        auto list = *unlisted;
+        const bool listed = co_await claim_.list_queues(list);
+        if (listed)
+        {
+            admission_.set_listed(std::move(list));
+            queues_signal_.notify();
+        }
+        else
+            co_await pause_for(context_.executor, retry_pause);
+    }
+}
+
+asio::awaitable<bool> shard_owner::wait_until_listed(std::uint64_t queue)
+{
+    if (admission_.is_listed(queue))
+        co_return true;
+    admission_.want(queue);
+    queues_signal_.notify();
+    const auto deadline = read_clocks().steady + caller_wait;
+    while (!lost_ && !admission_.is_listed(queue) &&
+           read_clocks().steady < deadline)
+        co_await queues_signal_.wait(store_wait);
+    co_return !lost_ && admission_.is_listed(queue);
 }
 
 void shard_owner::set_hosts(std::vector<host_entry> entries)
@@ -805,6 +854,16 @@
         co_return shard_answer{shard_outcome::rejected, {}};
     }
     if (!engine_->find(id))
+    {
+        if (!admission_.is_open(record.terms))
+            co_return shard_answer{shard_outcome::not_owner, {}};
+        const bool listed = co_await wait_until_listed(record.terms.queue);
+        if (!listed)
+            co_return shard_answer{shard_outcome::rejected, {}};
+        if (!can_answer() || !admission_.is_open(record.terms))
+            co_return shard_answer{shard_outcome::not_owner, {}};
+    }
+    if (!engine_->find(id))
     {
         record.accepted = read_clocks().wall;
         log_submission(record);
@@ -816,6 +875,22 @@
     co_return shard_answer{outcome, {}};
 }
 
+asio::awaitable<shard_answer>
+shard_owner::find(std::uint64_t id, queue_terms terms)
+{
+    const auto self = shared_from_this();
+    if (!can_answer())
+        co_return shard_answer{shard_outcome::not_owner, {}};
+    // A copy of the request that an older configuration sent here may still be
+    // on its way.
+    admission_.close(terms);
+    const auto view = engine_->find(id);
+    if (!view)
+        co_return shard_answer{shard_outcome::not_found, {}};
+    const auto outcome = co_await wait_until_stored(view->after_batch);
+    co_return shard_answer{outcome, {}};
+}
+
 asio::awaitable<shard_answer> shard_owner::cancel(std::uint64_t id)
 {
     const auto self = shared_from_this();
--- a/src/libnode/shard_router.cpp
+++ b/src/libnode/shard_router.cpp
@@ -34,6 +34,7 @@
 };
 constexpr std::array verbs{
     verb_row{shard_call::verb::submit, "submit"},
+    verb_row{shard_call::verb::find, "find"},
     verb_row{shard_call::verb::cancel, "cancel"},
     verb_row{shard_call::verb::state, "state"},
     verb_row{shard_call::verb::pending, "pending"},
@@ -92,7 +93,8 @@
         return std::nullopt;
     call.kind = verb->kind;
     call.submission = *id;
-    if (call.kind != shard_call::verb::submit)
+    if (call.kind != shard_call::verb::submit &&
+        call.kind != shard_call::verb::find)
     {
         call.name = request.body();
         return call;
@@ -189,6 +191,8 @@
     {
     case shard_call::verb::submit:
         return owner.submit(std::move(*call.record));
+    case shard_call::verb::find:
+        return owner.find(call.submission, std::move(call.record->terms));
     case shard_call::verb::cancel:
         return owner.cancel(call.submission);
     case shard_call::verb::pending:
@@ -318,6 +322,11 @@
     return shards_.layout();
 }
 
+const shard_map& shard_router::shards() const
+{
+    return shards_;
+}
+
 bool shard_router::has_pool_owners() const
 {
     return shards_.has_pool_owners();
--- a/src/libnode/stored_records.cpp
+++ b/src/libnode/stored_records.cpp
@@ -11,6 +11,9 @@
 
 using std::chrono::milliseconds;
 
+// Queues of which a shard may hold submissions, eight bytes each.
+constexpr std::size_t max_listed_queues = 4096;
+
 template <class Message>
 std::optional<Message> parse(std::string_view bytes)
 {
@@ -73,6 +76,8 @@
     out.set_max_attempts(terms.max_attempts);
     out.set_stretch(terms.stretch);
     out.set_target_ms(terms.target.count());
+    out.set_queue(terms.queue);
+    out.set_version(terms.version);
     if (!terms.advice)
         return;
     out.set_has_advice(true);
@@ -90,6 +95,8 @@
     terms.max_attempts = in.max_attempts();
     terms.stretch = in.stretch();
     terms.target = milliseconds(in.target_ms());
+    terms.queue = in.queue();
+    terms.version = in.version();
     if (in.has_advice())
         terms.advice = advice_terms{
             milliseconds(in.advice_decide_ms()),
@@ -274,6 +281,42 @@
         in->released()};
 }
 
+bool shard_queues::contains(std::uint64_t queue) const
+{
+    return all || queues.contains(queue);
+}
+
+void shard_queues::insert(std::uint64_t queue)
+{
+    if (!all)
+        queues.insert(queue);
+    if (queues.size() <= max_listed_queues)
+        return;
+    queues.clear();
+    all = true;
+}
+
+std::string encode(const shard_queues& record)
+{
+    stored::ShardQueues out;
+    for (const auto queue : record.queues)
+        out.add_queues(queue);
+    out.set_all(record.all);
+    return out.SerializeAsString();
+}
+
+std::optional<shard_queues> decode_shard_queues(std::string_view bytes)
+{
+    const auto in = parse<stored::ShardQueues>(bytes);
+    if (!in)
+        return std::nullopt;
+    shard_queues record;
+    record.all = in->all();
+    for (const auto queue : in->queues())
+        record.insert(queue);
+    return record;
+}
+
 std::string encode(const wave_record& record)
 {
     stored::WaveProgress out;
--- a/src/libnode/tack_node.cpp
+++ b/src/libnode/tack_node.cpp
@@ -396,6 +396,8 @@
                 std::move(std::get<queue_table>(decoded))));
             if (duty_)
                 duty_->set_table(front_.shared_table());
+            for (const auto& [shard, owner] : router_.owners())
+                owner->set_queues(*front_.table());
         }
         return;
     }
@@ -489,9 +491,10 @@
         drop_lost_shards();
         if (leaving_ || !front_.table())
             continue;
-        const auto wanted = wanted_shards(
+        auto wanted = wanted_shards(
             *front_.table(), shards_.layout(),
             context_.settings.store.partitions);
+        wanted.merge(shards_.shards_with_queues());
         const auto held = held_shards();
         const auto claimable = shards_.shards_to_claim(
             wanted, {announcement(), held, store_.append_latency_estimate()},
@@ -557,7 +560,8 @@
 
 asio::awaitable<void> tack_node::claim(shard_id shard)
 {
-    const auto owner = std::make_shared<shard_owner>(context_, store_, shard);
+    const auto owner = std::make_shared<shard_owner>(
+        context_, store_, shard, shards_.queues_of(shard));
     const auto last = last_epoch(shard);
     // An owner may act only for a limited time after its last announcement.
     announce_now_.notify();
@@ -566,6 +570,7 @@
     if (taken && !leaving_)
     {
         router_.add_owner(owner);
+        owner->set_queues(*front_.table());
         router_.tell_nodes(shard, owner->record());
         if (!std::exchange(following_hosts_, true))
             spawn_with_restart(context_, "host records", [this] {
--- a/src/libsched/queue_table.cpp
+++ b/src/libsched/queue_table.cpp
@@ -1,11 +1,17 @@
 #include <dandeliontack/machine_list.hpp>
 #include <dandeliontack/queue_table.hpp>
+#include <dandeliontack/stable_hash.hpp>
 
 #include <array>
 
 namespace dandeliontack
 {
 
+std::uint64_t queue_id_of(std::string_view host, std::string_view path_prefix)
+{
+    return stable_hash(std::string(host) + '\n' + std::string(path_prefix));
+}
+
 const queue_entry* find_queue(
     const queue_table& table, std::string_view host, std::string_view path)
 {
--- a/testsuite/fleet_nodes/fleet_nodes_test.cpp
+++ b/testsuite/fleet_nodes/fleet_nodes_test.cpp
@@ -53,7 +53,37 @@
               folder_.path() / "platform.err"),
           platform_address_(platform_.address_of("platform"))
     {
-        post(platform_address_, "/configuration", std::string(configuration));
+        configure(1, "pool");
+    }
+
+    // Puts a version into force that sends the queue to `pool`.
+    void configure(unsigned version, const std::string& pool)
+    {
+        auto config = json::parse(configuration);
+        config.at("version") = version;
+        config.at("routes").at(0).at("service") = pool;
+        post(platform_address_, "/configuration", json::serialize(config));
+    }
+
+    // The same without any queue.
+    void remove_queue(unsigned version)
+    {
+        auto config = json::parse(configuration);
+        config.at("version") = version;
+        config.at("routes").as_array().clear();
+        post(platform_address_, "/configuration", json::serialize(config));
+    }
+
+    bool is_in_force(unsigned version)
+    {
+        const auto line =
+            "tack_configuration_version " + std::to_string(version) + "\n";
+        return eventually([&] {
+            return std::ranges::all_of(metrics_, [&](const auto& node) {
+                return get(node.second, "/metrics").body().find(line) !=
+                       std::string::npos;
+            });
+        });
     }
 
     void start_node(const std::string& name)
@@ -196,6 +226,30 @@
     node_fleet_with_one_host() : node_fleet({"--hosts=1"}) {}
 };
 
+class node_fleet_with_two_pools : public node_fleet
+{
+protected:
+    node_fleet_with_two_pools()
+        : node_fleet({"--pools=pool,other", "--hosts=2"})
+    {}
+
+    // Every node knows the submission, in this state.
+    void expect_state(const std::string& id, const std::string& wanted)
+    {
+        for (const auto& [name, process] : nodes_)
+            EXPECT_EQ(state(name, id), wanted) << name << " " << id;
+    }
+
+    std::set<std::string> pools_of_runs(const std::string& id)
+    {
+        std::set<std::string> out;
+        for (const auto& run : all_runs())
+            if (run.at("task").as_string().starts_with(id))
+                out.insert(std::string(run.at("pool").as_string()));
+        return out;
+    }
+};
+
 std::string id_of(unsigned number)
 {
     const auto digits = std::to_string(number);
@@ -265,6 +319,85 @@
     EXPECT_EQ(all_runs().size(), tasks);
 }
 
+// Guards against deriving the place of an accepted submission from the newest
+// configuration: after its queue was sent to another pool it was answered 410,
+// and a second copy of its request ran again there.
+TEST_F(node_fleet_with_two_pools, keeps_submissions_of_a_queue_that_moves)
+{
+    start_nodes();
+    // One runs until cancelled, one has a step that waits, one has a later
+    // occurrence.
+    const auto lasting = submission("lasting", 2, true);
+    const auto plain = submission("1200", 2, false);
+    const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+    const auto scheduled =
+        R"({"spec":"200","repetitions":2,"intervalMs":6000,"firstMs":)" +
+        std::to_string(now.count()) +
+        R"(,"phases":[{"count":1,"cpu":100,"memMb":10,"estimateMs":200}]})";
+    ASSERT_TRUE(hand_in("n1", id_of(1), lasting));
+    ASSERT_TRUE(hand_in("n2", id_of(2), plain));
+    ASSERT_TRUE(hand_in("n3", id_of(3), scheduled));
+    ASSERT_TRUE(reaches("n1", id_of(1), "running"));
+    configure(2, "other");
+    ASSERT_TRUE(is_in_force(2));
+    expect_state(id_of(1), "running");
+    for (const auto* name : {"n1", "n2", "n3"})
+    {
+        EXPECT_TRUE(hand_in(name, id_of(1), lasting));
+        EXPECT_TRUE(hand_in(name, id_of(2), plain));
+        EXPECT_TRUE(hand_in(name, id_of(3), scheduled));
+    }
+    // What is new goes to the new pool.
+    ASSERT_TRUE(hand_in("n2", id_of(4), plain));
+    for (const unsigned number : {2U, 3U, 4U})
+        EXPECT_TRUE(reaches("n3", id_of(number), "completed"));
+    EXPECT_EQ(
+        ask("n2", http::verb::get, "/checks/").body(), R"({"pending":0})");
+    // There and back, and out and back.
+    configure(3, "pool");
+    ASSERT_TRUE(is_in_force(3));
+    EXPECT_TRUE(hand_in("n1", id_of(4), plain));
+    expect_state(id_of(4), "completed");
+    remove_queue(4);
+    ASSERT_TRUE(is_in_force(4));
+    expect_state(id_of(1), "404");
+    configure(5, "other");
+    ASSERT_TRUE(is_in_force(5));
+    expect_state(id_of(1), "running");
+    EXPECT_EQ(
+        ask("n3", http::verb::delete_, "/checks/" + id_of(1)).result(),
+        http::status::ok);
+    expect_state(id_of(1), "cancelled");
+    expect_state(id_of(9), "410");
+    for (const unsigned number : {1U, 2U, 3U})
+        EXPECT_EQ(pools_of_runs(id_of(number)), std::set<std::string>{"pool"});
+    EXPECT_EQ(pools_of_runs(id_of(4)), std::set<std::string>{"other"});
+    check_runs();
+}
+
+// Nothing but the store knows the earlier configuration then, and no queue
+// leads to the pool that holds the submissions.
+TEST_F(node_fleet_with_two_pools, finds_moved_submissions_after_a_restart)
+{
+    start_nodes();
+    ASSERT_TRUE(hand_in("n1", id_of(1), submission("lasting", 2, true)));
+    ASSERT_TRUE(hand_in("n1", id_of(2), submission("1200", 2, false)));
+    ASSERT_TRUE(reaches("n1", id_of(1), "running"));
+    for (auto& [name, process] : nodes_)
+        process.send_signal(SIGKILL);
+    configure(2, "other");
+    start_nodes();
+    ASSERT_TRUE(is_in_force(2));
+    EXPECT_TRUE(hand_in("n1", id_of(1), submission("lasting", 2, true)));
+    EXPECT_TRUE(hand_in("n3", id_of(2), submission("1200", 2, false)));
+    for (const auto* name : {"n1", "n2", "n3"})
+        EXPECT_TRUE(reaches(name, id_of(1), "running"));
+    EXPECT_TRUE(reaches("n2", id_of(2), "completed"));
+    EXPECT_EQ(pools_of_runs(id_of(2)), std::set<std::string>{"pool"});
+    check_runs();
+}
+
 TEST_F(node_fleet, survives_the_kill_of_every_node)
 {
     start_nodes();
--- a/testsuite/standins/fleet/main.cpp
+++ b/testsuite/standins/fleet/main.cpp
@@ -18,8 +18,9 @@
 #include <memory>
 
 ABSL_FLAG(std::string, listen, "127.0.0.1:0", "Where to serve.");
-ABSL_FLAG(std::string, pool, "pool", "The pool that the hosts belong to.");
-ABSL_FLAG(std::uint32_t, hosts, 3, "How many hosts run.");
+ABSL_FLAG(
+    std::vector<std::string>, pools, {"pool"}, "The pools that have hosts.");
+ABSL_FLAG(std::uint32_t, hosts, 3, "How many hosts run in each pool.");
 ABSL_FLAG(
     std::size_t, ends_per_answer, 500, "How many ends a host lists at most.");
 
@@ -51,8 +52,9 @@
 {
     running_host(
         asio::any_io_executor executor, metric_registry& metrics,
-        const std::string& id)
-        : host(id, absl::GetFlag(FLAGS_ends_per_answer)),
+        const std::string& id, std::string of_pool)
+        : pool(std::move(of_pool)),
+          host(id, absl::GetFlag(FLAGS_ends_per_answer)),
           server(executor, {}, metrics, [this](http_request request) {
               return handle(std::move(request));
           })
@@ -83,6 +85,7 @@
         co_return host.hold(request);
     }
 
+    std::string pool;
     task_host host;
     http_server server;
     std::string address;
@@ -93,9 +96,11 @@
 public:
     explicit fleet(asio::any_io_executor executor) : executor_(executor)
     {
-        for (std::uint32_t i = 0; i < absl::GetFlag(FLAGS_hosts); ++i)
-            hosts_.push_back(std::make_unique<running_host>(
-                executor, metrics_, "i-" + std::to_string(i)));
+        for (const auto& pool : absl::GetFlag(FLAGS_pools))
+            for (std::uint32_t i = 0; i < absl::GetFlag(FLAGS_hosts); ++i)
+                hosts_.push_back(std::make_unique<running_host>(
+                    executor, metrics_, "i-" + std::to_string(hosts_.size()),
+                    pool));
     }
 
     asio::awaitable<void> beat()
@@ -107,8 +112,7 @@
             for (const auto& item : hosts_)
                 store_.put(
                     "keyed.servers", item->host.id(),
-                    item->host.entry(
-                        absl::GetFlag(FLAGS_pool), item->address, sequence));
+                    item->host.entry(item->pool, item->address, sequence));
             co_await pause_for(executor_, beat_interval);
         }
     }
@@ -182,7 +186,7 @@
         for (const auto& item : hosts_)
             list.push_back(
                 {{"machine", "m-" + item->host.id()},
-                 {"pool", absl::GetFlag(FLAGS_pool)},
+                 {"pool", item->pool},
                  {"state", "up"},
                  {"zone", "dc-1"},
                  {"labels", json::array{"a", "r1"}},
@@ -200,8 +204,11 @@
         for (const auto& item : hosts_)
         {
             item->host.advance();
-            for (const auto& row : item->host.history())
-                all.push_back(row);
+            for (auto row : item->host.history())
+            {
+                row.as_object()["pool"] = item->pool;
+                all.push_back(std::move(row));
+            }
         }
         return make_response(
             http::status::ok, "application/json",
