Limit the calls for advice, and give each the time that it needs

Cause: each waiting step made its own call, gave it up after a fixed 1.5 s and made it anew at the end of the service's queue, at once after a refusal. With 300 ms a call, from five waiting steps on no call was answered in time, so the number of waiting steps never fell (565,455 refused calls, 33 answered).

Change: all calls of a node go through a limiter: two in flight, timeouts by what the service says it needs for the calls ahead and what answers took, pauses with jitter that double with failures, one call at a time until an answer comes. A shard asks for two steps at a time, the first in the planner's order, and only where a task could start on a host with room that was not denied. Answers are kept by host, tickets until they expire. On related paths: queued stops and paces are not queued again, a run that its host lists is kept when the start got no answer, a load goes on with the page that failed.

Ruled out: the hosts (idle), the store (no failed append), tickets refused by hosts (none).

--- a/src/include/dandeliontack/pool_engine.hpp
+++ b/src/include/dandeliontack/pool_engine.hpp
@@ -80,6 +80,8 @@
     std::optional<host_time> extend_lease(const std::string& host, moment now);
     /// Whether the start order is still current.
     bool is_wanted(const pool_effect::start& order) const;
+    /// Whether the step still needs advice.
+    bool is_wanted(const pool_effect::advise& question) const;
     /// Whether no task of this shard can be running on the host.
     bool is_empty(const std::string& host, moment now) const;
     /// Hosts that a previous owner used and whose runs and ends this owner does
@@ -183,6 +185,7 @@
     void note_progress(std::uint64_t submission);
     submission_state* active_submission(std::uint64_t id);
     task_state* find_task(const task_ref& task);
+    step_state* find_step(const task_ref& step);
     const step_spec* spec_of(const task_ref& task) const;
     std::uint32_t next_run(const task_ref& task, const task_state& t) const;
     void log_decision(
@@ -201,6 +204,8 @@
     /// Hosts to be kept empty, with the end of the request; includes hosts that
     /// are not listed yet.
     std::map<std::string, boot_time> evacuations_;
+    /// Requests to the advice service without an answer.
+    std::size_t pending_advice_ = 0;
     /// Learned ratio of run time to estimate, by route.
     std::map<std::string, double> estimate_factor_;
     /// Hosts that a previous owner used and that have not answered this one:
--- a/src/include/dandeliontack/pool_events.hpp
+++ b/src/include/dandeliontack/pool_events.hpp
@@ -239,6 +239,8 @@
 {
     task_ref step;
     std::vector<std::string> hosts;
+    /// How long the service needs to answer, by the queue's settings.
+    std::chrono::milliseconds need{0};
 };
 /// A log entry for a decision: its name, subject and reason.
 struct decision
--- a/src/include/dandeliontack/pool_state.hpp
+++ b/src/include/dandeliontack/pool_state.hpp
@@ -65,6 +65,16 @@
     boot_time ended;
 };
 
+/// What the advice service said of one incarnation of a host: whether it may
+/// run the step, which does not change, and the ticket for starts there.
+struct host_advice
+{
+    std::chrono::milliseconds born{0};
+    /// Empty if the host may not run the step.
+    std::string ticket;
+    boot_time valid_until;
+};
+
 struct step_state
 {
     std::vector<task_state> tasks;
@@ -72,12 +82,11 @@
     step_times times;
     /// Starts of tasks that had been started before.
     std::uint32_t restarts = 0;
-    /// Set while a request to the advice service is pending; `tickets` holds
-    /// the granted hosts with their tickets.
-    bool asking = false;
-    boot_time asked;
-    std::map<std::string, std::string> tickets;
-    boot_time tickets_until;
+    /// The hosts of the pending request to the advice service; empty if there
+    /// is none.
+    std::map<std::string, std::chrono::milliseconds> asked_hosts;
+    /// By host.
+    std::map<std::string, host_advice> advice;
 };
 
 struct occurrence_state
--- a/src/include/dandeliontack/shard_owner.hpp
+++ b/src/include/dandeliontack/shard_owner.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <dandeliontack/advice_client.hpp>
 #include <dandeliontack/answer_times.hpp>
+#include <dandeliontack/order_queue.hpp>
 #include <dandeliontack/pool_engine.hpp>
 #include <dandeliontack/queue_admission.hpp>
 #include <dandeliontack/shard_claim.hpp>
@@ -30,8 +32,8 @@
 public:
     /// `listed` are the queues that the registry lists for the shard.
     shard_owner(
-        node_context& context, store_client& store, shard_id shard,
-        shard_queues listed);
+        node_context& context, store_client& store, advice_client& advice,
+        shard_id shard, shard_queues listed);
 
     /// Claims the shard with epoch `last` + 1, loads its state and starts
     /// serving. Returns false if another node claimed it first or the store is
@@ -78,7 +80,7 @@
     /// Orders to one host, sent in sequence with a limited number in flight.
     struct host_queue
     {
-        std::vector<pool_effect_body> orders;
+        order_queue orders;
         std::uint32_t sending = 0;
     };
 
@@ -127,6 +129,7 @@
 
     node_context& context_;
     store_client& store_;
+    advice_client& advice_;
     shard_id shard_;
     pool_terms terms_;
     shard_claim claim_;
--- a/src/include/dandeliontack/tack_node.hpp
+++ b/src/include/dandeliontack/tack_node.hpp
@@ -67,6 +67,7 @@
 
     node_context& context_;
     store_client store_;
+    advice_client advice_;
     shard_map shards_;
     shard_router router_;
     caller_front front_;
--- a/src/include/dandeliontack/topic_follower.hpp
+++ b/src/include/dandeliontack/topic_follower.hpp
@@ -54,7 +54,7 @@
     void stop();
 
 private:
-    boost::asio::awaitable<bool> load();
+    boost::asio::awaitable<void> load();
     void deliver(const keyed_record& record);
 
     node_context& context_;
--- a/src/libnode/fleet_duty.cpp
+++ b/src/libnode/fleet_duty.cpp
@@ -22,6 +22,8 @@
 using namespace std::chrono_literals;
 
 constexpr auto retry_pause = 150ms;
+// Time for loading the duty's records before it is left to another node.
+constexpr auto load_timeout = 2000ms;
 // Pause between rounds that fetch the machines and the demands of pools, and
 // between checks while the duty's claim is not valid.
 constexpr auto round_interval = 150ms;
@@ -198,11 +200,17 @@
     std::map<std::string, noted_order> orders;
     std::optional<duty_tick> last;
     std::string after;
+    const auto deadline = read_clocks().steady + load_timeout;
     while (true)
     {
         auto page = co_await store_.newest(place, after);
         if (!page.answered)
-            co_return false;
+        {
+            if (lost_ || read_clocks().steady > deadline)
+                co_return false;
+            co_await pause_for(context_.executor, retry_pause);
+            continue;
+        }
         for (const auto& record : page.records)
         {
             if (record.key == tick_key)
--- a/src/libnode/shard_owner.cpp
+++ b/src/libnode/shard_owner.cpp
@@ -44,7 +44,6 @@
 // would time out before the submission is stored.
 constexpr auto store_failure_limit = 500ms;
 constexpr std::uint32_t max_orders_in_flight = 3;
-constexpr auto advice_timeout = 1500ms;
 // How long a host receives no new tasks after an evacuation request.
 constexpr auto evacuation_time = 3000ms;
 // When a new owner first checks whether hosts that have not answered still
@@ -65,10 +64,11 @@
 }
 
 shard_owner::shard_owner(
-    node_context& context, store_client& store, shard_id shard,
-    shard_queues listed)
+    node_context& context, store_client& store, advice_client& advice,
+    shard_id shard, shard_queues listed)
     : context_(context),
       store_(store),
+      advice_(advice),
       shard_(shard),
       terms_(pool_terms_of(context.settings)),
       claim_(context, store, shard),
@@ -315,7 +315,8 @@
             continue;
         }
         auto list = *unlisted;
-        const bool listed = co_await claim_.list_queues(list);
+        auto copy = list;
+        const bool listed = co_await claim_.list_queues(std::move(copy));
         if (listed)
         {
             admission_.set_listed(std::move(list));
@@ -405,8 +406,8 @@
         else if (const auto* pace = std::get_if<pool_effect::pace>(&effect))
             host = pace->host;
         auto& queue = queues_[host];
-        queue.orders.push_back(std::move(effect));
-        if (queue.sending < max_orders_in_flight)
+        if (queue.orders.push(std::move(effect)) &&
+            queue.sending < max_orders_in_flight)
         {
             ++queue.sending;
             start_coroutine("orders", send_orders(host));
@@ -697,14 +698,12 @@
     const auto self = shared_from_this();
     while (!lost_ && !queues_[host].orders.empty())
     {
-        auto& orders = queues_[host].orders;
-        auto order = std::move(orders.front());
-        orders.erase(orders.begin());
-        if (auto* start = std::get_if<pool_effect::start>(&order))
+        auto order = queues_[host].orders.pop();
+        if (auto* start = std::get_if<pool_effect::start>(&*order))
             co_await send_start(std::move(*start));
-        else if (auto* stop = std::get_if<pool_effect::stop>(&order))
+        else if (auto* stop = std::get_if<pool_effect::stop>(&*order))
             co_await send_stop(std::move(*stop));
-        else if (auto* pace = std::get_if<pool_effect::pace>(&order))
+        else if (auto* pace = std::get_if<pool_effect::pace>(&*order))
             co_await send_pace(std::move(*pace));
     }
     auto& queue = queues_[host];
@@ -818,16 +817,11 @@
 asio::awaitable<void> shard_owner::request_advice(pool_effect::advise question)
 {
     const auto self = shared_from_this();
-    pool_event::advice_answered answered{question.step, {}, {}, false};
-    const auto& text = context_.settings.advice.address;
-    if (const auto peer = parse_endpoint(text))
-    {
-        auto request = platform::encode_advice_request(text, question);
-        auto result = co_await context_.connections.exchange(
-            *peer, std::move(request), advice_timeout);
-        if (const auto* response = std::get_if<http_response>(&result))
-            answered = platform::decode_advice(question.step, *response);
-    }
+    std::function<bool()> is_wanted = [this, question] {
+        return !lost_ && engine_->is_wanted(question);
+    };
+    const auto answered =
+        co_await advice_.ask(std::move(question), std::move(is_wanted));
     if (!lost_)
         apply(answered);
 }
--- a/src/libnode/tack_node.cpp
+++ b/src/libnode/tack_node.cpp
@@ -88,6 +88,7 @@
 tack_node::tack_node(node_context& context)
     : context_(context),
       store_(context),
+      advice_(context),
       shards_(takeover_timing{}),
       router_(context, shards_),
       front_(context, router_),
@@ -561,7 +562,7 @@
 asio::awaitable<void> tack_node::claim(shard_id shard)
 {
     const auto owner = std::make_shared<shard_owner>(
-        context_, store_, shard, shards_.queues_of(shard));
+        context_, store_, advice_, shard, shards_.queues_of(shard));
     const auto last = last_epoch(shard);
     // An owner may act only for a limited time after its last announcement.
     announce_now_.notify();
--- a/src/libnode/topic_follower.cpp
+++ b/src/libnode/topic_follower.cpp
@@ -80,18 +80,23 @@
 
 // Loads the newest record of each key. The pages are not a consistent snapshot,
 // so reading resumes at the end offset that the first page reported.
-asio::awaitable<bool> topic_follower::load()
+asio::awaitable<void> topic_follower::load()
 {
     auto missing = keys_;
     loaded_bytes_ = 0;
     std::string after;
     std::optional<std::uint64_t> end;
     bool more = true;
-    while (more)
+    while (more && !stopped_)
     {
         auto page = co_await store_.newest(options_.place, after);
+        // The pages before are kept: a busy store would never get to the last
+        // one if each failure began with the first again.
         if (!page.answered)
-            co_return false;
+        {
+            co_await pause_for(context_.executor, failure_pause);
+            continue;
+        }
         end = end.value_or(page.end);
         loaded_bytes_ += size_of(page.records);
         for (const auto& record : page.records)
@@ -103,10 +108,11 @@
         if (more)
             after = page.records.back().key;
     }
+    if (more)
+        co_return;
     for (const auto& [key, offset] : missing)
         deliver({key, {}, 0});
-    next_ = *end;
-    co_return true;
+    next_ = end.value_or(next_);
 }
 
 asio::awaitable<void> topic_follower::run()
@@ -116,11 +122,10 @@
     {
         if (!loaded)
         {
-            loaded = co_await load();
-            if (loaded)
+            co_await load();
+            loaded = true;
+            if (!stopped_)
                 on_caught_up_();
-            else
-                co_await pause_for(context_.executor, failure_pause);
             continue;
         }
         auto answer =
--- a/src/libnode/topic_follower_test.cpp
+++ b/src/libnode/topic_follower_test.cpp
@@ -101,6 +101,50 @@
     endpoint address;
 };
 
+// Lists three records, one a page, and refuses every other request.
+class paged_store
+{
+public:
+    explicit paged_store(asio::io_context& context)
+        : server_(
+              context.get_executor(), {}, metrics_,
+              [this](http_request request) {
+                  return answer(std::move(request));
+              }),
+          address(server_.listen({"127.0.0.1", 0}))
+    {}
+
+    int requests = 0;
+
+private:
+    asio::awaitable<http_response> answer(http_request request)
+    {
+        if (requests++ % 2 == 0)
+            co_return make_response(
+                http::status::too_many_requests, "text/plain", {});
+        const std::string target(request.target());
+        const auto at = target.find("after=");
+        const auto number =
+            at == std::string::npos ? 0 : std::stoi(target.substr(at + 6)) + 1;
+        json::object item{
+            {"key", std::to_string(number)},
+            {"value", "YQ=="},
+            {"offset", number}};
+        json::object page{
+            {"items", json::array{std::move(item)}},
+            {"hasMore", number < 2},
+            {"endOffset", 3}};
+        co_return make_response(
+            http::status::ok, "application/json", json::serialize(page));
+    }
+
+    metric_registry metrics_;
+    http_server server_;
+
+public:
+    endpoint address;
+};
+
 class topic_follower_test : public test::node_fixture
 {
 protected:
@@ -158,6 +202,33 @@
     EXPECT_LT(store.sent, sent_without_limit);
 }
 
+// Guards against loads that begin anew with each failed page: a store that
+// answers every other call would never get to the last page.
+TEST_F(topic_follower_test, load_goes_on_with_the_page_that_failed)
+{
+    paged_store paged(context_);
+    settings_.store.address = paged.address;
+    store_client client(node_);
+    std::vector<std::string> keys;
+    bool caught_up = false;
+    topic_follower follower(
+        node_, client, {{"keyed.servers", 0}, 0ms, 0ms, 0ms, {}},
+        [&](const keyed_record& record) { keys.push_back(record.key); },
+        [&] {
+            caught_up = true;
+            follower.stop();
+        });
+    bool ended = false;
+    asio::co_spawn(context_, follower.run(), [&](const std::exception_ptr&) {
+        ended = true;
+    });
+    while (!ended)
+        context_.run_one();
+    EXPECT_TRUE(caught_up);
+    EXPECT_EQ(keys, (std::vector<std::string>{"0", "1", "2"}));
+    EXPECT_EQ(paged.requests, 6);
+}
+
 TEST(pause_after, pause_grows_with_bytes_up_to_maximum)
 {
     const follow_options options{{}, 0ms, 10ms, 600ms, [] { return 1e6; }};
--- a/src/libsched/pool_engine.cpp
+++ b/src/libsched/pool_engine.cpp
@@ -64,6 +64,9 @@
 // A host that has not answered for this time, which is longer than a hold call
 // may take, counts as silent.
 constexpr auto silent_after = 1700ms;
+// The last part of a ticket's validity that is not used, as a divisor: a start
+// must reach the host before the ticket expires.
+constexpr int ticket_margin = 10;
 
 double work_of(const submission_spec& spec)
 {
@@ -374,6 +377,9 @@
                 e.host, e.born, e.task, e.run, h.fill_percent});
         return;
     case start_answer::unknown:
+        // The host may have listed the run meanwhile.
+        if (run->second.confirmed)
+            return;
         order_stop(h, e.task, "the start request got no definite answer");
         return;
     case start_answer::no_room:
@@ -387,9 +393,8 @@
             t->retry_at = now_.steady + malformed_pause;
         break;
     case start_answer::ticket_refused:
-        if (auto* s = active_submission(e.task.submission))
-            s->occurrences[e.task.occurrence].steps[e.task.step].tickets.erase(
-                e.host);
+        if (auto* step = find_step(e.task))
+            step->advice.erase(e.host);
         break;
     default:
         break;
@@ -417,16 +422,26 @@
 
 void pool_engine::on(const pool_event::advice_answered& e)
 {
-    auto* s = active_submission(e.step.submission);
-    if (!s)
+    --pending_advice_;
+    auto* step = find_step(e.step);
+    if (!step)
         return;
-    auto& step = s->occurrences[e.step.occurrence].steps[e.step.step];
-    step.asking = false;
+    const auto asked = std::exchange(step->asked_hosts, {});
     if (!e.answered)
         return;
+    const auto& terms =
+        *active_submission(e.step.submission)->record.terms.advice;
+    const auto valid = e.valid > 0ms ? e.valid : terms.valid;
+    for (const auto& [host, born] : asked)
+        step->advice[host] = {born, {}, {}};
     for (const auto& [host, ticket] : e.granted)
-        step.tickets[host] = ticket;
-    step.tickets_until = now_.steady + e.valid;
+        if (const auto known = step->advice.find(host);
+            known != step->advice.end())
+        {
+            known->second.ticket = ticket;
+            known->second.valid_until =
+                now_.steady + valid - valid / ticket_margin;
+        }
 }
 
 void pool_engine::on(const pool_event::batch_stored& e)
@@ -1419,6 +1434,13 @@
            !run->second.stop_ordered;
 }
 
+bool pool_engine::is_wanted(const pool_effect::advise& question) const
+{
+    const auto* s = state_of(question.step.submission);
+    return s && s->cancelled_in == 0 &&
+           s->occurrences.contains(question.step.occurrence);
+}
+
 bool pool_engine::is_empty(const std::string& host, moment now) const
 {
     // Until the takeover has settled, tasks of a previous owner may run on any
@@ -1626,17 +1648,23 @@
     return found == active_.end() ? nullptr : &found->second;
 }
 
-task_state* pool_engine::find_task(const task_ref& task)
+step_state* pool_engine::find_step(const task_ref& step)
 {
-    auto* s = active_submission(task.submission);
+    auto* s = active_submission(step.submission);
     if (!s)
         return nullptr;
-    const auto occurrence = s->occurrences.find(task.occurrence);
+    const auto occurrence = s->occurrences.find(step.occurrence);
     if (occurrence == s->occurrences.end() ||
-        task.step >= occurrence->second.steps.size())
+        step.step >= occurrence->second.steps.size())
         return nullptr;
-    auto& tasks = occurrence->second.steps[task.step].tasks;
-    return task.index < tasks.size() ? &tasks[task.index] : nullptr;
+    return &occurrence->second.steps[step.step];
+}
+
+task_state* pool_engine::find_task(const task_ref& task)
+{
+    auto* step = find_step(task);
+    return step && task.index < step->tasks.size() ? &step->tasks[task.index]
+                                                   : nullptr;
 }
 
 const step_spec* pool_engine::spec_of(const task_ref& task) const
--- a/src/libsched/pool_hosts_test.cpp
+++ b/src/libsched/pool_hosts_test.cpp
@@ -524,4 +524,23 @@
     EXPECT_TRUE(d.engine.hosts().at("a").runs.empty());
 }
 
+// Guards against throwing away work of a host that is slow to answer: the start
+// got no answer in time, but the host lists the run.
+TEST(pool_hosts, listed_run_is_kept_when_its_start_got_no_answer)
+{
+    pool_driver d;
+    d.connect_hosts({"a"});
+    d.submit(pool_driver::make_submission(1));
+    const auto starts = d.effects_of<pool_effect::start>(d.tick());
+    ASSERT_EQ(starts.size(), 1U);
+    d.advance(50ms);
+    d.hold("a", {running_run(0, 1, 10)});
+    d.apply(pool_event::start_answered{
+        "a", 1ms, task(0), 1, start_answer::unknown, {}});
+    EXPECT_TRUE(d.effects_of<pool_effect::stop>(d.all_effects).empty());
+    d.hold("a", {}, {ended_run(1, 0, 1, run_outcome::done)});
+    d.store();
+    EXPECT_EQ(d.engine.find(submission_id)->phase, submission_phase::completed);
+}
+
 } // namespace dandeliontack::test
--- a/src/libsched/pool_planner.cpp
+++ b/src/libsched/pool_planner.cpp
@@ -23,9 +23,10 @@
 // The part of a submission's value that does not depend on its work, relative
 // to the value of a submission of average work in its queue.
 constexpr double fixed_value_share = 0.3;
-// An advice request without an answer is repeated after this time.
-constexpr auto advice_retry_interval = 1500ms;
-constexpr std::size_t max_hosts_per_advice_request = 30;
+constexpr std::int64_t max_hosts_per_advice_request = 30;
+// Requests to the advice service that wait for their answer. The service
+// handles one at a time, and until then others may have become more urgent.
+constexpr std::size_t max_pending_advice = 2;
 // Terms of the placement cost of a task on a host. Only their relative order
 // matters.
 constexpr double cost_previous_failure = 1000;
@@ -147,18 +148,19 @@
     return c;
 }
 
-bool pool_planner::can_place(
+bool pool_planner::has_room(
     const host_state& h, const candidate& c, const step_spec& spec) const
 {
     const task_ref step{c.submission->record.id, c.occurrence, c.step, 0};
-    if (!engine_.has_room_for(h, step, spec))
-        return false;
-    if (c.submission->record.terms.advice)
-        return c.submission->occurrences.at(c.occurrence)
-            .steps[c.step]
-            .tickets.contains(h.entry.id);
     // A host that was suspended before gets one run at a time.
-    return h.health.suspensions == 0 || h.runs.empty() || spec.long_running;
+    return engine_.has_room_for(h, step, spec) &&
+           (h.health.suspensions == 0 || h.runs.empty() || spec.long_running);
+}
+
+bool pool_planner::can_place(
+    const host_state& h, const candidate& c, const step_spec& spec) const
+{
+    return has_room(h, c, spec) && is_granted(h, c);
 }
 
 double pool_planner::cost_of(
@@ -226,36 +228,102 @@
     return {};
 }
 
-bool pool_planner::has_advice(const candidate& c)
+bool pool_planner::is_granted(const host_state& h, const candidate& c) const
 {
-    const auto& s = *c.submission;
-    if (!s.record.terms.advice)
+    if (!c.submission->record.terms.advice)
         return true;
+    const auto& advice =
+        c.submission->occurrences.at(c.occurrence).steps[c.step].advice;
+    const auto known = advice.find(h.entry.id);
+    return known != advice.end() && known->second.born == h.entry.born &&
+           !known->second.ticket.empty() &&
+           known->second.valid_until > now_.steady;
+}
+
+std::uint32_t pool_planner::room_for(
+    const host_state& h, const candidate& c, const step_spec& spec,
+    std::uint32_t most) const
+{
+    if (!has_room(h, c, spec))
+        return 0;
+    const auto need = reserved_resources(spec);
+    const auto free = h.entry.capacity - h.used;
+    std::int64_t count = most;
+    if (spec.most_per_host > 0)
+        count = std::min<std::int64_t>(count, spec.most_per_host);
+    for (const auto& [part, whole] :
+         {std::pair(need.cpu_milli, free.cpu_milli),
+          std::pair(need.memory_mb, free.memory_mb),
+          std::pair(need.accelerators, free.accelerators)})
+        if (part > 0)
+            count = std::min(count, whole / part);
+    return static_cast<std::uint32_t>(std::max<std::int64_t>(count, 0));
+}
+
+bool pool_planner::has_granted_room(
+    const candidate& c, std::uint32_t tasks) const
+{
+    const auto& spec = c.submission->record.spec.steps[c.step];
+    std::uint32_t room = 0;
+    for (const auto* h : hosts_.at(c.submission->record.terms.pool))
+    {
+        if (room >= tasks)
+            break;
+        if (is_granted(*h, c))
+            room += room_for(*h, c, spec, tasks);
+    }
+    return room >= tasks;
+}
+
+void pool_planner::request_advice(const candidate& c)
+{
+    const auto& s = *c.submission;
+    const auto& spec = s.record.spec.steps[c.step];
     auto& step = c.submission->occurrences.at(c.occurrence).steps[c.step];
-    if (!step.tickets.empty() && step.tickets_until > now_.steady)
-        return true;
-    if (step.asking && now_.steady - step.asked < advice_retry_interval)
-        return false;
-    step.tickets.clear();
-    step.asking = true;
-    step.asked = now_.steady;
-    pool_effect::advise ask{{s.record.id, c.occurrence, c.step, 0}, {}};
-    auto& hosts = hosts_[s.record.terms.pool];
-    std::ranges::sort(hosts, std::greater<>{}, [](const host_state* h) {
+    if (!step.asked_hosts.empty() ||
+        engine_.pending_advice_ >= max_pending_advice)
+        return;
+    const std::uint32_t wanted = spec.gang ? spec.count : 1;
+    std::uint32_t room = 0;
+    std::vector<const host_state*> unknown;
+    for (const auto* h : hosts_.at(s.record.terms.pool))
+    {
+        const auto known = step.advice.find(h->entry.id);
+        const bool is_denied = known != step.advice.end() &&
+                               known->second.born == h->entry.born &&
+                               known->second.ticket.empty();
+        const auto here = is_denied ? 0 : room_for(*h, c, spec, wanted);
+        room += here;
+        if (here > 0 && !is_granted(*h, c))
+            unknown.push_back(h);
+    }
+    if (unknown.empty() || room < wanted)
+        return;
+    const auto& terms = *s.record.terms.advice;
+    std::ranges::sort(unknown, std::greater<>{}, [](const host_state* h) {
         return h->entry.capacity.cpu_milli - h->used.cpu_milli;
     });
-    for (const auto* h : hosts | std::views::take(max_hosts_per_advice_request))
+    // The tickets must be valid for longer than the service takes.
+    std::size_t count = max_hosts_per_advice_request;
+    if (terms.each > 0ms && terms.valid > 0ms)
+        count = static_cast<std::size_t>(std::clamp<std::int64_t>(
+            (terms.valid - terms.decide) / terms.each, 1,
+            max_hosts_per_advice_request));
+    pool_effect::advise ask{{s.record.id, c.occurrence, c.step, 0}, {}, {}};
+    for (const auto* h : unknown | std::views::take(count))
+    {
         ask.hosts.push_back(h->entry.id);
+        step.asked_hosts[h->entry.id] = h->entry.born;
+    }
+    ask.need = terms.decide + terms.each * ask.hosts.size();
+    ++engine_.pending_advice_;
     engine_.effects_.emplace_back(std::move(ask));
-    return false;
 }
 
 void pool_planner::place_tasks(const candidate& c)
 {
     const auto& spec = c.submission->record.spec.steps[c.step];
     auto& step = c.submission->occurrences.at(c.occurrence).steps[c.step];
-    if (!has_advice(c))
-        return;
     auto rack = spec.rack;
     if (rack.empty() && spec.same_rack)
         rack = rack_in_use(c);
@@ -266,7 +334,11 @@
             continue;
         auto* h = best_host(c, spec, t, rack);
         if (!h)
+        {
+            if (c.submission->record.terms.advice)
+                request_advice(c);
             return;
+        }
         if (rack.empty() && spec.same_rack)
             rack = h->entry.rack;
         start(
@@ -281,9 +353,13 @@
     const auto& spec = c.submission->record.spec.steps[c.step];
     auto& step = c.submission->occurrences.at(c.occurrence).steps[c.step];
     if (!std::ranges::all_of(
-            step.tasks, [&](const task_state& t) { return may_start(t); }) ||
-        !has_advice(c))
+            step.tasks, [&](const task_state& t) { return may_start(t); }))
+        return;
+    if (c.submission->record.terms.advice && !has_granted_room(c, spec.count))
+    {
+        request_advice(c);
         return;
+    }
     std::uint32_t run = 0;
     for (std::uint32_t i = 0; i < step.tasks.size(); ++i)
         run = std::max(
@@ -345,10 +421,10 @@
     held.objective = spec.latency_objective;
     h.runs.emplace(task, held);
     h.used = h.used + held.need;
-    const auto ticket = step.tickets.find(h.entry.id);
+    const auto advice = step.advice.find(h.entry.id);
     engine_.effects_.emplace_back(pool_effect::start{
         h.entry.id, h.entry.born, task, run, t.checkpoint,
-        ticket == step.tickets.end() ? std::string() : ticket->second});
+        advice == step.advice.end() ? std::string() : advice->second.ticket});
     engine_.log_decision(
         "start_ordered", task, run, h.entry.id,
         c.rank >= rank_late ? "late" : "in time");
--- a/src/libsched/pool_planner.hpp
+++ b/src/libsched/pool_planner.hpp
@@ -43,6 +43,9 @@
     host_state* best_host(
         const candidate& c, const step_spec& spec, const task_state& t,
         const std::string& rack);
+    /// Whether a task of the step may start on the host, advice aside.
+    bool has_room(
+        const host_state& h, const candidate& c, const step_spec& spec) const;
     bool can_place(
         const host_state& h, const candidate& c, const step_spec& spec) const;
     double cost_of(
@@ -51,9 +54,18 @@
     void start(
         const candidate& c, std::uint32_t index, host_state& h,
         std::uint32_t run);
-    /// Whether the step may be placed now. Requests host advice if the queue
-    /// requires it and none is valid.
-    bool has_advice(const candidate& c);
+    /// Whether the advice lets a task of the step start on the host.
+    bool is_granted(const host_state& h, const candidate& c) const;
+    /// How many tasks of the step the host has room for, at most `most`.
+    std::uint32_t room_for(
+        const host_state& h, const candidate& c, const step_spec& spec,
+        std::uint32_t most) const;
+    /// Requests advice on hosts with room that the service has not been asked
+    /// about, if tasks of the step could start there and the hosts that are
+    /// granted have no room for them.
+    void request_advice(const candidate& c);
+    /// Whether the granted hosts have room for `tasks` of the step's tasks.
+    bool has_granted_room(const candidate& c, std::uint32_t tasks) const;
     /// The rack of a host that a task of the step is assigned to; empty if
     /// there is none.
     std::string rack_in_use(const candidate& c) const;
--- a/testsuite/fleet_nodes/fleet_nodes_test.cpp
+++ b/testsuite/fleet_nodes/fleet_nodes_test.cpp
@@ -97,6 +97,7 @@
                 "[store]\naddress = " +
                 to_string(platform_address_) +
                 "\n[machines]\naddress = " + to_string(platform_address_) +
+                "\n[advice]\naddress = " + to_string(platform_address_) +
                 "\n[bounds]\ngrace_seconds = 4\n");
         nodes_.erase(name);
         const auto started = nodes_.emplace(
@@ -376,6 +377,25 @@
     check_runs();
 }
 
+// Guards against advice calls that are given up and made anew at the end of the
+// service's queue: after a burst no step of the queue ever started.
+TEST_F(node_fleet, works_off_a_burst_on_a_queue_with_advice)
+{
+    auto config = json::parse(configuration);
+    config.at("version") = 2;
+    config.at("routes").at(0).as_object()["advice"] = {
+        {"decideMs", 200}, {"eachMs", 0}, {"validMs", 3000}};
+    post(platform_address_, "/configuration", json::serialize(config));
+    start_nodes();
+    ASSERT_TRUE(is_in_force(2));
+    constexpr unsigned burst = 20;
+    for (unsigned i = 0; i < burst; ++i)
+        ASSERT_TRUE(hand_in("n1", id_of(i), submission("100", 2, false)));
+    for (unsigned i = 0; i < burst; ++i)
+        EXPECT_TRUE(reaches("n2", id_of(i), "completed"));
+    check_runs();
+}
+
 // Nothing but the store knows the earlier configuration then, and no queue
 // leads to the pool that holds the submissions.
 TEST_F(node_fleet_with_two_pools, finds_moved_submissions_after_a_restart)
--- a/testsuite/standins/fleet/main.cpp
+++ b/testsuite/standins/fleet/main.cpp
@@ -4,6 +4,7 @@
 //   POST /fault?mode=MODE        none, down (503) or lose-answers (appends)
 //   GET  /runs                   every run of every host
 //   GET  /records?topic=&key=    how many records were written under a key
+// and the advice service, which permits every host.
 
 #include "keyed_store.hpp"
 #include "task_host.hpp"
@@ -21,6 +22,8 @@
 ABSL_FLAG(
     std::vector<std::string>, pools, {"pool"}, "The pools that have hosts.");
 ABSL_FLAG(std::uint32_t, hosts, 3, "How many hosts run in each pool.");
+ABSL_FLAG(
+    std::uint32_t, advice_ms, 200, "How long the advice service needs a call.");
 ABSL_FLAG(
     std::size_t, ends_per_answer, 500, "How many ends a host lists at most.");
 
@@ -134,6 +137,8 @@
             co_return store_.newest(request);
         if (path == "/log-read")
             co_return co_await read(std::move(request));
+        if (path == "/advise")
+            co_return co_await advise(std::move(request));
         if (path == "/machines")
             co_return machines();
         if (path == "/runs")
@@ -180,6 +185,30 @@
         co_return *store_.read(request);
     }
 
+    // Handles one call at a time, also those whose caller has left.
+    asio::awaitable<http_response> advise(http_request request)
+    {
+        constexpr std::size_t longest_queue = 32;
+        if (advice_waiting_ >= longest_queue)
+            co_return plain(http::status::too_many_requests);
+        ++advice_waiting_;
+        const auto now = std::chrono::steady_clock::now();
+        advice_free_at_ =
+            std::max(advice_free_at_, now) +
+            std::chrono::milliseconds(absl::GetFlag(FLAGS_advice_ms));
+        const auto until = advice_free_at_;
+        while (std::chrono::steady_clock::now() < until)
+            co_await pause_for(executor_, poll_interval);
+        --advice_waiting_;
+        json::array granted;
+        const auto body = json::parse(request.body());
+        for (const auto& host : body.at("workers").as_array())
+            granted.push_back(json::array{host, "ticket"});
+        json::object answer{{"granted", std::move(granted)}, {"validMs", 3000}};
+        co_return make_response(
+            http::status::ok, "application/json", json::serialize(answer));
+    }
+
     http_response machines() const
     {
         json::array list;
@@ -220,6 +249,8 @@
     keyed_store store_;
     std::vector<std::unique_ptr<running_host>> hosts_;
     std::string fault_ = "none";
+    std::size_t advice_waiting_ = 0;
+    std::chrono::steady_clock::time_point advice_free_at_;
 };
 
 int run()
