--- a/src/include/dandeliontack/node_context.hpp
+++ b/src/include/dandeliontack/node_context.hpp
@@ -31,6 +31,8 @@
     /// sent. Other nodes take over its shards once its announcements stop; by
     /// then the node sends no more orders.
     boot_time last_announcement_sent;
+    /// Tasks of the submissions that this node's shard owners hold.
+    std::uint64_t tasks_in_memory = 0;
 };
 
 } // namespace dandeliontack
--- a/src/include/dandeliontack/pool_engine.hpp
+++ b/src/include/dandeliontack/pool_engine.hpp
@@ -20,6 +20,8 @@
     std::chrono::milliseconds max_lease{10'000};
     /// How long the result of a finished submission is kept.
     std::chrono::milliseconds finished_retention{180'000};
+    /// A longer checkpoint of a task is not used: it could not be stored.
+    std::size_t max_checkpoint = 64 * 1024;
 };
 
 /// The status of a submission as reported to a caller.
@@ -93,6 +95,9 @@
     std::vector<pool_demand> demands(moment now) const;
     std::size_t active() const;
     std::size_t waiting_tasks() const;
+    /// The tasks of all occurrences that are due and not done, as a measure of
+    /// the memory that they take.
+    std::uint64_t tasks_in_memory() const;
 
 private:
     friend class pool_planner;
@@ -112,6 +117,7 @@
     void on(const pool_event::stop_answered& e);
     void on(const pool_event::advice_answered& e);
     void on(const pool_event::batch_stored& e);
+    void on(const pool_event::records_refused& e);
     void on(const pool_event::evacuation_requested& e);
     void on(const pool_event::lending_requested& e);
     void on(const pool_event::tick& e);
@@ -182,7 +188,16 @@
     /// the step's limit of tasks per host.
     bool has_room_for(
         const host_state& h, const task_ref& step, const step_spec& spec) const;
-    void note_progress(std::uint64_t submission);
+    /// Notes that the part which holds the task has to be stored.
+    void note_progress(const submission_state& s, const task_ref& task);
+    void note_progress(const progress_part& part);
+    /// Drops the state of occurrences that are done; returns whether all are.
+    bool drop_done_occurrences(submission_state& s);
+    void drop_stored(submission_state& s, std::uint32_t occurrence);
+    void note_stored(const progress_part& part);
+    void keep_checkpoint(
+        task_state& t, const step_spec& step,
+        const std::string& checkpoint) const;
     submission_state* active_submission(std::uint64_t id);
     task_state* find_task(const task_ref& task);
     step_state* find_step(const task_ref& step);
--- a/src/include/dandeliontack/pool_events.hpp
+++ b/src/include/dandeliontack/pool_events.hpp
@@ -162,6 +162,12 @@
 {
     std::uint64_t batch = 0;
 };
+/// The store will never accept records of these submissions and hosts.
+struct records_refused
+{
+    std::vector<std::uint64_t> submissions;
+    std::vector<std::string> hosts;
+};
 /// Requests that a host be evacuated for maintenance or a move to another pool,
 /// and kept empty until `until`.
 struct evacuation_requested
@@ -187,8 +193,8 @@
     pool_event::host_reported, pool_event::host_incarnation_ended,
     pool_event::start_answered, pool_event::stop_answered,
     pool_event::advice_answered, pool_event::batch_stored,
-    pool_event::evacuation_requested, pool_event::lending_requested,
-    pool_event::tick>;
+    pool_event::records_refused, pool_event::evacuation_requested,
+    pool_event::lending_requested, pool_event::tick>;
 
 /// What a submission spent its time on, summed over its steps.
 struct submission_delays
--- a/src/include/dandeliontack/pool_state.hpp
+++ b/src/include/dandeliontack/pool_state.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <dandeliontack/number_ranges.hpp>
 #include <dandeliontack/pool_events.hpp>
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -36,6 +38,8 @@
     /// attempt, even if it is not the newest run. Not kept for long-running
     /// tasks.
     std::set<std::uint32_t> failed_runs;
+    /// Failed runs that are counted, but no longer in `failed_runs`.
+    std::uint32_t older_failures = 0;
     /// While `recording`: whether the stored end is `done`, and the batch that
     /// contains it.
     bool ended_done = false;
@@ -53,6 +57,14 @@
     boot_time retry_at;
 };
 
+/// Counts a run that ended as failed.
+void add_failure(task_state& t, std::uint32_t run);
+/// The number of runs that ended as failed.
+std::uint32_t failures_of(const task_state& t);
+/// Whether the stored state of the task is long, so that it is stored in a
+/// record of its own.
+bool has_long_state(const task_state& t);
+
 /// When a step passed the stages of its life; zero before each. A successor of
 /// an owner knows only what happened under itself.
 struct step_times
@@ -96,12 +108,36 @@
     boot_time due;
 };
 
+/// A part of a submission's progress that is stored as one record: tasks with
+/// adjacent numbers of one occurrence, counted over all steps. The first part
+/// of the first occurrence also holds what concerns the whole submission.
+struct progress_part
+{
+    std::uint64_t submission = 0;
+    std::uint32_t occurrence = 0;
+    std::uint32_t part = 0;
+
+    auto operator<=>(const progress_part&) const = default;
+};
+
+/// Tasks in each part, so many that the state of all fits one record.
+inline constexpr std::uint32_t tasks_per_part = 256;
+
+/// The part that a task of the submission belongs to.
+progress_part part_of(const submission_spec& spec, const task_ref& task);
+
 struct submission_state
 {
     submission_record record;
     submission_phase phase = submission_phase::queued;
+    /// The occurrences that are due and not done.
     std::map<std::uint32_t, occurrence_state> occurrences;
-    std::uint32_t occurrences_done = 0;
+    number_ranges occurrences_done;
+    /// The first occurrence that has not been due yet.
+    std::uint32_t next_occurrence = 0;
+    /// What the store holds beside the record of the first part.
+    std::set<progress_part> stored_parts;
+    std::set<task_ref> stored_tasks;
     /// When this owner received it, or earlier by the time that it has waited
     /// under previous owners.
     boot_time arrived;
@@ -115,6 +151,11 @@
     double work = 0;
 };
 
+/// Visits the tasks of a part in order.
+void for_each_task(
+    const submission_state& s, const progress_part& part,
+    const std::function<void(const task_ref&, const task_state&)>& visit);
+
 /// A run that occupies capacity on a host.
 struct host_run
 {
@@ -208,9 +249,14 @@
 {
     std::uint64_t batch = 0;
     std::vector<std::uint64_t> accepted;
-    std::vector<std::uint64_t> progressed;
+    std::set<progress_part> progressed;
+    /// Tasks of these parts that are stored on their own.
+    std::set<task_ref> progressed_tasks;
     /// Submissions that have finished; their stored details may be deleted.
     std::vector<std::uint64_t> finished;
+    /// Stored parts and tasks of submissions or occurrences that are done.
+    std::vector<progress_part> dropped_parts;
+    std::vector<task_ref> dropped_tasks;
     /// Submissions whose retention period after finishing has passed; nothing
     /// about them need be kept.
     std::vector<std::uint64_t> forgotten;
--- a/src/include/dandeliontack/shard_owner.hpp
+++ b/src/include/dandeliontack/shard_owner.hpp
@@ -110,7 +110,11 @@
     boost::asio::awaitable<shard_outcome>
     wait_until_stored(std::uint64_t batch);
 
-    std::vector<keyed_record> encode_changes(const pool_changes& changes) const;
+    std::vector<keyed_record> encode_changes(const pool_changes& changes);
+    void drop_refused_records();
+    /// Updates this owner's share of the tasks in the node's memory.
+    void count_tasks();
+    bool has_memory_for(const submission_spec& spec);
     void apply(const pool_event_body& event);
     void run_effects(pool_effects effects);
     void log_decision(const pool_effect::decision& decision);
@@ -137,6 +141,9 @@
     answer_times order_times_;
     std::unique_ptr<pool_engine> engine_;
     queue_admission admission_;
+    /// Keys of stored records that are to be deleted with the next batch.
+    std::vector<std::string> orphans_;
+    std::uint64_t counted_tasks_ = 0;
     std::set<std::string> polled_hosts_;
     std::map<std::string, host_queue> queues_;
     /// The last batch of engine changes that the store has accepted.
--- a/src/include/dandeliontack/store_calls.hpp
+++ b/src/include/dandeliontack/store_calls.hpp
@@ -58,8 +58,10 @@
     wrong_sequence,
     /// The partition does not end at the expected offset.
     unexpected_end,
-    /// Not stored: the store is busy or full, or rejects this request.
+    /// Not stored: the store is busy or full.
     refused,
+    /// Not stored, nor ever: the store does not accept these records.
+    invalid,
     /// The records may have been stored, or may be stored later.
     unknown
 };
--- a/src/include/dandeliontack/store_client.hpp
+++ b/src/include/dandeliontack/store_client.hpp
@@ -8,8 +8,10 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <chrono>
+#include <deque>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace dandeliontack
 {
@@ -78,10 +80,15 @@
         std::uint64_t last, std::vector<keyed_record> records,
         std::chrono::milliseconds retry_time, bool force = false);
 
-    /// Appends `records` and retries until they are stored. Returns false once
-    /// the epoch is lost.
+    /// Appends `records`, in as many calls as the store's limit needs, and
+    /// retries until they are stored: in order, each call as a whole. Returns
+    /// false once the epoch is lost. Records that the store will never accept
+    /// are left out, see `refused_keys`.
     boost::asio::awaitable<bool> append(std::vector<keyed_record> records);
 
+    /// The keys of the records that the last append left out.
+    const std::vector<std::string>& refused_keys() const;
+
     /// Stops the retries of the append in flight and gives up the epoch.
     void abandon();
 
@@ -97,6 +104,9 @@
     boot_time last_stored_sent_at() const;
 
 private:
+    void isolate_refused(
+        const std::vector<keyed_record>& batch,
+        std::deque<std::vector<keyed_record>>& calls);
     boost::asio::awaitable<append_outcome>
     append_with_retries(append_call call, std::chrono::milliseconds retry_time);
 
@@ -110,6 +120,7 @@
     std::uint64_t sequence_ = 0;
     state state_ = state::idle;
     bool may_be_stored_ = false;
+    std::vector<std::string> refused_keys_;
     std::optional<boot_time> failing_since_;
     boot_time last_stored_sent_at_;
 };
--- a/src/include/dandeliontack/stored_records.hpp
+++ b/src/include/dandeliontack/stored_records.hpp
@@ -83,19 +83,29 @@
     wall_time began;
 };
 
-/// The stored results and checkpoints of a submission's tasks.
+/// The stored results and checkpoints of a part of a submission's tasks. Each
+/// record is valid without the others, so any of them may be older.
 struct progress_record
 {
+    /// Of the whole submission; in its first part only.
     std::optional<submission_phase> finished;
     bool cancelled = false;
+    number_ranges occurrences_done;
+    /// The part's first task, counted over all steps of the occurrence, and one
+    /// bit for each task from there on that is done.
+    std::uint32_t occurrence = 0;
+    std::uint32_t first_task = 0;
+    std::string done_bits;
     struct task
     {
         task_ref task;
         bool done = false;
         std::set<std::uint32_t> failed_runs;
+        std::uint32_t older_failures = 0;
         std::uint32_t recorded_run = 0;
         std::string checkpoint;
     };
+    /// Tasks that are not done and of which a run has ended.
     std::vector<task> tasks;
 };
 
@@ -124,14 +134,22 @@
 std::optional<lent_hosts> decode_lent_hosts(std::string_view bytes);
 std::optional<fleet_layout> decode_layout(std::string_view bytes);
 
-/// The record to store for the current state of a submission.
-progress_record progress_of(const submission_state& s);
-/// Restores the state of a submission's tasks from its record.
+/// The record to store for a part of a submission's current state, without the
+/// tasks that are stored on their own.
+progress_record
+progress_of(const submission_state& s, const progress_part& part);
+/// The record of a task that is stored on its own.
+progress_record progress_of(const submission_state& s, const task_ref& task);
+/// Restores the state of a submission's tasks from one of its records. What is
+/// known to be newer is kept.
 void apply_progress(const progress_record& record, submission_state& s);
 
 /// Keys of records in a shard's partition.
 std::string submission_key(std::uint64_t id);
-std::string progress_key(std::uint64_t id);
+/// `p/ID` for the first part, else `p/ID/OCCURRENCE.PART`.
+std::string progress_key(const progress_part& part);
+/// `t/TASK`.
+std::string task_key(const task_ref& task);
 std::string host_key(std::string_view id);
 inline constexpr std::string_view shard_owner_key = "o";
 
--- a/src/include/dandeliontack/submission.hpp
+++ b/src/include/dandeliontack/submission.hpp
@@ -161,6 +161,9 @@
     auto operator<=>(const task_ref&) const = default;
 };
 
+/// The number of tasks of one occurrence.
+std::uint64_t tasks_of(const submission_spec& spec);
+
 /// Formats the id as 16 hexadecimal digits.
 std::string submission_name(std::uint64_t id);
 /// Returns no value unless the text is 16 hexadecimal digits.
@@ -180,4 +183,9 @@
 /// Returns an empty list if it can be stored.
 std::vector<validation_error> check_submission(const submission_spec& spec);
 
+/// Checks a valid submission against the limits for new ones, which keep one
+/// submission from using up a node's memory. Returns an empty list if it may be
+/// accepted.
+std::vector<validation_error> check_limits(const submission_spec& spec);
+
 } // namespace dandeliontack
--- a/src/include/dandeliontack/tack_node_settings.hpp
+++ b/src/include/dandeliontack/tack_node_settings.hpp
@@ -76,6 +76,7 @@
     double cpu_share = 1;
     double cores = 1;
     std::uint64_t descriptors = 4096;
+    std::uint64_t memory_mb = 256;
 };
 
 /// The settings of a node.
@@ -99,6 +100,8 @@
 
 /// The parameters of the pool engine for these settings.
 pool_terms pool_terms_of(const tack_node_settings& settings);
+/// The most tasks that the submissions of one node may have together.
+std::uint64_t max_tasks_of(const tack_node_settings& settings);
 /// Time from the decision to move a machine until its new host accepts tasks.
 std::chrono::milliseconds machine_lead_of(const tack_node_settings& settings);
 
--- a/src/libnode/caller_front.cpp
+++ b/src/libnode/caller_front.cpp
@@ -1,3 +1,4 @@
+#include <dandeliontack/append_split.hpp>
 #include <dandeliontack/caller_front.hpp>
 
 #include <boost/asio.hpp>
@@ -211,7 +212,9 @@
             http::status::bad_request, outcome::not_run, "malformed submission",
             to_string(*wrong));
     auto& spec = std::get<submission_spec>(decoded);
-    const auto faults = check_submission(spec);
+    auto faults = check_submission(spec);
+    if (faults.empty())
+        faults = check_limits(spec);
     if (!faults.empty())
         co_return error_response(
             http::status::unprocessable_entity, outcome::not_run,
@@ -230,6 +233,16 @@
     shard_call call{shard_call::verb::submit, scope.shard, *id, {}, {}};
     call.record = submission_record{
         *id, std::move(spec), scope.queue.terms, read_clocks().wall, 0};
+    const keyed_record to_store{submission_key(*id), encode(*call.record), 0};
+    if (const auto bytes = stored_size(to_store);
+        bytes > context_.settings.store.record_bytes)
+        co_return error_response(
+            http::status::payload_too_large, outcome::not_run,
+            "submission can't be stored",
+            "the submission needs " + std::to_string(bytes) +
+                " bytes in the store, which accepts at most " +
+                std::to_string(context_.settings.store.record_bytes) +
+                " bytes in a record");
     const auto began = read_clocks().steady;
     auto former_call = call;
     former_call.kind = shard_call::verb::find;
--- a/src/libnode/fleet_duty.cpp
+++ b/src/libnode/fleet_duty.cpp
@@ -553,11 +553,14 @@
 asio::awaitable<void> fleet_duty::store_layout()
 {
     const auto self = shared_from_this();
-    const auto layout =
+    auto layout =
         router_.has_pool_owners()
             ? fleet_layout{}
             : choose_layout(
                   machines_, context_.settings.machines.machines_per_cell);
+    // Without the list, the cell of a rack follows from its name.
+    if (encode(layout).size() > context_.settings.store.record_bytes / 2)
+        layout.racks.clear();
     append_call call{
         layout_partition(),
         {{std::string(layout_key), encode(layout), 0}},
--- a/src/libnode/ownership_property_test.cpp
+++ b/src/libnode/ownership_property_test.cpp
@@ -5,7 +5,7 @@
 // view.
 
 #include <dandeliontack/pool_engine.hpp>
-#include <dandeliontack/stored_records.hpp>
+#include <dandeliontack/shard_records.hpp>
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -24,6 +24,7 @@
 using namespace std::chrono_literals;
 using std::chrono::milliseconds;
 
+constexpr std::size_t record_bytes = 128 * 1024;
 constexpr int host_count = 3;
 constexpr int submission_count = 4;
 constexpr auto max_order_delay = 12'000ms;
@@ -146,25 +147,11 @@
         if (!store_up_ || !current_.engine)
             return;
         const auto changes = current_.engine->take_changes();
-        for (const auto& id : changes.dropped_hosts)
-            stored_hosts_.erase(id);
-        for (const auto& id : changes.used_hosts)
-            if (const auto h = current_.engine->hosts().find(id);
-                h != current_.engine->hosts().end())
-                stored_hosts_[id] = encode(current_.engine->use_of(h->second));
-        for (const auto id : changes.accepted)
-            if (const auto* s = current_.engine->state_of(id))
-                stored_submissions_[id] = encode(s->record);
-        for (const auto id : changes.progressed)
-            if (const auto* s = current_.engine->state_of(id))
-                stored_progress_[id] = encode(progress_of(*s));
-        for (const auto id : changes.finished)
-        {
-            progress_record ended;
-            ended.finished = current_.engine->finished_phase(id);
-            stored_progress_[id] = encode(ended);
-            stored_submissions_.erase(id);
-        }
+        for (auto& record : records_of(*current_.engine, changes, record_bytes))
+            if (record.value.empty())
+                stored_.erase(record.key);
+            else
+                stored_[record.key] = std::move(record.value);
         current_.confirmed = now_.steady;
         apply_event(current_, pool_event::batch_stored{changes.batch});
     }
@@ -186,20 +173,12 @@
         current_.engine =
             std::make_unique<pool_engine>(pool_terms{}, current_.epoch);
         current_.confirmed = now_.steady;
-        for (const auto& [id, bytes] : stored_hosts_)
-            current_.engine->restore_host(*decode_host_use(bytes), now_);
-        for (const auto& [id, bytes] : stored_progress_)
-            if (const auto row = decode_progress(id, bytes); row->finished)
-                current_.engine->restore_finished(id, *row->finished, now_);
-        for (const auto& [id, bytes] : stored_submissions_)
-            current_.engine->restore(
-                *decode_submission_record(bytes), now_,
-                [&](submission_state& s) {
-                    const auto row = stored_progress_.find(s.record.id);
-                    if (row != stored_progress_.end())
-                        apply_progress(
-                            *decode_progress(s.record.id, row->second), s);
-                });
+        std::vector<keyed_record> records;
+        for (const auto& [key, value] : stored_)
+            records.push_back({key, value, 0});
+        for (const auto& key :
+             restore_engine(*current_.engine, records, now_).orphans)
+            stored_.erase(key);
         current_.engine->begin(now_);
         update_host_list();
     }
@@ -578,9 +557,7 @@
     int order_delay_percent_ = 0;
     int failure_percent_ = 0;
     std::size_t ends_per_answer_ = 500;
-    std::map<std::string, std::string> stored_hosts_;
-    std::map<std::uint64_t, std::string> stored_submissions_;
-    std::map<std::uint64_t, std::string> stored_progress_;
+    std::map<std::string, std::string> stored_;
     std::set<task_ref> done_;
     /// Tasks whose successful end was acknowledged under a valid lease.
     std::set<task_ref> acknowledged_;
--- a/src/libnode/shard_owner.cpp
+++ b/src/libnode/shard_owner.cpp
@@ -2,6 +2,7 @@
 #include <dandeliontack/machine_client.hpp>
 #include <dandeliontack/pause.hpp>
 #include <dandeliontack/shard_owner.hpp>
+#include <dandeliontack/shard_records.hpp>
 #include <dandeliontack/spawn.hpp>
 
 #include <boost/asio.hpp>
@@ -195,61 +196,14 @@
 void shard_owner::restore(const std::vector<keyed_record>& records, moment now)
 {
     engine_ = std::make_unique<pool_engine>(terms_, epoch());
-    std::map<std::uint64_t, progress_record> progress;
-    std::vector<submission_record> submissions;
-    std::uint64_t unreadable = 0;
-    for (const auto& record : records)
-    {
-        const std::string_view key = record.key;
-        const auto name =
-            key.size() > 2 ? std::string(key.substr(2)) : std::string();
-        const auto id = parse_submission_name(name);
-        bool known = key == shard_owner_key;
-        if (key.starts_with("s/") && id)
-        {
-            if (auto submission = decode_submission_record(record.value))
-            {
-                submissions.push_back(std::move(*submission));
-                known = true;
-            }
-        }
-        else if (key.starts_with("p/") && id)
-        {
-            if (auto row = decode_progress(*id, record.value))
-            {
-                progress[*id] = std::move(*row);
-                known = true;
-            }
-        }
-        else if (key.starts_with("h/"))
-        {
-            if (const auto use = decode_host_use(record.value))
-            {
-                engine_->restore_host(*use, now);
-                known = true;
-            }
-        }
-        if (!known)
-            ++unreadable;
-    }
-    for (const auto& [id, row] : progress)
-        if (row.finished)
-            engine_->restore_finished(id, *row.finished, now);
-    for (auto& submission : submissions)
-    {
-        const auto id = submission.id;
-        const auto row = progress.find(id);
-        if (row != progress.end() && row->second.finished)
-            continue;
-        engine_->restore(std::move(submission), now, [&](submission_state& s) {
-            if (row != progress.end())
-                apply_progress(row->second, s);
-        });
-    }
-    if (unreadable > 0)
+    auto restored = restore_engine(*engine_, records, now);
+    orphans_ = std::move(restored.orphans);
+    if (restored.unreadable > 0)
         context_.log.write(
             "owner", "records_unreadable",
-            log_line().add("shard", shard_).add("records", unreadable));
+            log_line()
+                .add("shard", shard_)
+                .add("records", std::uint64_t{restored.unreadable}));
 }
 
 asio::awaitable<void> shard_owner::hand_over()
@@ -283,6 +237,7 @@
 {
     if (std::exchange(lost_, true))
         return;
+    count_tasks();
     serving_ = false;
     claim_.abandon();
     context_.log.write(
@@ -485,36 +440,37 @@
 }
 
 std::vector<keyed_record>
-shard_owner::encode_changes(const pool_changes& changes) const
+shard_owner::encode_changes(const pool_changes& changes)
 {
-    std::vector<keyed_record> out;
-    const auto add_tombstone = [&](std::string key) {
-        out.push_back({std::move(key), {}, 0});
-    };
-    for (const auto& host : changes.dropped_hosts)
-        add_tombstone(host_key(host));
-    for (const auto& id : changes.used_hosts)
-        if (const auto host = engine_->hosts().find(id);
-            host != engine_->hosts().end())
-            out.push_back(
-                {host_key(id), encode(engine_->use_of(host->second)), 0});
-    for (const auto id : changes.accepted)
-        if (const auto* s = engine_->state_of(id))
-            out.push_back({submission_key(id), encode(s->record), 0});
-    for (const auto id : changes.progressed)
-        if (const auto* s = engine_->state_of(id))
-            out.push_back({progress_key(id), encode(progress_of(*s)), 0});
-    for (const auto id : changes.finished)
-        if (const auto phase = engine_->finished_phase(id))
-        {
-            progress_record ended;
-            ended.finished = phase;
-            out.push_back({progress_key(id), encode(ended), 0});
-            add_tombstone(submission_key(id));
-        }
-    for (const auto id : changes.forgotten)
-        add_tombstone(progress_key(id));
-    return out;
+    auto records =
+        records_of(*engine_, changes, context_.settings.store.record_bytes);
+    for (auto& key : std::exchange(orphans_, {}))
+        records.push_back({std::move(key), {}, 0});
+    return records;
+}
+
+// Without the records that the store will never accept, the others are stored.
+void shard_owner::drop_refused_records()
+{
+    const auto refused = subjects_of(claim_.writer().refused_keys());
+    if (!refused.submissions.empty() || !refused.hosts.empty())
+        apply(refused);
+}
+
+void shard_owner::count_tasks()
+{
+    const auto now = engine_ && !lost_ ? engine_->tasks_in_memory() : 0;
+    context_.tasks_in_memory += now - counted_tasks_;
+    counted_tasks_ = now;
+}
+
+// Whether the submission's tasks fit the memory of this node beside those of
+// the submissions that it has accepted.
+bool shard_owner::has_memory_for(const submission_spec& spec)
+{
+    count_tasks();
+    return context_.tasks_in_memory + tasks_of(spec) <=
+           max_tasks_of(context_.settings);
 }
 
 asio::awaitable<void> shard_owner::store_changes()
@@ -546,6 +502,7 @@
                 co_await claim_.announce(true);
             co_return;
         }
+        drop_refused_records();
         stored_batch_ = changes.batch;
         apply(pool_event::batch_stored{changes.batch});
         stored_signal_.notify();
@@ -580,6 +537,7 @@
         if (lost_)
             co_return;
         planning_requested_ = false;
+        count_tasks();
         if (!has_valid_claim() || stopping_)
         {
             co_await pause_for(context_.executor, plan_interval);
@@ -857,6 +815,19 @@
         if (!can_answer() || !admission_.is_open(record.terms))
             co_return shard_answer{shard_outcome::not_owner, {}};
     }
+    if (!engine_->find(id) && !has_memory_for(record.spec))
+    {
+        context_.log.write(
+            "owner", "submission_refused",
+            log_line()
+                .add("submission", submission_name(id))
+                .add("shard", shard_)
+                .add("reason", "too many tasks are in memory")
+                .add("tasks", tasks_of(record.spec))
+                .add("in_memory", context_.tasks_in_memory)
+                .add("limit", max_tasks_of(context_.settings)));
+        co_return shard_answer{shard_outcome::rejected, {}};
+    }
     if (!engine_->find(id))
     {
         record.accepted = read_clocks().wall;
@@ -866,6 +837,9 @@
     const auto view = engine_->find(id);
     const auto outcome =
         co_await wait_until_stored(view ? view->after_batch : 0);
+    // The store has refused its record for good.
+    if (outcome == shard_outcome::done && !engine_->find(id))
+        co_return shard_answer{shard_outcome::rejected, {}};
     co_return shard_answer{outcome, {}};
 }
 
--- a/src/libnode/store_client.cpp
+++ b/src/libnode/store_client.cpp
@@ -1,3 +1,4 @@
+#include <dandeliontack/append_split.hpp>
 #include <dandeliontack/pause.hpp>
 #include <dandeliontack/store_client.hpp>
 
@@ -5,6 +6,8 @@
 #include <platform/store_codec.hpp>
 
 #include <algorithm>
+#include <deque>
+#include <iterator>
 #include <random>
 #include <utility>
 
@@ -227,6 +230,7 @@
         case append_outcome::fenced:
         case append_outcome::wrong_sequence:
         case append_outcome::unexpected_end:
+        case append_outcome::invalid:
             co_return answer.outcome;
         default:
             failing_since_ = failing_since_.value_or(sent);
@@ -276,21 +280,67 @@
 
 asio::awaitable<bool> fenced_writer::append(std::vector<keyed_record> records)
 {
-    if (state_ != state::held)
-        co_return false;
-    ++sequence_;
-    append_call call{
-        place_,
-        std::move(records),
-        append_writer{producer_, epoch_, sequence_},
-        {}};
-    constexpr auto unlimited_retry_time = std::chrono::hours(24);
-    const auto result =
-        co_await append_with_retries(std::move(call), unlimited_retry_time);
-    if (result == append_outcome::stored)
-        co_return true;
-    state_ = state::lost;
-    co_return false;
+    refused_keys_.clear();
+    std::deque<std::vector<keyed_record>> calls;
+    std::ranges::move(
+        split_by_size(std::move(records), context_.settings.store.call_bytes),
+        std::back_inserter(calls));
+    while (!calls.empty())
+    {
+        if (state_ != state::held)
+            co_return false;
+        const auto batch = std::move(calls.front());
+        calls.pop_front();
+        append_call call{
+            place_, batch, append_writer{producer_, epoch_, sequence_ + 1}, {}};
+        constexpr auto unlimited_retry_time = std::chrono::hours(24);
+        const auto result =
+            co_await append_with_retries(std::move(call), unlimited_retry_time);
+        if (result == append_outcome::stored)
+        {
+            ++sequence_;
+            continue;
+        }
+        if (result != append_outcome::invalid)
+        {
+            state_ = state::lost;
+            co_return false;
+        }
+        isolate_refused(batch, calls);
+    }
+    co_return true;
+}
+
+// The store refuses a call for good. Its halves are tried on their own, until
+// each record that can be stored is, and the others are known.
+void fenced_writer::isolate_refused(
+    const std::vector<keyed_record>& batch,
+    std::deque<std::vector<keyed_record>>& calls)
+{
+    if (batch.size() > 1)
+    {
+        const auto middle =
+            batch.begin() + static_cast<std::ptrdiff_t>(batch.size() / 2);
+        calls.emplace_front(middle, batch.end());
+        calls.emplace_front(batch.begin(), middle);
+        return;
+    }
+    const auto& record = batch.front();
+    refused_keys_.push_back(record.key);
+    context_.metrics.get_counter("tack_store_records_refused_total").add();
+    context_.log.write(
+        "store", "record_refused",
+        log_line()
+            .add("topic", place_.topic)
+            .add("partition", place_.partition)
+            .add("key", record.key)
+            .add("bytes", std::uint64_t{stored_size(record)})
+            .add("limit", context_.settings.store.record_bytes));
+}
+
+const std::vector<std::string>& fenced_writer::refused_keys() const
+{
+    return refused_keys_;
 }
 
 } // namespace dandeliontack
--- a/src/libnode/stored_records.cpp
+++ b/src/libnode/stored_records.cpp
@@ -2,6 +2,7 @@
 #include <dandeliontack/stored_records.hpp>
 
 #include <algorithm>
+#include <limits>
 
 namespace dandeliontack
 {
@@ -13,6 +14,7 @@
 
 // Queues of which a shard may hold submissions, eight bytes each.
 constexpr std::size_t max_listed_queues = 4096;
+constexpr std::size_t bits_per_byte = 8;
 
 template <class Message>
 std::optional<Message> parse(std::string_view bytes)
@@ -105,6 +107,50 @@
     return terms;
 }
 
+bool is_done(const task_state& t)
+{
+    return t.phase == task_phase::done ||
+           (t.phase == task_phase::recording && t.ended_done);
+}
+
+progress_record::task row_of(const task_ref& task, const task_state& t)
+{
+    return {task,           is_done(t),  t.failed_runs, t.older_failures,
+            t.recorded_run, t.checkpoint};
+}
+
+// The task with a number that counts over all steps; empty if there is none.
+std::optional<task_ref> task_with_number(
+    const submission_state& s, std::uint32_t occurrence, std::uint64_t number)
+{
+    for (std::uint32_t i = 0; i < s.record.spec.steps.size(); ++i)
+    {
+        const auto count = s.record.spec.steps[i].count;
+        if (number < count)
+            return task_ref{
+                s.record.id, occurrence, i, static_cast<std::uint32_t>(number)};
+        number -= count;
+    }
+    return std::nullopt;
+}
+
+// The state of a task that a record names; nullptr if the submission has no
+// such task, or its occurrence is done. Opens the occurrence.
+task_state* state_of(submission_state& s, const task_ref& task)
+{
+    const auto& steps = s.record.spec.steps;
+    if (task.occurrence >=
+            std::max<std::uint32_t>(s.record.spec.repetitions, 1) ||
+        s.occurrences_done.contains(task.occurrence) ||
+        task.step >= steps.size() || task.index >= steps[task.step].count)
+        return nullptr;
+    auto& occurrence = s.occurrences[task.occurrence];
+    if (occurrence.steps.empty())
+        for (const auto& step : steps)
+            occurrence.steps.emplace_back().tasks.resize(step.count);
+    return &occurrence.steps[task.step].tasks[task.index];
+}
+
 } // namespace
 
 std::string encode(const submission_record& record)
@@ -151,6 +197,15 @@
     if (record.finished)
         out.set_finished(static_cast<std::uint32_t>(*record.finished) + 1);
     out.set_cancelled(record.cancelled);
+    for (const auto& [begin, end] : record.occurrences_done.ranges())
+    {
+        auto& range = *out.add_done_occurrences();
+        range.set_first(static_cast<std::uint32_t>(begin));
+        range.set_count(end - begin);
+    }
+    out.set_occurrence(record.occurrence);
+    out.set_first_task(record.first_task);
+    out.set_done(record.done_bits);
     for (const auto& task : record.tasks)
     {
         auto& row = *out.add_tasks();
@@ -160,6 +215,7 @@
         row.set_done(task.done);
         for (const auto run : task.failed_runs)
             row.add_failed_runs(run);
+        row.set_older_failures(task.older_failures);
         row.set_recorded_run(task.recorded_run);
         row.set_checkpoint(task.checkpoint);
     }
@@ -178,11 +234,20 @@
     if (in->finished() > 0)
         record.finished = static_cast<submission_phase>(in->finished() - 1);
     record.cancelled = in->cancelled();
+    for (const auto& range : in->done_occurrences())
+        record.occurrences_done.insert(
+            range.first(),
+            std::min<std::uint64_t>(
+                range.count(), std::numeric_limits<std::uint32_t>::max()));
+    record.occurrence = in->occurrence();
+    record.first_task = in->first_task();
+    record.done_bits = in->done();
     for (const auto& row : in->tasks())
         record.tasks.push_back(
             {{submission, row.occurrence(), row.step(), row.index()},
              row.done(),
              {row.failed_runs().begin(), row.failed_runs().end()},
+             row.older_failures(),
              row.recorded_run(),
              row.checkpoint()});
     return record;
@@ -444,29 +509,42 @@
     return layout;
 }
 
-progress_record progress_of(const submission_state& s)
+progress_record
+progress_of(const submission_state& s, const progress_part& part)
 {
     progress_record record;
-    record.cancelled = s.cancelled_in != 0;
-    for (const auto& [k, occurrence] : s.occurrences)
-        for (std::uint32_t i = 0; i < occurrence.steps.size(); ++i)
+    if (part.occurrence == 0 && part.part == 0)
+    {
+        record.cancelled = s.cancelled_in != 0;
+        record.occurrences_done = s.occurrences_done;
+    }
+    record.occurrence = part.occurrence;
+    record.first_task = part.part * tasks_per_part;
+    std::size_t number = 0;
+    for_each_task(s, part, [&](const task_ref& task, const task_state& t) {
+        const auto at = number++;
+        if (is_done(t))
         {
-            const auto& tasks = occurrence.steps[i].tasks;
-            for (std::uint32_t j = 0; j < tasks.size(); ++j)
-            {
-                const auto& t = tasks[j];
-                const bool done =
-                    t.phase == task_phase::done ||
-                    (t.phase == task_phase::recording && t.ended_done);
-                if (done || t.recorded_run > 0)
-                    record.tasks.push_back(
-                        {{s.record.id, k, i, j},
-                         done,
-                         t.failed_runs,
-                         t.recorded_run,
-                         done ? std::string() : t.checkpoint});
-            }
+            record.done_bits.resize(
+                std::max(record.done_bits.size(), at / bits_per_byte + 1));
+            record.done_bits[at / bits_per_byte] = static_cast<char>(
+                static_cast<unsigned char>(
+                    record.done_bits[at / bits_per_byte]) |
+                (1U << (at % bits_per_byte)));
         }
+        else if (t.recorded_run > 0 && !has_long_state(t))
+            record.tasks.push_back(row_of(task, t));
+    });
+    return record;
+}
+
+progress_record progress_of(const submission_state& s, const task_ref& task)
+{
+    progress_record record;
+    record.tasks.push_back(row_of(
+        task, s.occurrences.at(task.occurrence)
+                  .steps.at(task.step)
+                  .tasks.at(task.index)));
     return record;
 }
 
@@ -474,23 +552,32 @@
 {
     if (record.cancelled)
         s.cancelled_in = 1;
-    for (const auto& row : record.tasks)
+    for (const auto& [begin, end] : record.occurrences_done.ranges())
+        s.occurrences_done.insert(
+            static_cast<std::uint32_t>(begin), end - begin);
+    for (std::size_t at = 0; at < record.done_bits.size() * bits_per_byte; ++at)
     {
-        auto& occurrence = s.occurrences[row.task.occurrence];
-        if (occurrence.steps.empty())
-            for (const auto& step : s.record.spec.steps)
-                occurrence.steps.emplace_back().tasks.resize(step.count);
-        if (row.task.step >= occurrence.steps.size())
+        const auto byte =
+            static_cast<unsigned char>(record.done_bits[at / bits_per_byte]);
+        if ((byte >> (at % bits_per_byte) & 1U) == 0)
             continue;
-        auto& tasks = occurrence.steps[row.task.step].tasks;
-        if (row.task.index >= tasks.size())
+        const auto task = task_with_number(
+            s, record.occurrence, std::uint64_t{record.first_task} + at);
+        if (auto* t = task ? state_of(s, *task) : nullptr)
+            t->phase = task_phase::done;
+    }
+    for (const auto& row : record.tasks)
+    {
+        auto* t = state_of(s, row.task);
+        if (!t || t->phase == task_phase::done ||
+            row.recorded_run < t->recorded_run)
             continue;
-        auto& t = tasks[row.task.index];
-        t.phase = row.done ? task_phase::done : task_phase::waiting;
-        t.failed_runs = row.failed_runs;
-        t.recorded_run = row.recorded_run;
-        t.run = row.recorded_run;
-        t.checkpoint = row.checkpoint;
+        t->phase = row.done ? task_phase::done : task_phase::waiting;
+        t->failed_runs = row.failed_runs;
+        t->older_failures = row.older_failures;
+        t->recorded_run = row.recorded_run;
+        t->run = row.recorded_run;
+        t->checkpoint = row.checkpoint;
     }
 }
 
@@ -499,9 +586,18 @@
     return "s/" + submission_name(id);
 }
 
-std::string progress_key(std::uint64_t id)
+std::string progress_key(const progress_part& part)
+{
+    const auto first = "p/" + submission_name(part.submission);
+    if (part.occurrence == 0 && part.part == 0)
+        return first;
+    return first + "/" + std::to_string(part.occurrence) + "." +
+           std::to_string(part.part);
+}
+
+std::string task_key(const task_ref& task)
 {
-    return "p/" + submission_name(id);
+    return "t/" + task_name(task);
 }
 
 std::string host_key(std::string_view id)
--- a/src/libnode/stored_records_test.cpp
+++ b/src/libnode/stored_records_test.cpp
@@ -55,8 +55,9 @@
     steps[0].tasks[2].failed_runs = {1};
     steps[0].tasks[2].recorded_run = 1;
     steps[0].tasks[2].checkpoint = "c";
-    const auto stored =
-        decode_progress(before.record.id, encode(progress_of(before)));
+    const auto stored = decode_progress(
+        before.record.id,
+        encode(progress_of(before, progress_part{before.record.id, 0, 0})));
     ASSERT_TRUE(stored);
     submission_state after;
     after.record = record();
--- a/src/libnode/tack_node_settings.cpp
+++ b/src/libnode/tack_node_settings.cpp
@@ -9,6 +9,8 @@
 namespace
 {
 
+// The longest record of a part of a submission fits (`tasks_per_part`).
+constexpr double min_record_bytes = 128.0 * 1024;
 constexpr double max_ms = 3'600'000;
 constexpr double max_seconds = 86'400;
 constexpr double max_bytes = 1024.0 * 1024 * 1024;
@@ -37,7 +39,7 @@
             .most = 10'000},
         row{.key = "record_bytes",
             .member = &s::record_bytes,
-            .least = 1024,
+            .least = min_record_bytes,
             .most = max_bytes},
         row{.key = "call_bytes",
             .member = &s::call_bytes,
@@ -113,7 +115,11 @@
         row{.key = "descriptors",
             .member = &s::descriptors,
             .least = 64,
-            .most = 10'000'000}};
+            .most = 10'000'000},
+        row{.key = "memory_mb",
+            .member = &s::memory_mb,
+            .least = 16,
+            .most = 1'000'000}};
     return table;
 }
 
@@ -176,6 +182,14 @@
            move_overhead;
 }
 
+std::uint64_t max_tasks_of(const tack_node_settings& settings)
+{
+    // Half of the memory is left to everything else.
+    constexpr std::uint64_t bytes_per_mb = 1024 * 1024;
+    constexpr std::uint64_t bytes_per_task = 512;
+    return settings.limits.memory_mb * bytes_per_mb / 2 / bytes_per_task;
+}
+
 pool_terms pool_terms_of(const tack_node_settings& settings)
 {
     // Finished submissions are kept for longer than callers may ask for them.
@@ -185,6 +199,8 @@
     terms.max_lease = milliseconds_of(bounds.hold_max_ms);
     terms.leases.lease = std::min(terms.leases.lease, terms.max_lease);
     terms.stop_bound = milliseconds_of(bounds.stop_ms);
+    // So that the state of one task fits a record with room to spare.
+    terms.max_checkpoint = settings.store.record_bytes / 4;
     terms.finished_retention =
         std::chrono::round<std::chrono::milliseconds>(
             std::chrono::duration<double>(bounds.status_seconds)) +
--- a/src/libsched/pool_engine.cpp
+++ b/src/libsched/pool_engine.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <limits>
 #include <ranges>
 #include <utility>
 
@@ -68,6 +69,19 @@
 // must reach the host before the ticket expires.
 constexpr int ticket_margin = 10;
 
+// The batch of a record that the store will never hold.
+constexpr auto never_stored = std::numeric_limits<std::uint64_t>::max();
+// Bounds of what a submission keeps open at a time; further occurrences open as
+// others are done.
+constexpr std::uint64_t max_open_tasks = 100'000;
+constexpr std::uint64_t max_open_occurrences = 1000;
+// Failed runs of a task that are kept by number. Runs before them have been
+// acknowledged to their hosts, so they are not reported again.
+constexpr std::size_t max_failed_runs = 1000;
+// A task's state is long beyond these.
+constexpr std::size_t max_short_checkpoint = 128;
+constexpr std::size_t max_short_failed_runs = 50;
+
 double work_of(const submission_spec& spec)
 {
     double sum = 0;
@@ -98,6 +112,62 @@
 
 } // namespace
 
+void add_failure(task_state& t, std::uint32_t run)
+{
+    t.failed_runs.insert(run);
+    while (t.failed_runs.size() > max_failed_runs)
+    {
+        t.failed_runs.erase(t.failed_runs.begin());
+        ++t.older_failures;
+    }
+}
+
+std::uint32_t failures_of(const task_state& t)
+{
+    return t.older_failures + static_cast<std::uint32_t>(t.failed_runs.size());
+}
+
+bool has_long_state(const task_state& t)
+{
+    return t.phase != task_phase::done && t.recorded_run > 0 &&
+           (t.checkpoint.size() > max_short_checkpoint ||
+            t.failed_runs.size() > max_short_failed_runs);
+}
+
+progress_part part_of(const submission_spec& spec, const task_ref& task)
+{
+    auto number = task.index;
+    for (std::uint32_t i = 0; i < task.step; ++i)
+        number += spec.steps[i].count;
+    return {task.submission, task.occurrence, number / tasks_per_part};
+}
+
+void for_each_task(
+    const submission_state& s, const progress_part& part,
+    const std::function<void(const task_ref&, const task_state&)>& visit)
+{
+    const auto occurrence = s.occurrences.find(part.occurrence);
+    if (occurrence == s.occurrences.end())
+        return;
+    const std::uint64_t begin = std::uint64_t{part.part} * tasks_per_part;
+    const auto end = begin + tasks_per_part;
+    std::uint64_t first = 0;
+    for (std::uint32_t i = 0; i < occurrence->second.steps.size(); ++i)
+    {
+        const auto& tasks = occurrence->second.steps[i].tasks;
+        const auto from =
+            std::clamp<std::uint64_t>(begin, first, first + tasks.size());
+        const auto to =
+            std::clamp<std::uint64_t>(end, first, first + tasks.size());
+        for (auto at = from; at < to; ++at)
+        {
+            const auto index = static_cast<std::uint32_t>(at - first);
+            visit({part.submission, part.occurrence, i, index}, tasks[index]);
+        }
+        first += tasks.size();
+    }
+}
+
 bool is_silent(const host_state& h, boot_time now)
 {
     return now - h.last_answer >= silent_after;
@@ -121,6 +191,7 @@
 bool pool_changes::empty() const
 {
     return accepted.empty() && progressed.empty() && finished.empty() &&
+           dropped_parts.empty() && dropped_tasks.empty() &&
            forgotten.empty() && used_hosts.empty() && dropped_hosts.empty();
 }
 
@@ -232,19 +303,23 @@
     if (!s || s->cancelled_in != 0)
         return;
     s->cancelled_in = next_batch_;
-    note_progress(e.submission);
+    note_progress(progress_part{e.submission, 0, 0});
 }
 
 void pool_engine::open_occurrences(submission_state& s)
 {
     const auto& spec = s.record.spec;
     const auto total = std::max<std::uint32_t>(spec.repetitions, 1);
-    for (std::uint32_t k = 0; k < total; ++k)
+    const auto most_open = std::clamp<std::uint64_t>(
+        max_open_tasks / std::max<std::uint64_t>(tasks_of(spec), 1), 1,
+        max_open_occurrences);
+    for (auto& k = s.next_occurrence; k < total; ++k)
     {
         const auto due = spec.first_due + spec.interval * k;
-        if (spec.repetitions > 0 && due > now_.wall)
+        if ((spec.repetitions > 0 && due > now_.wall) ||
+            s.occurrences.size() >= most_open)
             break;
-        if (s.occurrences.contains(k))
+        if (s.occurrences.contains(k) || s.occurrences_done.contains(k))
             continue;
         auto& occurrence = s.occurrences[k];
         occurrence.due = spec.repetitions > 0 ? now_.steady : s.arrived;
@@ -482,6 +557,36 @@
     }
 }
 
+// A submission of which not even a part can be stored can't go on; the others
+// must not wait for it.
+void pool_engine::on(const pool_event::records_refused& e)
+{
+    for (const auto& host : e.hosts)
+        if (const auto found = hosts_.find(host); found != hosts_.end())
+            found->second.recorded_in = never_stored;
+    for (const auto id : e.submissions)
+    {
+        auto* s = active_submission(id);
+        if (!s)
+            continue;
+        log_decision(
+            "submission_unstorable", {id, 0, 0, 0}, 0, {},
+            "the store refuses a record of the submission");
+        if (s->accepted_in != 0)
+        {
+            stop_all_runs(*s, "the submission can't be stored");
+            std::erase_if(changes_.progressed, [&](const progress_part& part) {
+                return part.submission == id;
+            });
+            active_.erase(id);
+        }
+        else
+        {
+            finish(*s, submission_phase::failed);
+        }
+    }
+}
+
 void pool_engine::on(const pool_event::evacuation_requested& e)
 {
     std::erase_if(evacuations_, [&](const auto& item) {
@@ -635,7 +740,7 @@
         std::string(to_string(row.outcome)));
     if (counts)
     {
-        t.failed_runs.insert(row.run);
+        add_failure(t, row.run);
         t.failed_on.insert(h.entry.id);
     }
     if (is_open)
@@ -647,7 +752,7 @@
     t.run = std::max(t.run, row.run);
     t.recorded_run = std::max(t.recorded_run, row.run);
     s.started = true;
-    note_progress(s.record.id);
+    note_progress(s, row.task);
     return true;
 }
 
@@ -656,8 +761,7 @@
 {
     const auto& step = s.record.spec.steps[row.task.step];
     t.run = std::max(t.run, row.run);
-    if (!row.checkpoint.empty() && step.checkpoints)
-        t.checkpoint = row.checkpoint;
+    keep_checkpoint(t, step, row.checkpoint);
     // A previous owner may have seen this end already and started the task
     // again.
     t.inherited = t.inherited && settling_;
@@ -692,7 +796,7 @@
         break;
     case run_outcome::failed:
         if (has_attempt_limit(step))
-            t.failed_runs.insert(row.run);
+            add_failure(t, row.run);
         t.failed_on.insert(h.entry.id);
         t.ended_done = false;
         count_failure(h, row.task, t.failed_on);
@@ -704,7 +808,7 @@
     t.phase = task_phase::recording;
     t.recorded_in = next_batch_;
     t.recorded_run = row.run;
-    note_progress(s.record.id);
+    note_progress(s, row.task);
     return true;
 }
 
@@ -848,8 +952,8 @@
         t->progressed = now_.steady;
         s->started = true;
     }
-    if (!row.checkpoint.empty() && step && step->checkpoints)
-        t->checkpoint = row.checkpoint;
+    if (step)
+        keep_checkpoint(*t, *step, row.checkpoint);
     if (row.percent > t->percent)
     {
         t->percent = row.percent;
@@ -883,6 +987,14 @@
         release(h, task, "the host no longer reports the run");
 }
 
+void pool_engine::keep_checkpoint(
+    task_state& t, const step_spec& step, const std::string& checkpoint) const
+{
+    if (step.checkpoints && !checkpoint.empty() &&
+        checkpoint.size() <= terms_.max_checkpoint)
+        t.checkpoint = checkpoint;
+}
+
 void pool_engine::advance_ack_cursor(host_state& h)
 {
     while (!h.unstored_ends.empty() && h.unstored_ends.front().second == 0)
@@ -964,8 +1076,7 @@
                         t.ended_done ? task_phase::done : task_phase::waiting;
                     gang_done = gang_done || t.ended_done;
                 }
-                const auto failures =
-                    static_cast<std::uint32_t>(t.failed_runs.size());
+                const auto failures = failures_of(t);
                 gang_failures += failures;
                 has_failed =
                     has_failed || (has_attempt_limit(spec) &&
@@ -989,19 +1100,55 @@
         finish(s, submission_phase::failed);
         return;
     }
-    s.occurrences_done = 0;
-    for (auto& [k, occurrence] : s.occurrences)
+    if (drop_done_occurrences(s))
+        finish(s, submission_phase::completed);
+}
+
+// Only ends that are stored make a task done, so the parts of the occurrence
+// are not needed any more once it is listed as done.
+bool pool_engine::drop_done_occurrences(submission_state& s)
+{
+    const auto total = std::max<std::uint32_t>(s.record.spec.repetitions, 1);
+    for (auto at = s.occurrences.begin(); at != s.occurrences.end();)
     {
+        auto& [k, occurrence] = *at;
         occurrence.steps_done = static_cast<std::uint32_t>(
             std::ranges::count_if(occurrence.steps, [](const step_state& step) {
                 return step.done == step.tasks.size();
             }));
-        if (occurrence.steps_done == occurrence.steps.size())
-            ++s.occurrences_done;
+        if (occurrence.steps_done < occurrence.steps.size())
+        {
+            ++at;
+            continue;
+        }
+        s.occurrences_done.insert(k);
+        if (s.occurrences_done.size() >= total)
+            return true;
+        note_progress(progress_part{s.record.id, 0, 0});
+        drop_stored(s, k);
+        at = s.occurrences.erase(at);
     }
-    if (s.occurrences_done >=
-        std::max<std::uint32_t>(s.record.spec.repetitions, 1))
-        finish(s, submission_phase::completed);
+    return false;
+}
+
+// The stored parts and tasks of one occurrence are to be deleted.
+void pool_engine::drop_stored(submission_state& s, std::uint32_t occurrence)
+{
+    const auto is_of_occurrence = [&](const auto& item) {
+        return item.occurrence == occurrence;
+    };
+    std::ranges::copy_if(
+        s.stored_parts, std::back_inserter(changes_.dropped_parts),
+        is_of_occurrence);
+    std::ranges::copy_if(
+        s.stored_tasks, std::back_inserter(changes_.dropped_tasks),
+        is_of_occurrence);
+    std::erase_if(s.stored_parts, is_of_occurrence);
+    std::erase_if(s.stored_tasks, is_of_occurrence);
+    std::erase_if(changes_.progressed, [&](const progress_part& part) {
+        return part.submission == s.record.id && part.part > 0 &&
+               part.occurrence == occurrence;
+    });
 }
 
 void pool_engine::finish(submission_state& s, submission_phase phase)
@@ -1013,7 +1160,13 @@
         delays_of(s, estimate_factor(s), now_.steady)});
     finished_[id] = {phase, now_.steady};
     changes_.finished.push_back(id);
-    std::erase(changes_.progressed, id);
+    std::ranges::copy(
+        s.stored_parts, std::back_inserter(changes_.dropped_parts));
+    std::ranges::copy(
+        s.stored_tasks, std::back_inserter(changes_.dropped_tasks));
+    std::erase_if(changes_.progressed, [&](const progress_part& part) {
+        return part.submission == id;
+    });
     active_.erase(id);
 }
 
@@ -1186,8 +1339,10 @@
     if (!settled_at_ || now_.steady < *settled_at_ + terms_.stop_bound)
         return false;
     const auto& spec = found->second.record.spec.steps[task.step];
-    const auto& step =
-        found->second.occurrences.at(task.occurrence).steps[task.step];
+    const auto occurrence = found->second.occurrences.find(task.occurrence);
+    if (occurrence == found->second.occurrences.end())
+        return true;
+    const auto& step = occurrence->second.steps[task.step];
     const auto limit = std::max<std::uint32_t>(spec.max_unavailable, 1);
     std::uint32_t unavailable = 0;
     for (std::uint32_t i = 0; i < step.tasks.size(); ++i)
@@ -1351,16 +1506,37 @@
     return use;
 }
 
-void pool_engine::note_progress(std::uint64_t submission)
+void pool_engine::note_progress(const submission_state& s, const task_ref& task)
+{
+    note_progress(part_of(s.record.spec, task));
+}
+
+void pool_engine::note_progress(const progress_part& part)
 {
-    unstored_progress_[next_batch_].insert(submission);
-    if (std::ranges::find(changes_.progressed, submission) ==
-        changes_.progressed.end())
-        changes_.progressed.push_back(submission);
+    unstored_progress_[next_batch_].insert(part.submission);
+    changes_.progressed.insert(part);
+}
+
+// The store is going to hold the part.
+void pool_engine::note_stored(const progress_part& part)
+{
+    auto* s = active_submission(part.submission);
+    if (!s)
+        return;
+    if (part.occurrence > 0 || part.part > 0)
+        s->stored_parts.insert(part);
+    for_each_task(*s, part, [&](const task_ref& task, const task_state& t) {
+        if (!has_long_state(t))
+            return;
+        s->stored_tasks.insert(task);
+        changes_.progressed_tasks.insert(task);
+    });
 }
 
 pool_changes pool_engine::take_changes()
 {
+    for (const auto& part : changes_.progressed)
+        note_stored(part);
     auto out = std::exchange(changes_, {});
     out.batch = next_batch_++;
     for (const auto id : out.accepted)
@@ -1631,6 +1807,15 @@
     return active_.size();
 }
 
+std::uint64_t pool_engine::tasks_in_memory() const
+{
+    std::uint64_t sum = 0;
+    for (const auto& [id, s] : active_)
+        sum += tasks_of(s.record.spec) *
+               std::max<std::uint64_t>(s.occurrences.size(), 1);
+    return sum;
+}
+
 std::size_t pool_engine::waiting_tasks() const
 {
     std::size_t sum = 0;
--- a/src/libsched/pool_planner.cpp
+++ b/src/libsched/pool_planner.cpp
@@ -174,12 +174,13 @@
         cost += cost_other_rack;
     if (h.health.suspensions > 0)
         cost += cost_on_probation;
-    const auto interfering = std::ranges::count_if(h.runs, [&](const auto& r) {
-        return spec.best_effort ? r.second.serves
-                                : r.second.serves || r.second.best_effort;
-    });
     if (spec.best_effort || spec.long_running)
-        cost += cost_interference * static_cast<double>(interfering);
+        cost += cost_interference *
+                static_cast<double>(
+                    std::ranges::count_if(h.runs, [&](const auto& r) {
+                        return r.second.serves ||
+                               (r.second.best_effort && !spec.best_effort);
+                    }));
     const auto free = h.entry.capacity - h.used;
     const double left =
         h.entry.capacity.cpu_milli > 0
--- a/src/libsched/submission.cpp
+++ b/src/libsched/submission.cpp
@@ -17,6 +17,10 @@
 // Limits that keep a single submission from using up a host's memory.
 constexpr std::size_t max_steps = 256;
 constexpr std::uint32_t max_tasks_per_step = 10'000;
+constexpr std::uint64_t max_tasks = 100'000;
+constexpr std::size_t max_text = 4000;
+// The time from the first to the last occurrence.
+constexpr std::chrono::milliseconds max_schedule = std::chrono::years(1000);
 
 template <class Number>
 bool parse_number(std::string_view text, Number& out, int base = 10)
@@ -98,6 +102,14 @@
     return text.empty() ? std::optional(task) : std::nullopt;
 }
 
+std::uint64_t tasks_of(const submission_spec& spec)
+{
+    std::uint64_t sum = 0;
+    for (const auto& step : spec.steps)
+        sum += step.count;
+    return sum;
+}
+
 std::vector<validation_error> check_submission(const submission_spec& spec)
 {
     std::vector<validation_error> errors;
@@ -131,4 +143,27 @@
     return errors;
 }
 
+std::vector<validation_error> check_limits(const submission_spec& spec)
+{
+    std::vector<validation_error> errors;
+    if (tasks_of(spec) > max_tasks)
+        errors.push_back(
+            {"steps", "must have at most " + std::to_string(max_tasks) +
+                          " tasks together, have " +
+                          std::to_string(tasks_of(spec))});
+    if (spec.text.size() > max_text)
+        errors.push_back(
+            {"text", "must be at most " + std::to_string(max_text) +
+                         " bytes long, is " +
+                         std::to_string(spec.text.size())});
+    if (spec.repetitions > 1 && spec.interval > max_schedule / spec.repetitions)
+        errors.push_back(
+            {"interval",
+             "must be at most " +
+                 std::to_string((max_schedule / spec.repetitions).count()) +
+                 " ms for " + std::to_string(spec.repetitions) +
+                 " repetitions, is " + std::to_string(spec.interval.count())});
+    return errors;
+}
+
 } // namespace dandeliontack
--- a/testsuite/fleet_nodes/fleet_nodes_test.cpp
+++ b/testsuite/fleet_nodes/fleet_nodes_test.cpp
@@ -396,6 +396,29 @@
     check_runs();
 }
 
+// Guards against an append that the store refuses for good and that is repeated
+// unchanged: nothing of the pool was stored any more.
+TEST_F(node_fleet, refused_record_stops_no_other_submission)
+{
+    start_nodes();
+    ASSERT_TRUE(hand_in("n1", id_of(1), submission("lasting", 1, true)));
+    post(platform_address_, "/refuse?prefix=p/" + id_of(1));
+    // Its cancelling can't be stored.
+    ask("n1", http::verb::delete_, "/checks/" + id_of(1));
+    ASSERT_TRUE(hand_in("n1", id_of(2), submission("100", 2, false)));
+    ASSERT_TRUE(reaches("n2", id_of(2), "completed"));
+    post(platform_address_, "/refuse?prefix=s/" + id_of(3));
+    EXPECT_EQ(
+        ask("n2", http::verb::post, "/checks/" + id_of(3),
+            submission("100", 1, false))
+            .result(),
+        http::status::service_unavailable);
+    EXPECT_EQ(state("n3", id_of(3)), "410");
+    ASSERT_TRUE(hand_in("n1", id_of(4), submission("100", 2, false)));
+    EXPECT_TRUE(reaches("n2", id_of(4), "completed"));
+    check_runs();
+}
+
 // Nothing but the store knows the earlier configuration then, and no queue
 // leads to the pool that holds the submissions.
 TEST_F(node_fleet_with_two_pools, finds_moved_submissions_after_a_restart)
@@ -537,6 +560,10 @@
         std::string body;
         http::status status;
     };
+    std::string too_many_tasks = R"({"phases":[{"count":10000})";
+    for (int i = 0; i < 10; ++i)
+        too_many_tasks += R"(,{"count":10000})";
+    too_many_tasks += "]}";
     const std::vector<row> rows{
         {id_of(1), "not json", http::status::bad_request},
         {id_of(1), R"({"phases":[{"count":"two"}]})",
@@ -546,12 +573,26 @@
         {id_of(1), R"({"phases":[{"count":1,"after":[0]}]})",
          http::status::unprocessable_entity},
         {id_of(1), R"({"phases":[]})", http::status::unprocessable_entity},
+        // What could never be stored or held in memory is refused at once.
+        {id_of(1),
+         R"({"spec":")" + std::string(4001, 'x') +
+             R"(","phases":[{"count":1}]})",
+         http::status::unprocessable_entity},
+        {id_of(1), too_many_tasks, http::status::unprocessable_entity},
+        {id_of(1),
+         R"({"phases":[{"count":1}],"repetitions":4000000000,)"
+         R"("intervalMs":9000000000000})",
+         http::status::unprocessable_entity},
+        {id_of(1),
+         R"({"phases":[{"count":1,"requirements":")" +
+             std::string(262'090, 'x') + R"("}]})",
+         http::status::payload_too_large},
         {"xyz", submission("100", 1, false), http::status::bad_request}};
     for (const auto& [id, body, status] : rows)
     {
         const auto response =
             ask("n1", http::verb::post, "/checks/" + id, body);
-        EXPECT_EQ(response.result(), status) << body;
+        EXPECT_EQ(response.result(), status) << body.substr(0, 80);
         EXPECT_NE(response.body().find("not-run"), std::string::npos);
     }
     EXPECT_EQ(state("n1", id_of(1)), "410");
--- a/testsuite/standins/fleet/keyed_store.cpp
+++ b/testsuite/standins/fleet/keyed_store.cpp
@@ -16,6 +16,8 @@
 {
 
 constexpr std::size_t remembered_answers = 5;
+constexpr std::size_t max_record_bytes = 256 * 1024;
+constexpr std::size_t max_call_bytes = 2 * 1024 * 1024;
 
 std::uint64_t number(const std::string& target, std::string_view name)
 {
@@ -45,9 +47,36 @@
         [query_value(target, "topic") + "/" + query_value(target, "part")];
 }
 
+void keyed_store::refuse_keys(std::string prefix)
+{
+    refused_prefix_ = std::move(prefix);
+}
+
+// Whether the records keep to the store's limits.
+bool keyed_store::is_valid(std::string_view body) const
+{
+    if (body.size() > max_call_bytes)
+        return false;
+    while (body.size() > sizeof(std::uint32_t))
+    {
+        std::uint32_t size = 0;
+        std::copy_n(body.data(), sizeof size, reinterpret_cast<char*>(&size));
+        size = boost::endian::big_to_native(size);
+        if (size > max_record_bytes || size + sizeof size > body.size())
+            return false;
+        const auto key = body.substr(sizeof size + 1);
+        if (!refused_prefix_.empty() && key.starts_with(refused_prefix_))
+            return false;
+        body.remove_prefix(sizeof size + size);
+    }
+    return body.empty();
+}
+
 http_response keyed_store::append(const http_request& request)
 {
     const std::string target(request.target());
+    if (!is_valid(request.body()))
+        return answer(http::status::bad_request, {{"reason", "size"}});
     auto& part = place(target);
     const auto producer = query_value(target, "producer");
     const auto sequence = number(target, "sequence");
--- a/testsuite/standins/fleet/keyed_store.hpp
+++ b/testsuite/standins/fleet/keyed_store.hpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace dandeliontack::standins
@@ -18,6 +19,9 @@
 {
 public:
     http_response append(const http_request& request);
+    /// From now on appends with a key that begins so are refused for good; none
+    /// if empty.
+    void refuse_keys(std::string prefix);
     /// Nothing while there is no record at the offset that is asked for.
     std::optional<http_response> read(const http_request& request);
     http_response newest(const http_request& request);
@@ -46,8 +50,10 @@
     };
 
     partition& place(const std::string& target);
+    bool is_valid(std::string_view body) const;
 
     std::map<std::string, partition> partitions_;
+    std::string refused_prefix_;
 };
 
 } // namespace dandeliontack::standins
--- a/testsuite/standins/fleet/main.cpp
+++ b/testsuite/standins/fleet/main.cpp
@@ -2,6 +2,7 @@
 // machines, and hosts that run tasks. Beside the platform's calls:
 //   POST /configuration          puts the body into force
 //   POST /fault?mode=MODE        none, down (503) or lose-answers (appends)
+//   POST /refuse?prefix=KEY      refuses records with such keys for good
 //   GET  /runs                   every run of every host
 //   GET  /records?topic=&key=    how many records were written under a key
 // and the advice service, which permits every host.
@@ -153,6 +154,8 @@
                                    .size()));
         if (path == "/configuration")
             store_.put("keyed.op", "config", request.body());
+        else if (path == "/refuse")
+            store_.refuse_keys(query_value(target, "prefix"));
         else if (path == "/fault")
             fault_ = query_value(target, "mode");
         else
