Store the end of a gang for all of its members at once

Cause: the ends of a gang's members come in several reports. The first that was stored marked all members done in memory, but its record held only those reported by then; the ends of the others were acknowledged and never stored. The successor restored a gang that was partly done, which is neither started nor completed.

Change: the end of one member as done is recorded for all in the same batch, and a restored gang with a done member is done.

Ruled out: lost appends; the handover (a kill in that window has the same effect).

--- a/src/include/dandeliontack/pool_engine.hpp
+++ b/src/include/dandeliontack/pool_engine.hpp
@@ -132,6 +132,7 @@
     bool end_other_run(
         host_state& h, submission_state& s, task_state& t,
         const ended_row& row);
+    void complete_gang(submission_state& s, const task_ref& member);
     std::map<task_ref, host_run>::iterator
     track_run(host_state& h, const running_row& row, const step_spec* step);
     void
--- a/src/libsched/pool_engine.cpp
+++ b/src/libsched/pool_engine.cpp
@@ -753,9 +753,34 @@
     t.recorded_run = std::max(t.recorded_run, row.run);
     s.started = true;
     note_progress(s, row.task);
+    if (settles && s.record.spec.steps[row.task.step].gang)
+        complete_gang(s, row.task);
     return true;
 }
 
+// The members of a gang end as done together, so the end of one is stored for
+// all: their own ends may be reported later, and change nothing any more.
+void pool_engine::complete_gang(submission_state& s, const task_ref& member)
+{
+    auto& tasks = find_step(member)->tasks;
+    const auto run = tasks[member.index].recorded_run;
+    for (std::uint32_t i = 0; i < tasks.size(); ++i)
+    {
+        auto& t = tasks[i];
+        if (i == member.index || t.phase == task_phase::done)
+            continue;
+        t.phase = task_phase::recording;
+        t.ended_done = true;
+        t.recorded_in = next_batch_;
+        t.run = std::max(t.run, run);
+        t.recorded_run = std::max(t.recorded_run, run);
+        t.inherited = t.inherited && settling_;
+        t.host.clear();
+        note_progress(
+            s, {member.submission, member.occurrence, member.step, i});
+    }
+}
+
 bool pool_engine::end_current_run(
     host_state& h, submission_state& s, task_state& t, const ended_row& row)
 {
@@ -809,6 +834,8 @@
     t.recorded_in = next_batch_;
     t.recorded_run = row.run;
     note_progress(s, row.task);
+    if (step.gang && t.ended_done)
+        complete_gang(s, row.task);
     return true;
 }
 
@@ -1074,8 +1101,10 @@
                 {
                     t.phase =
                         t.ended_done ? task_phase::done : task_phase::waiting;
-                    gang_done = gang_done || t.ended_done;
                 }
+                // Records of earlier versions may hold the end of some members
+                // only.
+                gang_done = gang_done || t.phase == task_phase::done;
                 const auto failures = failures_of(t);
                 gang_failures += failures;
                 has_failed =
--- a/src/libsched/pool_takeover_test.cpp
+++ b/src/libsched/pool_takeover_test.cpp
@@ -380,4 +380,57 @@
     EXPECT_FALSE(d.engine.hosts().at("a").closed);
 }
 
+// Guards against a gang that is stored as partly done. The end of its first
+// member completed it, and those of the others were acknowledged but never
+// stored: the successor neither started it nor what depends on it. review/3.
+TEST(pool_takeover, gang_is_stored_as_done_with_the_end_of_one_member)
+{
+    pool_driver d;
+    d.connect_hosts({"a", "b"});
+    auto submission = pool_driver::make_submission(3);
+    submission.spec.steps[0].gang = true;
+    submission.spec.steps.push_back(submission.spec.steps[0]);
+    submission.spec.steps[1].gang = false;
+    submission.spec.steps[1].dependencies = {0};
+    d.submit(submission);
+    d.answer_starts(d.tick());
+    d.hold("a", {}, {ended_run(1, 1, 1, run_outcome::done)});
+    const auto stored = d.engine.take_changes();
+    ASSERT_EQ(stored.progressed.size(), 1U);
+    const auto& tasks =
+        d.engine.state_of(submission_id)->occurrences.at(0).steps[0].tasks;
+    for (const auto& t : tasks)
+        EXPECT_TRUE(t.phase == task_phase::recording && t.ended_done);
+    d.apply(pool_event::batch_stored{stored.batch});
+    EXPECT_EQ(d.effects_of<pool_effect::start>(d.tick()).size(), 3U);
+    // The later ends of the others change nothing, and are acknowledged.
+    d.hold("a", {}, {ended_run(2, 0, 1, run_outcome::done)});
+    EXPECT_EQ(d.engine.hosts().at("a").ack_cursor, 2U);
+}
+
+// Earlier versions stored only the members whose ends had been reported.
+TEST(pool_takeover, gang_with_one_stored_end_goes_on)
+{
+    pool_driver d(2);
+    d.restore_host("a");
+    auto submission = pool_driver::make_submission(3);
+    submission.spec.steps[0].gang = true;
+    submission.spec.steps.push_back(submission.spec.steps[0]);
+    submission.spec.steps[1].gang = false;
+    submission.spec.steps[1].dependencies = {0};
+    d.engine.restore(submission, d.now, [](submission_state& s) {
+        auto& steps = s.occurrences[0].steps;
+        steps.resize(2);
+        for (auto& step : steps)
+            step.tasks.resize(3);
+        steps[0].tasks[2].phase = task_phase::done;
+        steps[0].tasks[2].recorded_run = 1;
+    });
+    d.begin();
+    d.list_hosts({"a"});
+    d.store();
+    d.hold("a");
+    EXPECT_EQ(d.effects_of<pool_effect::start>(d.tick()).size(), 3U);
+}
+
 } // namespace dandeliontack::test
