Count a failed run of a gang as one attempt

What callers could see: with three attempts, a gang of four is shown as failed after it has failed once.

Cause: apply_stored added up the failed runs of the members.

Change: the numbers of failed runs are united over the members. Applying stored ends to a step is a function of its own.

Test failed first: pool_hosts.failed_run_of_a_gang_is_one_attempt, with the sum.

--- a/src/libsched/pool_engine.cpp
+++ b/src/libsched/pool_engine.cpp
@@ -110,6 +110,47 @@
     return !step.long_running;
 }
 
+// The failed runs of a gang, of which all members have the same number.
+std::size_t gang_failures_of(const step_state& step)
+{
+    std::set<std::uint32_t> runs;
+    std::uint32_t older = 0;
+    for (const auto& t : step.tasks)
+    {
+        runs.insert(t.failed_runs.begin(), t.failed_runs.end());
+        older = std::max(older, t.older_failures);
+    }
+    return runs.size() + older;
+}
+
+// Applies the ends of a step's tasks that are stored up to `batch`. Returns
+// whether a task or the gang has used up its attempts.
+bool apply_stored_ends(
+    step_state& step, const step_spec& spec, std::uint32_t max_attempts,
+    std::uint64_t batch)
+{
+    for (auto& t : step.tasks)
+        if (t.phase == task_phase::recording && t.recorded_in <= batch)
+            t.phase = t.ended_done ? task_phase::done : task_phase::waiting;
+    const auto count_done = [&] {
+        return static_cast<std::uint32_t>(std::ranges::count(
+            step.tasks, task_phase::done, &task_state::phase));
+    };
+    step.done = count_done();
+    // Records of earlier versions may hold the end of some members only.
+    if (spec.gang && step.done > 0)
+        for (auto& t : step.tasks)
+            t.phase = task_phase::done;
+    step.done = count_done();
+    if (!has_attempt_limit(spec))
+        return false;
+    if (spec.gang)
+        return step.done == 0 && gang_failures_of(step) >= max_attempts;
+    return std::ranges::any_of(step.tasks, [&](const task_state& t) {
+        return t.phase != task_phase::done && failures_of(t) >= max_attempts;
+    });
+}
+
 } // namespace
 
 void add_failure(task_state& t, std::uint32_t run)
@@ -1090,40 +1131,10 @@
     bool has_failed = false;
     for (auto& [k, occurrence] : s.occurrences)
         for (std::uint32_t i = 0; i < occurrence.steps.size(); ++i)
-        {
-            const auto& spec = s.record.spec.steps[i];
-            auto& step = occurrence.steps[i];
-            bool gang_done = false;
-            std::uint32_t gang_failures = 0;
-            for (auto& t : step.tasks)
-            {
-                if (t.phase == task_phase::recording && t.recorded_in <= batch)
-                {
-                    t.phase =
-                        t.ended_done ? task_phase::done : task_phase::waiting;
-                }
-                // Records of earlier versions may hold the end of some members
-                // only.
-                gang_done = gang_done || t.phase == task_phase::done;
-                const auto failures = failures_of(t);
-                gang_failures += failures;
-                has_failed =
-                    has_failed || (has_attempt_limit(spec) &&
-                                   failures >= s.record.terms.max_attempts &&
-                                   t.phase != task_phase::done);
-            }
-            if (spec.gang)
-            {
-                has_failed = has_failed ||
-                             (has_attempt_limit(spec) && !gang_done &&
-                              gang_failures >= s.record.terms.max_attempts);
-                if (gang_done)
-                    for (auto& t : step.tasks)
-                        t.phase = task_phase::done;
-            }
-            step.done = static_cast<std::uint32_t>(std::ranges::count(
-                step.tasks, task_phase::done, &task_state::phase));
-        }
+            has_failed = apply_stored_ends(
+                             occurrence.steps[i], s.record.spec.steps[i],
+                             s.record.terms.max_attempts, batch) ||
+                         has_failed;
     if (has_failed)
     {
         finish(s, submission_phase::failed);
--- a/src/libsched/pool_hosts_test.cpp
+++ b/src/libsched/pool_hosts_test.cpp
@@ -543,4 +543,33 @@
     EXPECT_EQ(d.engine.find(submission_id)->phase, submission_phase::completed);
 }
 
+// Guards against adding up the failed runs of a gang's members: with three
+// attempts, a gang of four was shown as failed after it had failed once.
+TEST(pool_hosts, failed_run_of_a_gang_is_one_attempt)
+{
+    pool_driver d;
+    d.connect_hosts({"a"});
+    auto submission = pool_driver::make_submission(4);
+    submission.spec.steps[0].gang = true;
+    d.submit(submission);
+    std::uint64_t number = 0;
+    for (std::uint32_t attempt = 1; attempt <= 3; ++attempt)
+    {
+        EXPECT_FALSE(is_terminal(d.engine.find(submission_id)->phase));
+        // The host is suspended after failures.
+        d.advance(10s);
+        d.hold("a");
+        const auto starts = d.effects_of<pool_effect::start>(d.tick());
+        ASSERT_EQ(starts.size(), 4U) << attempt;
+        d.answer_starts({starts.begin(), starts.end()});
+        std::vector<ended_row> ends;
+        for (std::uint32_t i = 0; i < 4; ++i)
+            ends.push_back(
+                ended_run(++number, i, starts[0].run, run_outcome::failed));
+        d.hold("a", {}, ends);
+        d.store();
+    }
+    EXPECT_EQ(d.engine.find(submission_id)->phase, submission_phase::failed);
+}
+
 } // namespace dandeliontack::test
