Leave out what can't be read of a list, not the list

What operators of such systems saw: one odd entry of another writer among those of the workers, and the machines that read the list ended again and again or stopped following it. Here no node ended, but the list of hosts was not read to its end.

Cause: a record that could not be read made its whole page of newest records count as unanswered, and a key with a space or another special character made the request for the next page invalid. On related paths one odd row hid a host's answer, one odd machine the list of machines, and numbers, ports, ids and stored times were used unchecked.

Change: what can't be read is left out by itself. Lists of machines and answers of hosts say that something is missing, so that it does not count as gone.

--- a/src/include/dandeliontack/fleet_duty.hpp
+++ b/src/include/dandeliontack/fleet_duty.hpp
@@ -61,6 +61,7 @@
     boost::asio::awaitable<void> run_rounds();
     boost::asio::awaitable<void> renew();
     boost::asio::awaitable<bool> load();
+    bool lists_all_of(const wave_request& wave) const;
     boost::asio::awaitable<void> advance_wave(std::string wave);
     boost::asio::awaitable<bool> save_wave(std::string wave);
     void start_cooldowns(
--- a/src/include/dandeliontack/machine_client.hpp
+++ b/src/include/dandeliontack/machine_client.hpp
@@ -24,7 +24,7 @@
         node_context& context, send_permission may_order = {});
 
     /// Returns all machines, or nullopt if any page of the list can't be read.
-    boost::asio::awaitable<std::optional<std::vector<listed_machine>>> list();
+    boost::asio::awaitable<std::optional<machine_listing>> list();
 
     /// Send an order with a fencing token, in the name of this node.
     boost::asio::awaitable<machine_answer>
--- a/src/include/dandeliontack/machine_list.hpp
+++ b/src/include/dandeliontack/machine_list.hpp
@@ -40,6 +40,16 @@
 {
     std::vector<listed_machine> machines;
     std::string next;
+    /// Whether every machine of the page could be read.
+    bool complete = true;
+};
+
+/// The machines of the platform.
+struct machine_listing
+{
+    std::vector<listed_machine> machines;
+    /// If not set, a machine that is not listed may exist.
+    bool complete = true;
 };
 
 /// The platform's answer to an order for a machine.
--- a/src/include/dandeliontack/pool_engine.hpp
+++ b/src/include/dandeliontack/pool_engine.hpp
@@ -94,6 +94,7 @@
     /// The demand and the hosts of each pool of the shard.
     std::vector<pool_demand> demands(moment now) const;
     std::size_t active() const;
+    bool has_submissions_of(const std::string& pool) const;
     std::size_t waiting_tasks() const;
     /// The tasks of all occurrences that are due and not done, as a measure of
     /// the memory that they take.
@@ -126,6 +127,7 @@
     /// Applies a run that the host lists as ended. Returns whether the end has
     /// to be stored before it is acknowledged to the host.
     bool apply_end(host_state& h, const ended_row& row);
+    void apply_ends(host_state& h, const host_report& report);
     bool end_current_run(
         host_state& h, submission_state& s, task_state& t,
         const ended_row& row);
--- a/src/include/dandeliontack/shard_owner.hpp
+++ b/src/include/dandeliontack/shard_owner.hpp
@@ -65,6 +65,8 @@
     boost::asio::awaitable<shard_answer> host_ended(std::string host) override;
     boost::asio::awaitable<shard_answer> demands(std::string lent) override;
 
+    /// Whether any submission runs or waits in the pool.
+    bool has_submissions_of(const std::string& pool) const;
     bool is_lost() const;
     /// Gives up the shard without releasing it in the store, which is
     /// unreachable.
--- a/src/include/dandeliontack/tack_node.hpp
+++ b/src/include/dandeliontack/tack_node.hpp
@@ -61,6 +61,7 @@
     void apply_operator_record(const keyed_record& record);
     void apply_host_record(const keyed_record& record);
     void assign_hosts();
+    bool is_known_pool(const std::string& pool) const;
     void drop_lost_shards();
     bool is_ready() const;
     node_announcement announcement() const;
--- a/src/libnode/fleet_duty.cpp
+++ b/src/libnode/fleet_duty.cpp
@@ -401,8 +401,9 @@
         auto listed = co_await platform_.list();
         if (listed)
         {
-            machines_ = std::move(*listed);
-            departures_.observe(machines_);
+            machines_ = std::move(listed->machines);
+            if (listed->complete)
+                departures_.observe(machines_);
             if (!router_.layout())
                 co_await store_layout();
             report_departures();
@@ -412,13 +413,24 @@
                 return item.second < asked;
             });
             for (const auto& name : active)
-                co_await advance_wave(name);
+                if (listed->complete || lists_all_of(waves_[name].request))
+                    co_await advance_wave(name);
             co_await balance();
         }
         co_await pause_for(context_.executor, round_interval);
     }
 }
 
+// Whether every machine of the wave is on the list, which may be incomplete: a
+// machine that is missing then must not count as removed.
+bool fleet_duty::lists_all_of(const wave_request& wave) const
+{
+    return std::ranges::all_of(wave.machines, [&](const std::string& name) {
+        return std::ranges::find(machines_, name, &listed_machine::name) !=
+               machines_.end();
+    });
+}
+
 asio::awaitable<void> fleet_duty::advance_wave(std::string name)
 {
     const auto self = shared_from_this();
--- a/src/libnode/machine_client.cpp
+++ b/src/libnode/machine_client.cpp
@@ -25,10 +25,9 @@
       may_order_(std::move(may_order))
 {}
 
-asio::awaitable<std::optional<std::vector<listed_machine>>>
-machine_client::list()
+asio::awaitable<std::optional<machine_listing>> machine_client::list()
 {
-    std::vector<listed_machine> all_machines;
+    machine_listing all;
     std::string page_token;
     while (true)
     {
@@ -50,12 +49,13 @@
         }
         auto& page_content = std::get<machine_page>(page);
         std::ranges::move(
-            page_content.machines, std::back_inserter(all_machines));
+            page_content.machines, std::back_inserter(all.machines));
+        all.complete = all.complete && page_content.complete;
         if (page_content.next.empty())
             break;
         page_token = page_content.next;
     }
-    co_return all_machines;
+    co_return all;
 }
 
 asio::awaitable<machine_answer> machine_client::order(http_request request)
--- a/src/libnode/noted_order.cpp
+++ b/src/libnode/noted_order.cpp
@@ -12,6 +12,9 @@
 namespace
 {
 
+// Epochs and times in milliseconds, small enough for sums and differences.
+constexpr std::uint64_t max_number = 1ULL << 52U;
+
 // Parses exactly `count` numbers separated by spaces; nullopt for any other
 // text.
 std::optional<std::vector<std::uint64_t>>
@@ -24,7 +27,8 @@
     {
         std::uint64_t number = 0;
         const auto [stop, error] = std::from_chars(at, end, number);
-        if (error != std::errc() || (stop != end && *stop != ' '))
+        if (error != std::errc() || (stop != end && *stop != ' ') ||
+            number > max_number)
             return std::nullopt;
         parsed.push_back(number);
         at = stop == end ? end : stop + 1;
--- a/src/libnode/shard_owner.cpp
+++ b/src/libnode/shard_owner.cpp
@@ -81,6 +81,11 @@
       queues_signal_(context.executor)
 {}
 
+bool shard_owner::has_submissions_of(const std::string& pool) const
+{
+    return engine_ && engine_->has_submissions_of(pool);
+}
+
 bool shard_owner::is_lost() const
 {
     return lost_;
@@ -565,9 +570,11 @@
         for (const auto& id : asked)
         {
             const auto host = engine_->hosts().find(id);
-            if (!machines || host == engine_->hosts().end() ||
-                std::ranges::find(*machines, id, &listed_machine::host) !=
-                    machines->end())
+            if (!machines || !machines->complete ||
+                host == engine_->hosts().end() ||
+                std::ranges::find(
+                    machines->machines, id, &listed_machine::host) !=
+                    machines->machines.end())
                 continue;
             const auto born = host->second.entry.born;
             context_.log.write(
--- a/src/libnode/stored_records.cpp
+++ b/src/libnode/stored_records.cpp
@@ -2,6 +2,7 @@
 #include <dandeliontack/stored_records.hpp>
 
 #include <algorithm>
+#include <array>
 #include <limits>
 
 namespace dandeliontack
@@ -16,6 +17,14 @@
 constexpr std::size_t max_listed_queues = 4096;
 constexpr std::size_t bits_per_byte = 8;
 
+// Times are added and subtracted, so they must be far from the ends of their
+// type, which only those of corrupted records are not.
+bool is_time(std::int64_t number)
+{
+    constexpr milliseconds max_time = std::chrono::years(100'000);
+    return number >= -max_time.count() && number <= max_time.count();
+}
+
 template <class Message>
 std::optional<Message> parse(std::string_view bytes)
 {
@@ -186,7 +195,17 @@
     record.terms = terms_of(in->terms());
     record.accepted = wall_time(milliseconds(in->accepted_ms()));
     record.epoch = in->epoch();
-    if (!check_submission(record.spec).empty())
+    const auto& terms = in->terms();
+    const std::array times{in->first_due_ms(),       in->interval_ms(),
+                           in->accepted_ms(),        terms.target_ms(),
+                           terms.advice_decide_ms(), terms.advice_each_ms(),
+                           terms.advice_valid_ms()};
+    if (!check_submission(record.spec).empty() ||
+        !std::ranges::all_of(times, is_time) ||
+        !std::ranges::all_of(in->steps(), [](const stored::Step& step) {
+            return is_time(step.estimate_ms()) &&
+                   is_time(step.latency_objective_ms());
+        }))
         return std::nullopt;
     return record;
 }
@@ -275,7 +294,7 @@
 std::optional<host_use> decode_host_use(std::string_view bytes)
 {
     const auto in = parse<stored::HostUse>(bytes);
-    if (!in || in->id().empty())
+    if (!in || in->id().empty() || !is_time(in->born_ms()))
         return std::nullopt;
     host_use use{in->id(),     milliseconds(in->born_ms()),
                  in->pool(),   in->address(),
@@ -306,7 +325,7 @@
 std::optional<node_announcement> decode_announcement(std::string_view bytes)
 {
     const auto in = parse<stored::Node>(bytes);
-    if (!in || in->name().empty())
+    if (!in || in->name().empty() || !is_time(in->said_ms()))
         return std::nullopt;
     return node_announcement{
         in->name(),
@@ -398,7 +417,7 @@
 std::optional<wave_record> decode_wave_record(std::string_view bytes)
 {
     const auto in = parse<stored::WaveProgress>(bytes);
-    if (!in || in->wave().empty())
+    if (!in || in->wave().empty() || !is_time(in->began_ms()))
         return std::nullopt;
     return wave_record{
         in->wave(),
--- a/src/libnode/stored_records_test.cpp
+++ b/src/libnode/stored_records_test.cpp
@@ -100,4 +100,27 @@
     }
 }
 
+// Guards against times near the ends of their type, which overflow once they
+// are compared with others.
+TEST(stored_records, records_with_impossible_times_are_unreadable)
+{
+    constexpr auto far = std::chrono::milliseconds::max();
+    auto submission = record();
+    submission.accepted = wall_time(far);
+    EXPECT_FALSE(decode_submission_record(encode(submission)));
+    submission = record();
+    submission.spec.steps[0].estimate = -far;
+    EXPECT_FALSE(decode_submission_record(encode(submission)));
+    submission = record();
+    submission.spec.repetitions = 4'000'000'000;
+    submission.spec.interval = 100h;
+    EXPECT_FALSE(decode_submission_record(encode(submission)));
+    EXPECT_FALSE(
+        decode_host_use(encode(host_use{"i", far, "p", "a", false, {}})));
+    node_announcement announcement;
+    announcement.name = "n";
+    announcement.at = wall_time(-far);
+    EXPECT_FALSE(decode_announcement(encode(announcement)));
+}
+
 } // namespace dandeliontack
--- a/src/libnode/tack_node.cpp
+++ b/src/libnode/tack_node.cpp
@@ -399,6 +399,7 @@
                 duty_->set_table(front_.shared_table());
             for (const auto& [shard, owner] : router_.owners())
                 owner->set_queues(*front_.table());
+            hosts_changed_ = true;
         }
         return;
     }
@@ -449,6 +450,23 @@
     hosts_[record.key] = std::move(entry);
 }
 
+// Whether the configuration names the pool, or submissions of an earlier one
+// are left there.
+bool tack_node::is_known_pool(const std::string& pool) const
+{
+    const auto& table = *front_.table();
+    return std::ranges::find(table.pools, pool, &pool_entry::name) !=
+               table.pools.end() ||
+           std::ranges::any_of(
+               table.queues,
+               [&](const queue_entry& queue) {
+                   return queue.terms.pool == pool;
+               }) ||
+           std::ranges::any_of(router_.owners(), [&](const auto& item) {
+               return item.second->has_submissions_of(pool);
+           });
+}
+
 void tack_node::assign_hosts()
 {
     const auto& layout = shards_.layout();
@@ -459,6 +477,8 @@
         entries.try_emplace(shard);
     for (const auto& [id, entry] : hosts_)
     {
+        if (!is_known_pool(entry.pool))
+            continue;
         const auto found = entries.find(shard_of(
             entry.pool, cell_of_host(*layout, entry.rack, id),
             context_.settings.store.partitions));
--- a/src/libsched/pool_engine.cpp
+++ b/src/libsched/pool_engine.cpp
@@ -420,21 +420,15 @@
     expire_host(h);
     h.lease.observe(e.report.clock, now_.steady);
     h.last_answer = now_.steady;
-    for (const auto& row : e.report.ended)
-    {
-        if (row.number <= h.last_seen_end)
-            continue;
-        h.last_seen_end = row.number;
-        // An end that changes nothing stored is not tied to a batch.
-        h.unstored_ends.emplace_back(
-            row.number, apply_end(h, row) ? next_batch_ : 0);
-    }
+    apply_ends(h, e.report);
     for (const auto& row : e.report.running)
         apply_running(h, row, e.report.clock);
-    if (e.report.ends_complete)
+    // A run that is missing may be in a row that could not be read.
+    const bool is_complete = e.report.ends_complete && e.report.unreadable == 0;
+    if (is_complete)
         release_missing(h, e);
     h.contacted = true;
-    if (e.report.ends_complete && !std::exchange(h.caught_up, true))
+    if (is_complete && !std::exchange(h.caught_up, true))
         settle_host(e.host);
     if (h.closed)
         set_closed(h, false);
@@ -737,6 +731,26 @@
     changes_.used_hosts.push_back(h.entry.id);
 }
 
+// Applies the ends that were not reported before, in the host's order. Those
+// that could not be read are acknowledged with the others.
+void pool_engine::apply_ends(host_state& h, const host_report& report)
+{
+    std::map<std::uint64_t, const ended_row*> ends;
+    for (const auto number : report.unreadable_ends)
+        ends[number] = nullptr;
+    for (const auto& row : report.ended)
+        ends[row.number] = &row;
+    for (const auto& [number, row] : ends)
+    {
+        if (number <= h.last_seen_end)
+            continue;
+        h.last_seen_end = number;
+        // An end that changes nothing stored is not tied to a batch.
+        h.unstored_ends.emplace_back(
+            number, row && apply_end(h, *row) ? next_batch_ : 0);
+    }
+}
+
 // Applies one reported end. Returns true if it has to be stored before it is
 // acknowledged, after which the host may delete it.
 bool pool_engine::apply_end(host_state& h, const ended_row& row)
@@ -1847,6 +1861,13 @@
     return active_.size();
 }
 
+bool pool_engine::has_submissions_of(const std::string& pool) const
+{
+    return std::ranges::any_of(active_, [&](const auto& item) {
+        return item.second.record.terms.pool == pool;
+    });
+}
+
 std::uint64_t pool_engine::tasks_in_memory() const
 {
     std::uint64_t sum = 0;
--- a/src/libsched/submission.cpp
+++ b/src/libsched/submission.cpp
@@ -121,6 +121,13 @@
                           " steps, has " + std::to_string(spec.steps.size())});
     if (spec.repetitions > 1 && spec.interval.count() <= 0)
         errors.push_back({"interval", "must be above 0"});
+    if (spec.repetitions > 1 && spec.interval > max_schedule / spec.repetitions)
+        errors.push_back(
+            {"interval",
+             "must be at most " +
+                 std::to_string((max_schedule / spec.repetitions).count()) +
+                 " ms for " + std::to_string(spec.repetitions) +
+                 " repetitions, is " + std::to_string(spec.interval.count())});
     for (std::size_t i = 0; i < spec.steps.size(); ++i)
     {
         const auto& step = spec.steps[i];
@@ -156,13 +163,6 @@
             {"text", "must be at most " + std::to_string(max_text) +
                          " bytes long, is " +
                          std::to_string(spec.text.size())});
-    if (spec.repetitions > 1 && spec.interval > max_schedule / spec.repetitions)
-        errors.push_back(
-            {"interval",
-             "must be at most " +
-                 std::to_string((max_schedule / spec.repetitions).count()) +
-                 " ms for " + std::to_string(spec.repetitions) +
-                 " repetitions, is " + std::to_string(spec.interval.count())});
     return errors;
 }
 
--- a/testsuite/fleet_nodes/fleet_nodes_test.cpp
+++ b/testsuite/fleet_nodes/fleet_nodes_test.cpp
@@ -227,6 +227,39 @@
     node_fleet_with_one_host() : node_fleet({"--hosts=1"}) {}
 };
 
+class node_fleet_with_small_pages : public node_fleet
+{
+protected:
+    node_fleet_with_small_pages() : node_fleet({"--items_per_page=2"}) {}
+
+    // Entries of another writer, under keys that begin so.
+    void put_odd_entries(const std::string& prefix)
+    {
+        const std::string good =
+            R"("service":"pool","state":"ready","zone":"dc-1",)"
+            R"("labels":["a","r1"],"born":5,"capacity":{"cpu":8000},)";
+        const std::vector<std::string> entries{
+            std::string(100'000, '['),
+            std::string(100'000, '{'),
+            "{" + good + R"("address":"127.0.0.1:65536"})",
+            "{" + good + R"("address":"127.0.0.1:0"})",
+            "{" + good + R"("address":"127.0.0.1:1","sequence":1e400})",
+            "{" + good + R"("address":"127.0.0.1:1","slots":-1e300})",
+            "{" + good + R"("address":["127.0.0.1:1"]})",
+            R"({"service":"odd","state":"ready","address":"127.0.0.1:1",)"
+            R"("capacity":{"cpu":1},"zone":"z"})",
+            std::string("\xff\x00\xfe{\x80", 5),
+            "7",
+            "null",
+            R"({"capacity":{"capacity":{"capacity":{}}}})"};
+        for (std::size_t i = 0; i < entries.size(); ++i)
+            for (const auto* key : {"", " &=%#", "\xff\xfe", "/../"})
+                post(
+                    platform_address_, "/entry",
+                    prefix + key + std::to_string(i) + "\n" + entries[i]);
+    }
+};
+
 class node_fleet_with_two_pools : public node_fleet
 {
 protected:
@@ -419,6 +452,30 @@
     check_runs();
 }
 
+// Guards against one odd entry among those of the hosts, at the start and while
+// the list is followed, that ends the nodes or hides the entries after it.
+TEST_F(node_fleet_with_small_pages, odd_entries_of_hosts_leave_the_others)
+{
+    // Some keys are before those of the hosts in the list, some after.
+    put_odd_entries("a");
+    put_odd_entries("z");
+    start_nodes();
+    ASSERT_TRUE(hand_in("n1", id_of(1), submission("100", 3, false)));
+    EXPECT_TRUE(reaches("n2", id_of(1), "completed"));
+    put_odd_entries("b");
+    put_odd_entries("i-0x");
+    ASSERT_TRUE(hand_in("n2", id_of(2), submission("100", 3, false)));
+    EXPECT_TRUE(reaches("n3", id_of(2), "completed"));
+    const auto lost = owner();
+    nodes_.at(lost).send_signal(SIGKILL);
+    start_node(lost);
+    ASSERT_TRUE(hand_in(lost, id_of(3), submission("100", 3, false)));
+    EXPECT_TRUE(reaches(lost, id_of(3), "completed"));
+    for (auto& [name, process] : nodes_)
+        EXPECT_FALSE(process.wait_exit(std::chrono::milliseconds(0))) << name;
+    check_runs();
+}
+
 // Nothing but the store knows the earlier configuration then, and no queue
 // leads to the pool that holds the submissions.
 TEST_F(node_fleet_with_two_pools, finds_moved_submissions_after_a_restart)
--- a/testsuite/standins/fleet/keyed_store.cpp
+++ b/testsuite/standins/fleet/keyed_store.cpp
@@ -32,6 +32,27 @@
     return make_response(status, "application/json", json::serialize(body));
 }
 
+// The bytes of a part of a query.
+std::string unescape(std::string_view text)
+{
+    constexpr int hexadecimal = 16;
+    std::string out;
+    while (!text.empty())
+    {
+        unsigned char byte = static_cast<unsigned char>(text.front());
+        std::size_t length = 1;
+        if (byte == '%' && text.size() > 2)
+        {
+            std::from_chars(
+                text.data() + 1, text.data() + 3, byte, hexadecimal);
+            length = 3;
+        }
+        out.push_back(static_cast<char>(byte));
+        text.remove_prefix(length);
+    }
+    return out;
+}
+
 template <class Integer>
 void put_number(std::string& out, Integer value)
 {
@@ -164,15 +185,18 @@
         else
             keys[item.key] = {i, &item};
     }
+    const auto after =
+        unescape(query_value(std::string(request.target()), "after"));
     json::array items;
-    for (const auto& [key, item] : keys)
+    auto at = keys.upper_bound(after);
+    for (; at != keys.end() && items.size() < items_per_page_; ++at)
         items.push_back(
-            {{"key", key},
-             {"value", absl::Base64Escape(item.second->value)},
-             {"offset", item.first}});
+            {{"key", at->first},
+             {"value", absl::Base64Escape(at->second.second->value)},
+             {"offset", at->second.first}});
     return answer(
         http::status::ok, {{"items", std::move(items)},
-                           {"hasMore", false},
+                           {"hasMore", at != keys.end()},
                            {"endOffset", part.records.size()}});
 }
 
--- a/testsuite/standins/fleet/keyed_store.hpp
+++ b/testsuite/standins/fleet/keyed_store.hpp
@@ -18,6 +18,11 @@
 class keyed_store
 {
 public:
+    /// `items_per_page` is the most records that a list of the newest has.
+    explicit keyed_store(std::size_t items_per_page)
+        : items_per_page_(items_per_page)
+    {}
+
     http_response append(const http_request& request);
     /// From now on appends with a key that begins so are refused for good; none
     /// if empty.
@@ -54,6 +59,7 @@
 
     std::map<std::string, partition> partitions_;
     std::string refused_prefix_;
+    std::size_t items_per_page_;
 };
 
 } // namespace dandeliontack::standins
--- a/testsuite/standins/fleet/main.cpp
+++ b/testsuite/standins/fleet/main.cpp
@@ -2,6 +2,8 @@
 // machines, and hosts that run tasks. Beside the platform's calls:
 //   POST /configuration          puts the body into force
 //   POST /fault?mode=MODE        none, down (503) or lose-answers (appends)
+//   POST /entry                  an entry among the hosts', as another writer
+//                                leaves it: its key, a line break, its bytes
 //   POST /refuse?prefix=KEY      refuses records with such keys for good
 //   GET  /runs                   every run of every host
 //   GET  /records?topic=&key=    how many records were written under a key
@@ -25,6 +27,8 @@
 ABSL_FLAG(std::uint32_t, hosts, 3, "How many hosts run in each pool.");
 ABSL_FLAG(
     std::uint32_t, advice_ms, 200, "How long the advice service needs a call.");
+ABSL_FLAG(
+    std::size_t, items_per_page, 500, "How many newest records a page lists.");
 ABSL_FLAG(
     std::size_t, ends_per_answer, 500, "How many ends a host lists at most.");
 
@@ -154,6 +158,11 @@
                                    .size()));
         if (path == "/configuration")
             store_.put("keyed.op", "config", request.body());
+        else if (path == "/entry")
+            store_.put(
+                "keyed.servers",
+                request.body().substr(0, request.body().find('\n')),
+                request.body().substr(request.body().find('\n') + 1));
         else if (path == "/refuse")
             store_.refuse_keys(query_value(target, "prefix"));
         else if (path == "/fault")
@@ -249,7 +258,7 @@
 
     asio::any_io_executor executor_;
     metric_registry metrics_;
-    keyed_store store_;
+    keyed_store store_{absl::GetFlag(FLAGS_items_per_page)};
     std::vector<std::unique_ptr<running_host>> hosts_;
     std::string fault_ = "none";
     std::size_t advice_waiting_ = 0;
