--- a/src/include/dandeliontack/caller_front.hpp
+++ b/src/include/dandeliontack/caller_front.hpp
@@ -8,6 +8,8 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <memory>
+#include <optional>
+#include <vector>
 
 namespace dandeliontack
 {
@@ -40,6 +42,11 @@
 
     boost::asio::awaitable<http_response>
     submit(const http_request& request, request_scope& scope);
+    /// Refuses a submission whose record the store would not accept.
+    std::optional<http_response>
+    check_stored_size(const submission_record& record) const;
+    boost::asio::awaitable<shard_answer>
+    submit_once(shard_call call, request_scope& scope);
     boost::asio::awaitable<http_response> state(request_scope& scope);
     boost::asio::awaitable<http_response> cancel(request_scope& scope);
     boost::asio::awaitable<http_response> pending(const request_scope& scope);
--- a/src/libnode/caller_front.cpp
+++ b/src/libnode/caller_front.cpp
@@ -233,34 +233,53 @@
     shard_call call{shard_call::verb::submit, scope.shard, *id, {}, {}};
     call.record = submission_record{
         *id, std::move(spec), scope.queue.terms, read_clocks().wall, 0};
-    const keyed_record to_store{submission_key(*id), encode(*call.record), 0};
-    if (const auto bytes = stored_size(to_store);
-        bytes > context_.settings.store.record_bytes)
-        co_return error_response(
-            http::status::payload_too_large, outcome::not_run,
-            "submission can't be stored",
-            "the submission needs " + std::to_string(bytes) +
-                " bytes in the store, which accepts at most " +
-                std::to_string(context_.settings.store.record_bytes) +
-                " bytes in a record");
-    const auto began = read_clocks().steady;
-    auto former_call = call;
-    former_call.kind = shard_call::verb::find;
-    const auto former =
-        co_await ask_former_shards(scope, std::move(former_call));
-    if (former.outcome == shard_outcome::done)
-        co_return make_response(http::status::ok, "application/json", "{}");
-    if (former.outcome != shard_outcome::not_found)
-        co_return owner_error_response(former, scope);
-    scope.timeout = std::max<std::chrono::milliseconds>(
-        scope.timeout - (read_clocks().steady - began), 1ms);
-    const auto answer = co_await router_.ask(
-        std::move(call), scope.timeout, owner_reach_timeout);
+    if (auto refusal = check_stored_size(*call.record))
+        co_return std::move(*refusal);
+    const auto answer = co_await submit_once(std::move(call), scope);
     if (answer.outcome == shard_outcome::done)
         co_return make_response(http::status::ok, "application/json", "{}");
     co_return owner_error_response(answer, scope);
 }
 
+std::optional<http_response>
+caller_front::check_stored_size(const submission_record& record) const
+{
+    const keyed_record to_store{submission_key(record.id), encode(record), 0};
+    const auto bytes = stored_size(to_store);
+    const auto limit = context_.settings.store.record_bytes;
+    if (bytes <= limit)
+        return std::nullopt;
+    return error_response(
+        http::status::payload_too_large, outcome::not_run,
+        "submission can't be stored",
+        "the submission needs " + std::to_string(bytes) +
+            " bytes in the store, which accepts at most " +
+            std::to_string(limit) + " bytes in a record");
+}
+
+// A submission that was accepted before its queue was sent to this pool is not
+// accepted again.
+asio::awaitable<shard_answer>
+caller_front::submit_once(shard_call call, request_scope& scope)
+{
+    if (!former_shards(scope).empty())
+    {
+        const auto began = read_clocks().steady;
+        auto question = call;
+        question.kind = shard_call::verb::find;
+        const auto target = scope.shard;
+        const auto former =
+            co_await ask_former_shards(scope, std::move(question));
+        if (former.outcome != shard_outcome::not_found)
+            co_return former;
+        scope.shard = target;
+        scope.timeout = std::max<std::chrono::milliseconds>(
+            scope.timeout - (read_clocks().steady - began), 1ms);
+    }
+    co_return co_await router_.ask(
+        std::move(call), scope.timeout, owner_reach_timeout);
+}
+
 shard_id caller_front::shard_in(const request_scope& scope, cell_id cell) const
 {
     return shard_of(
