--- a/src/include/dandeliontack/call_limiter.hpp
+++ b/src/include/dandeliontack/call_limiter.hpp
@@ -35,11 +35,11 @@
         /// Allowance for the network and the processors at both ends.
         std::chrono::milliseconds slack{500};
         /// The longest wait for an answer.
-        std::chrono::milliseconds max_timeout{30'000};
+        std::chrono::milliseconds max_timeout{20'000};
         /// The pause after the first failure, which doubles with each failure
         /// in a row.
         std::chrono::milliseconds min_pause{100};
-        std::chrono::milliseconds max_pause{4000};
+        std::chrono::milliseconds max_pause{2000};
     };
 
     call_limiter(bounds limits, std::uint64_t seed);
--- a/src/include/dandeliontack/pool_engine.hpp
+++ b/src/include/dandeliontack/pool_engine.hpp
@@ -226,9 +226,9 @@
     std::size_t pending_advice_ = 0;
     /// Learned ratio of run time to estimate, by route.
     std::map<std::string, double> estimate_factor_;
-    /// Hosts that a previous owner used and that have not answered this one:
-    /// hosts that may run any task, and closed hosts with the recorded list of
-    /// tasks that may run there.
+    /// Hosts that a previous owner used and that have not listed all ends to
+    /// this one: hosts that may run any task, and closed hosts with the
+    /// recorded list of tasks that may run there.
     std::set<std::string> unsettled_hosts_;
     std::map<std::string, std::set<task_ref>> unsettled_closed_hosts_;
     boot_time takeover_deadline_;
--- a/src/include/dandeliontack/pool_events.hpp
+++ b/src/include/dandeliontack/pool_events.hpp
@@ -79,8 +79,7 @@
     /// Whether `ended` holds every end that is not acknowledged yet. A host
     /// lists a limited number at a time, the oldest first.
     bool ends_complete = true;
-    /// Rows that could not be read, and the numbers of the ends among them.
-    std::size_t unreadable = 0;
+    /// The numbers of ends that could not be read.
     std::vector<std::uint64_t> unreadable_ends;
 };
 
--- a/src/include/dandeliontack/tack_node.hpp
+++ b/src/include/dandeliontack/tack_node.hpp
@@ -80,6 +80,7 @@
     http_server peers_;
     http_server metrics_;
     std::map<std::string, host_entry> hosts_;
+    std::set<std::string> known_pools_;
     bool hosts_changed_ = false;
     bool following_hosts_ = false;
     std::map<std::string, wave_request> waves_;
--- a/src/libnode/ownership_property_test.cpp
+++ b/src/libnode/ownership_property_test.cpp
@@ -174,6 +174,7 @@
             std::make_unique<pool_engine>(pool_terms{}, current_.epoch);
         current_.confirmed = now_.steady;
         std::vector<keyed_record> records;
+        records.reserve(stored_.size());
         for (const auto& [key, value] : stored_)
             records.push_back({key, value, 0});
         for (const auto& key :
--- a/src/libnode/shard_records_test.cpp
+++ b/src/libnode/shard_records_test.cpp
@@ -35,6 +35,7 @@
         : stored(std::move(from)), engine(pool_terms{}, epoch), now(at)
     {
         std::vector<keyed_record> records;
+        records.reserve(stored.size());
         for (const auto& [key, value] : stored)
             records.push_back({key, value, 0});
         orphans = restore_engine(engine, records, now).orphans;
@@ -320,6 +321,7 @@
     (const std::vector<std::string>& values))
 {
     std::vector<keyed_record> records;
+    records.reserve(values.size());
     for (const auto& value : values)
         records.push_back({std::to_string(records.size()), value, 0});
     std::vector<keyed_record> joined;
--- a/src/libnode/tack_node.cpp
+++ b/src/libnode/tack_node.cpp
@@ -83,6 +83,17 @@
             settings.bounds.config_ms * share));
 }
 
+// The pools that a configuration names.
+std::set<std::string> pools_of(const queue_table& table)
+{
+    std::set<std::string> pools;
+    for (const auto& pool : table.pools)
+        pools.insert(pool.name);
+    for (const auto& queue : table.queues)
+        pools.insert(queue.terms.pool);
+    return pools;
+}
+
 } // namespace
 
 tack_node::tack_node(node_context& context)
@@ -395,11 +406,13 @@
         {
             front_.set_table(std::make_shared<const queue_table>(
                 std::move(std::get<queue_table>(decoded))));
+            auto pools = pools_of(*front_.table());
+            hosts_changed_ = hosts_changed_ || pools != known_pools_;
+            known_pools_ = std::move(pools);
             if (duty_)
                 duty_->set_table(front_.shared_table());
             for (const auto& [shard, owner] : router_.owners())
                 owner->set_queues(*front_.table());
-            hosts_changed_ = true;
         }
         return;
     }
@@ -454,14 +467,7 @@
 // are left there.
 bool tack_node::is_known_pool(const std::string& pool) const
 {
-    const auto& table = *front_.table();
-    return std::ranges::find(table.pools, pool, &pool_entry::name) !=
-               table.pools.end() ||
-           std::ranges::any_of(
-               table.queues,
-               [&](const queue_entry& queue) {
-                   return queue.terms.pool == pool;
-               }) ||
+    return known_pools_.contains(pool) ||
            std::ranges::any_of(router_.owners(), [&](const auto& item) {
                return item.second->has_submissions_of(pool);
            });
--- a/src/libsched/call_limiter.cpp
+++ b/src/libsched/call_limiter.cpp
@@ -12,7 +12,7 @@
 using std::chrono::milliseconds;
 
 // Timeouts and pauses double with each failure in a row, this often at most.
-constexpr unsigned max_doublings = 6;
+constexpr unsigned max_doublings = 4;
 // A call may take this many times as long as those before it.
 constexpr double timeout_factor = 2;
 // Weight of the newest answer, and bound of one answer's ratio.
--- a/src/libsched/pool_engine.cpp
+++ b/src/libsched/pool_engine.cpp
@@ -423,12 +423,10 @@
     apply_ends(h, e.report);
     for (const auto& row : e.report.running)
         apply_running(h, row, e.report.clock);
-    // A run that is missing may be in a row that could not be read.
-    const bool is_complete = e.report.ends_complete && e.report.unreadable == 0;
-    if (is_complete)
+    if (e.report.ends_complete)
         release_missing(h, e);
     h.contacted = true;
-    if (is_complete && !std::exchange(h.caught_up, true))
+    if (e.report.ends_complete && !std::exchange(h.caught_up, true))
         settle_host(e.host);
     if (h.closed)
         set_closed(h, false);
