--- a/src/libnode/stored_records.cpp
+++ b/src/libnode/stored_records.cpp
@@ -607,7 +607,7 @@
 
 std::string progress_key(const progress_part& part)
 {
-    const auto first = "p/" + submission_name(part.submission);
+    auto first = "p/" + submission_name(part.submission);
     if (part.occurrence == 0 && part.part == 0)
         return first;
     return first + "/" + std::to_string(part.occurrence) + "." +
--- a/src/libsched/advice_load_test.cpp
+++ b/src/libsched/advice_load_test.cpp
@@ -38,6 +38,7 @@
     explicit advised_pool(load_terms terms) : terms_(terms), driver_(1)
     {
         std::vector<std::string> ids;
+        ids.reserve(terms.hosts);
         for (unsigned i = 0; i < terms.hosts; ++i)
             ids.push_back("h" + std::to_string(i));
         driver_.connect_hosts(ids);
--- a/src/libsched/pool_hosts_test.cpp
+++ b/src/libsched/pool_hosts_test.cpp
@@ -563,7 +563,8 @@
         ASSERT_EQ(starts.size(), 4U) << attempt;
         d.answer_starts({starts.begin(), starts.end()});
         std::vector<ended_row> ends;
-        for (std::uint32_t i = 0; i < 4; ++i)
+        ends.reserve(starts.size());
+        for (std::uint32_t i = 0; i < starts.size(); ++i)
             ends.push_back(
                 ended_run(++number, i, starts[0].run, run_outcome::failed));
         d.hold("a", {}, ends);
--- a/testsuite/fleet_nodes/fleet_nodes_test.cpp
+++ b/testsuite/fleet_nodes/fleet_nodes_test.cpp
@@ -238,6 +238,9 @@
         const std::string good =
             R"("service":"pool","state":"ready","zone":"dc-1",)"
             R"("labels":["a","r1"],"born":5,"capacity":{"cpu":8000},)";
+        const std::string odd_service =
+            R"({"service":"odd","state":"ready","address":"127.0.0.1:1",)"
+            R"("capacity":{"cpu":1},"zone":"z"})";
         const std::vector<std::string> entries{
             std::string(100'000, '['),
             std::string(100'000, '{'),
@@ -246,8 +249,7 @@
             "{" + good + R"("address":"127.0.0.1:1","sequence":1e400})",
             "{" + good + R"("address":"127.0.0.1:1","slots":-1e300})",
             "{" + good + R"("address":["127.0.0.1:1"]})",
-            R"({"service":"odd","state":"ready","address":"127.0.0.1:1",)"
-            R"("capacity":{"cpu":1},"zone":"z"})",
+            odd_service,
             std::string("\xff\x00\xfe{\x80", 5),
             "7",
             "null",
