Name the parsing of a part's key, and say what a test guards against

The key of a part was read as that of a task in the middle of the restore; it is a function with a type of its own now.

--- a/src/libnode/shard_records.cpp
+++ b/src/libnode/shard_records.cpp
@@ -45,6 +45,21 @@
     return parse_submission_name(rest.substr(0, id_digits));
 }
 
+// The part that a key `p/ID/OCCURRENCE.PART` names.
+std::optional<progress_part> part_in_key(std::string_view key)
+{
+    const auto id = id_in_key(key, "p/");
+    if (!id || key.size() <= prefix_size + id_digits)
+        return std::nullopt;
+    // Followed by one more number, the two read like those of a task.
+    const auto numbers = key.substr(prefix_size + id_digits + 1);
+    const auto task = parse_task_name(
+        submission_name(*id) + "." + std::string(numbers) + ".0");
+    if (!task)
+        return std::nullopt;
+    return progress_part{*id, task->occurrence, task->step};
+}
+
 struct stored_submission
 {
     std::optional<submission_record> record;
@@ -64,19 +79,16 @@
             key.starts_with("t/")
                 ? parse_task_name(std::string_view(key).substr(prefix_size))
                 : std::nullopt;
-        // A part's key is `p/ID/OCCURRENCE.PART`; with a step, it reads as a
-        // task.
-        const auto part = parse_task_name(
-            submission_name(s.record.id) + "." +
-            key.substr(std::min(prefix_size + id_digits + 1, key.size())) +
-            ".0");
-        const auto& at = task ? task : part;
-        if (!at || !s.occurrences.contains(at->occurrence))
+        const auto part = part_in_key(key);
+        const auto occurrence = task   ? std::optional(task->occurrence)
+                                : part ? std::optional(part->occurrence)
+                                       : std::nullopt;
+        if (!occurrence || !s.occurrences.contains(*occurrence))
             orphans.push_back(key);
         else if (task)
             s.stored_tasks.insert(*task);
         else
-            s.stored_parts.insert({s.record.id, at->occurrence, at->step});
+            s.stored_parts.insert(*part);
     }
 }
 
--- a/src/libsched/pool_hosts_test.cpp
+++ b/src/libsched/pool_hosts_test.cpp
@@ -574,8 +574,8 @@
 }
 
 // Guards against starts that wait behind thousands of others of a slow host
-// until they are given up, and are then ordered anew elsewhere. Found with
-// review/5 on a busy machine: tasks were ordered seven times.
+// until they are given up unsent, and are then ordered anew elsewhere, again
+// and again.
 TEST(pool_hosts, slow_host_gets_a_limited_number_of_starts)
 {
     pool_driver d;
