--- a/review/standin-2/world.py
+++ b/review/standin-2/world.py
@@ -659,6 +659,7 @@
             self.deploy = tomllib.load(f)
         self.store = Store(self.record)
         self.cloud = HttpServer(self.cloud_call)
+        self.cloud_ms = 20  # until the list of machines is answered
         self.workers = []
         self.nodes = []
         self.runs = []  # every run, in the order of the starts
@@ -722,30 +723,26 @@
 
     async def cloud_call(self, method, path, query, headers, body, writer):
         if path == "/machines":
-            return response(
-                200,
-                {
-                    "machines": [
-                        {
-                            "machine": "m-" + w.id,
-                            "pool": w.pool,
-                            "state": "up",
-                            "zone": "zone-a",
-                            "labels": w.labels,
-                            "capacity": {
-                                "cpu": w.cpu,
-                                "memMb": 64000,
-                                "gpu": 0,
-                            },
-                            "id": w.id,
-                        }
-                        for w in self.workers
-                    ]
-                },
-            )
+            # Shows the machines as they are when the call arrives.
+            rows = [self.machine_row(worker) for worker in self.workers]
+            await asyncio.sleep(self.cloud_ms / 1000)
+            return response(200, {"machines": rows})
         self.record(path[1:], body=json.loads(body), answer=409)
         return response(409, {"reason": "busy"})
 
+    def machine_row(self, worker):
+        row = {
+            "machine": "m-" + worker.id,
+            "pool": worker.pool,
+            "state": "up" if worker.up else "down",
+            "zone": "zone-a",
+            "labels": worker.labels,
+            "capacity": {"cpu": worker.cpu, "memMb": 64000, "gpu": 0},
+        }
+        if worker.up:
+            row["id"] = worker.id
+        return row
+
     # The deployment.
 
     async def begin(self, routes, services, nodes=3):
