--- a/review/9/case.py
+++ b/review/9/case.py
@@ -11,7 +11,7 @@
 sys.path.insert(0, os.path.join(HERE, "..", "standin-2"))
 import world as w  # noqa: E402
 
-CRASH_S = 0.5
+CRASH_S = 0.13
 TERM_AFTER_S = 1.0  # after the worker is back
 CUT_AFTER_S = 3.0
 CUT_S = 5.5  # node_cut, servers: for_s of the site file
