--- a/review/standin-2/world.py
+++ b/review/standin-2/world.py
@@ -892,10 +892,15 @@
     async def whole():
         world = World(folder)
         verdict = 2
+        # Ends the nodes too if the script is told to end.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel
+        )
         try:
             held = await asyncio.wait_for(case(world, trouble), limit)
             verdict = 2 if held is None else 0 if held else 1
-        except Exception as error:  # The case couldn't run.
+        except (Exception, asyncio.CancelledError) as error:
+            # The case couldn't run.
             world.record("error", reason=repr(error))
             print("the case couldn't run:", repr(error), file=sys.stderr)
         finally:
