End the incarnation of a host that a report speaks of, and no later one

Cause: lists that were requested while the host was down arrived after it was back. The fleet duty reported the departure by the host's id, and the owner applied it to whatever incarnation it knew by then. The record shows the owner's starts on the new incarnation, then host_departed and the starts elsewhere.

Change: departure_watch takes the incarnations that are known before each list is requested, and reports the newest one that all confirming lists speak of. The report carries its start time and the age of the evidence; the engine ends no later incarnation, nor one that has answered a later call. Orders name the incarnation known before their first attempt. A new owner goes by two lists instead of one. Holds and starts, whose ackCursor and lease count from the start of an incarnation, go only over connections on which it has answered. Nothing starts by labels or capacity of an earlier incarnation.

Why it works: an incarnation that was known before a list was requested began before the list was made, so its absence shows its end; nothing follows for one that began later. A connection leads to one process for as long as it stands.

Ruled out: reporting an age alone; a call that waits in a frozen process would be dated too late. Comparing by the host's clock; not every host sends one.

--- a/src/include/dandeliontack/fleet_duty.hpp
+++ b/src/include/dandeliontack/fleet_duty.hpp
@@ -14,6 +14,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -31,8 +32,12 @@
 class fleet_duty : public std::enable_shared_from_this<fleet_duty>
 {
 public:
+    /// Returns the incarnations of hosts that the registry names.
+    using boots_source = std::function<std::shared_ptr<const host_boots>()>;
+
     fleet_duty(
-        node_context& context, store_client& store, shard_router& router);
+        node_context& context, store_client& store, shard_router& router,
+        boots_source known_boots);
 
     /// Claims the duty with epoch `last` + 1 and loads its records. Returns
     /// false if another node claimed it first or the store is unavailable.
@@ -86,9 +91,19 @@
     boost::asio::awaitable<void> move(machine_move order);
     boost::asio::awaitable<void> store_layout();
     shard_id shard_of_machine(const listed_machine& machine) const;
-    boost::asio::awaitable<bool> report_host_ended(listed_machine machine);
+    /// Tells the host's owner that the incarnation has ended, by an answer of
+    /// the platform that was received at `seen`.
+    boost::asio::awaitable<bool>
+    report_host_ended(departed_host departed, boot_time seen);
+    /// The same for an order that ended the incarnation which was known before
+    /// the order was sent, if any was.
+    boost::asio::awaitable<void> report_order(
+        listed_machine machine, std::optional<std::chrono::milliseconds> born);
     void report_departures();
-    boost::asio::awaitable<void> report_departure(listed_machine machine);
+    boost::asio::awaitable<void>
+    report_departure(departed_host departed, boot_time seen);
+    std::optional<std::chrono::milliseconds>
+    known_boot(const std::string& host) const;
     /// Demands by cell, from the shard owners that answered.
     boost::asio::awaitable<std::vector<std::vector<pool_demand>>>
     collect_demands();
@@ -118,10 +133,13 @@
     node_context& context_;
     store_client& store_;
     shard_router& router_;
+    boots_source known_boots_;
     machine_client platform_;
     shard_claim claim_;
     std::map<std::string, wave_state> waves_;
     std::vector<listed_machine> machines_;
+    /// When the newest list of machines was received.
+    boot_time listed_;
     departure_watch departures_;
     /// Hosts whose end is being reported to their owners.
     std::set<std::string> reporting_;
--- a/src/include/dandeliontack/http_connection.hpp
+++ b/src/include/dandeliontack/http_connection.hpp
@@ -51,6 +51,11 @@
         http_request request, std::chrono::milliseconds timeout,
         send_permission may_send = {});
 
+    /// The name that the caller has given to the process at the other end;
+    /// empty for a connection that has been opened since then.
+    const std::string& peer_name() const;
+    void set_peer_name(std::string name);
+
     /// Whether the connection is open and may carry another request.
     bool reusable() const;
     void close();
--- a/src/include/dandeliontack/http_pool.hpp
+++ b/src/include/dandeliontack/http_pool.hpp
@@ -8,11 +8,29 @@
 #include <chrono>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
+#include <string>
 
 namespace dandeliontack
 {
 
+/// For requests to one process of several that may answer at an address in
+/// turn. A connection leads to the same process for as long as it stands, so it
+/// is enough to ask once on each.
+struct peer_check
+{
+    /// The name of the process that the request is meant for.
+    std::string expected;
+    /// A request that any of the processes may answer.
+    http_request question;
+    /// The name of the process that gave this answer to the question.
+    std::function<std::string(const http_response&)> name_of;
+    /// Whether the answer to the question also serves as that to the request,
+    /// which is then not sent.
+    bool question_suffices = false;
+};
+
 /// Keeps connections to peers open between requests. After a request that
 /// was not answered in time, all idle connections to that peer are closed:
 /// they may have gone silent too. Peers that nobody calls any more keep
@@ -34,6 +52,13 @@
         endpoint peer, http_request request, std::chrono::milliseconds timeout,
         send_permission may_send = {});
 
+    /// The same for a request that only the process named by `check` may
+    /// receive. If another one answers, nothing is sent to it, and the result
+    /// is `not_run`.
+    boost::asio::awaitable<exchange_result> exchange(
+        endpoint peer, http_request request, std::chrono::milliseconds timeout,
+        send_permission may_send, peer_check check);
+
     /// Closes the idle connections to a peer.
     void forget(const endpoint& peer);
     std::uint64_t opened() const;
@@ -49,6 +74,11 @@
 
     using time_point = std::chrono::steady_clock::time_point;
     void close_old(time_point now);
+    /// An idle connection to the peer, or a new one.
+    http_connection take(const endpoint& peer);
+    void give_back(
+        const endpoint& peer, http_connection connection,
+        const exchange_result& last);
 
     boost::asio::any_io_executor executor_;
     limits limits_;
--- a/src/include/dandeliontack/pool_events.hpp
+++ b/src/include/dandeliontack/pool_events.hpp
@@ -128,11 +128,15 @@
     boot_time sent;
     host_report report;
 };
-/// Another incarnation now answers at the host's address.
+/// The incarnation of the host, and those before it, have ended. Says nothing
+/// of later ones.
 struct host_incarnation_ended
 {
     std::string host;
     std::chrono::milliseconds born{0};
+    /// When the evidence was received: a call that the incarnation answers and
+    /// that was sent later refutes it.
+    boot_time seen;
 };
 struct start_answered
 {
--- a/src/include/dandeliontack/pool_state.hpp
+++ b/src/include/dandeliontack/pool_state.hpp
@@ -203,6 +203,13 @@
     /// then it may list the end of any task that a previous owner started.
     bool caught_up = false;
     boot_time last_answer;
+    /// When the newest call that this incarnation has answered was sent.
+    boot_time last_answered_call;
+    /// Whether `entry` is of this incarnation, not of an earlier one.
+    bool described = true;
+    /// Whether it is a later incarnation than the one that this owner knew
+    /// first.
+    bool restarted = false;
     /// The batch that contains its `host_use` record; 0 once that is stored.
     std::uint64_t recorded_in = 0;
     /// Its record lists the tasks that may run there, and no more are started.
--- a/src/include/dandeliontack/shard_owner.hpp
+++ b/src/include/dandeliontack/shard_owner.hpp
@@ -2,6 +2,7 @@
 
 #include <dandeliontack/advice_client.hpp>
 #include <dandeliontack/answer_times.hpp>
+#include <dandeliontack/departure_watch.hpp>
 #include <dandeliontack/order_queue.hpp>
 #include <dandeliontack/pool_engine.hpp>
 #include <dandeliontack/queue_admission.hpp>
@@ -62,7 +63,8 @@
     boost::asio::awaitable<shard_answer> state(std::uint64_t id) override;
     boost::asio::awaitable<shard_answer> pending(std::string route) override;
     boost::asio::awaitable<shard_answer> evacuate(std::string host) override;
-    boost::asio::awaitable<shard_answer> host_ended(std::string host) override;
+    boost::asio::awaitable<shard_answer>
+    host_ended(host_departure departure) override;
     boost::asio::awaitable<shard_answer> demands(std::string lent) override;
 
     /// Whether any submission runs or waits in the pool.
@@ -96,12 +98,18 @@
     boost::asio::awaitable<bool> wait_until_listed(std::uint64_t queue);
     boost::asio::awaitable<void> run_planning();
     boost::asio::awaitable<void> detect_departed_hosts();
+    void report_departures(departure_watch& departures, boot_time seen);
     /// Starts polling each host that is not polled yet.
     void poll_hosts();
     /// Starts a coroutine of the owner; the shard is given up if it fails.
     void start_coroutine(
         std::string_view name, boost::asio::awaitable<void> coroutine);
     boost::asio::awaitable<void> poll_host(std::string host);
+    /// Sends a request that holds for one incarnation of a host only, and only
+    /// to this incarnation. `question` is a hold call without effect.
+    boost::asio::awaitable<exchange_result> exchange_with(
+        const host_entry& host, http_request request, http_request question,
+        std::chrono::milliseconds timeout, bool question_suffices);
     boost::asio::awaitable<void> send_orders(std::string host);
     boost::asio::awaitable<void> send_start(pool_effect::start order);
     boost::asio::awaitable<void> send_stop(pool_effect::stop order);
--- a/src/include/dandeliontack/shard_router.hpp
+++ b/src/include/dandeliontack/shard_router.hpp
@@ -40,9 +40,9 @@
     verb kind = verb::state;
     shard_id shard = 0;
     std::uint64_t submission = 0;
-    /// The argument: a route for `pending`, a host for `evacuate` and
-    /// `host_ended`, the encoded host loans for `demands`, the encoded
-    /// announcement for `announce`, the encoded owner record for
+    /// The argument: a route for `pending`, a host for `evacuate`, the encoded
+    /// departure for `host_ended`, the encoded host loans for `demands`, the
+    /// encoded announcement for `announce`, the encoded owner record for
     /// `owner_changed`.
     std::string name;
     std::optional<submission_record> record;
--- a/src/include/dandeliontack/shard_service.hpp
+++ b/src/include/dandeliontack/shard_service.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <dandeliontack/host_departure.hpp>
 #include <dandeliontack/submission.hpp>
 
 #include <boost/asio/awaitable.hpp>
@@ -60,9 +61,9 @@
     virtual boost::asio::awaitable<shard_answer> pending(std::string route) = 0;
     /// Requests that a host be evacuated; the value is `empty` or `busy`.
     virtual boost::asio::awaitable<shard_answer> evacuate(std::string host) = 0;
-    /// The platform has terminated a host.
+    /// An incarnation of a host has ended.
     virtual boost::asio::awaitable<shard_answer>
-    host_ended(std::string host) = 0;
+    host_ended(host_departure departure) = 0;
     /// The value is the encoded demand and capacity of the shard's pools;
     /// `lent` says, encoded, which of them should evacuate hosts for others.
     virtual boost::asio::awaitable<shard_answer> demands(std::string lent) = 0;
--- a/src/libnode/fleet_duty.cpp
+++ b/src/libnode/fleet_duty.cpp
@@ -71,10 +71,12 @@
 } // namespace
 
 fleet_duty::fleet_duty(
-    node_context& context, store_client& store, shard_router& router)
+    node_context& context, store_client& store, shard_router& router,
+    boots_source known_boots)
     : context_(context),
       store_(store),
       router_(router),
+      known_boots_(std::move(known_boots)),
       platform_(context, [this] { return has_valid_claim(); }),
       claim_(context, store, fleet_shard),
       appends_(
@@ -398,12 +400,14 @@
             continue;
         }
         const auto asked = read_clocks().steady;
+        const auto boots = known_boots_();
         auto listed = co_await platform_.list();
         if (listed)
         {
             machines_ = std::move(listed->machines);
+            listed_ = read_clocks().steady;
             if (listed->complete)
-                departures_.observe(machines_);
+                departures_.observe(machines_, *boots);
             if (!router_.layout())
                 co_await store_layout();
             report_departures();
@@ -505,6 +509,7 @@
     const auto self = shared_from_this();
     const bool first =
         waves_[name].progress.unanswered.insert(machine.name).second;
+    const auto born = known_boot(machine.host);
     const bool recorded = co_await record_upkeep_order(name, machine.name);
     // The owner keeps the host empty for a limited time only.
     const bool is_still_empty =
@@ -546,9 +551,8 @@
         confirmed_empty_.erase(machine.host);
         // A repeated order may have been executed earlier, in which case the
         // machine's current host is a new one that continues to run.
-        if (first && answer == machine_answer::accepted &&
-            !machine.host.empty())
-            co_await report_host_ended(machine);
+        if (first && answer == machine_answer::accepted)
+            co_await report_order(machine, born);
     }
     co_await record_order_end(machine.name);
     waves_[name].ordering.erase(machine.name);
@@ -597,13 +601,25 @@
     return shard_of(machine.pool, cell, context_.settings.store.partitions);
 }
 
-asio::awaitable<bool> fleet_duty::report_host_ended(listed_machine machine)
+std::optional<std::chrono::milliseconds>
+fleet_duty::known_boot(const std::string& host) const
 {
+    const auto boots = known_boots_();
+    const auto found = boots->find(host);
+    return found == boots->end() ? std::nullopt : std::optional(found->second);
+}
+
+asio::awaitable<bool>
+fleet_duty::report_host_ended(departed_host departed, boot_time seen)
+{
+    const auto& machine = departed.machine;
+    const host_departure departure{
+        machine.host, departed.born, read_clocks().steady - seen};
     shard_call call{
         shard_call::verb::host_ended,
         shard_of_machine(machine),
         0,
-        machine.host,
+        encode(departure),
         {}};
     const auto answer =
         co_await router_.ask(call, owner_call_timeout, owner_call_timeout);
@@ -612,26 +628,37 @@
     co_return answer.outcome == shard_outcome::done;
 }
 
+asio::awaitable<void> fleet_duty::report_order(
+    listed_machine machine, std::optional<std::chrono::milliseconds> born)
+{
+    if (!machine.host.empty() && born)
+        co_await report_host_ended(
+            {std::move(machine), *born}, read_clocks().steady);
+}
+
 // Tells the owners which hosts have ended without an order of the duty, so that
 // their tasks need not wait until every lease has expired.
 void fleet_duty::report_departures()
 {
     if (!router_.layout())
         return;
-    for (const auto& machine : departures_.departed())
-        if (reporting_.insert(machine.host).second)
-            start_coroutine("departure", report_departure(machine));
+    for (const auto& departed : departures_.departed())
+        if (reporting_.insert(departed.machine.host).second)
+            start_coroutine("departure", report_departure(departed, listed_));
 }
 
-asio::awaitable<void> fleet_duty::report_departure(listed_machine machine)
+asio::awaitable<void>
+fleet_duty::report_departure(departed_host departed, boot_time seen)
 {
     const auto self = shared_from_this();
-    const bool known = co_await report_host_ended(machine);
+    const bool known = co_await report_host_ended(departed, seen);
+    const auto& machine = departed.machine;
     context_.log.write(
         "fleet", "host_departed",
         log_line()
             .add("machine", machine.name)
             .add("host", machine.host)
+            .add("born_ms", departed.born.count())
             .add("pool", machine.pool)
             .add("epoch", claim_.epoch())
             .add("answered", known));
@@ -807,6 +834,9 @@
             return pool.standby && pool.name == machine.pool;
         });
     bool empty = true;
+    // Before the first attempt: a repeated order may have been executed
+    // earlier, and a host that has come since then goes on.
+    const auto born = known_boot(machine.host);
     auto answer = machine_answer::unknown;
     for (int attempt = 0; attempt < max_move_attempts && has_valid_claim() &&
                           answer == machine_answer::unknown;
@@ -838,8 +868,8 @@
             cell.forbid(machine.pool, order.to_pool);
     if (answer == machine_answer::fenced)
         mark_lost("a higher fencing token was used for a machine");
-    if (answer == machine_answer::accepted && !is_off && !machine.host.empty())
-        co_await report_host_ended(machine);
+    if (answer == machine_answer::accepted && !is_off)
+        co_await report_order(machine, born);
     co_await record_order_end(machine.name);
     // Waits until the next list of machines shows the move.
     co_await pause_for(context_.executor, round_interval);
--- a/src/libnode/shard_owner.cpp
+++ b/src/libnode/shard_owner.cpp
@@ -554,38 +554,93 @@
     }
 }
 
-// A host is one incarnation of a machine. If no listed machine refers to it any
-// more it has ended, and the takeover need not wait for its leases to expire.
+// If no listed machine refers to a host any more, the incarnations that began
+// before the list was requested have ended, and the takeover need not wait for
+// their leases to expire.
 asio::awaitable<void> shard_owner::detect_departed_hosts()
 {
     const auto self = shared_from_this();
     machine_client platform(context_);
+    departure_watch departures;
     co_await pause_for(context_.executor, first_departure_check);
     while (!lost_ && !engine_->unsettled_hosts().empty())
     {
-        const auto asked = engine_->unsettled_hosts();
-        const auto machines = co_await platform.list();
+        host_boots known;
+        for (const auto& id : engine_->unsettled_hosts())
+            if (const auto host = engine_->hosts().find(id);
+                host != engine_->hosts().end())
+            {
+                known[id] = host->second.entry.born;
+                listed_machine machine;
+                machine.host = id;
+                departures.expect(machine);
+            }
+        const auto listed = co_await platform.list();
         if (lost_)
             co_return;
-        for (const auto& id : asked)
+        if (listed && listed->complete)
         {
-            const auto host = engine_->hosts().find(id);
-            if (!machines || !machines->complete ||
-                host == engine_->hosts().end() ||
-                std::ranges::find(
-                    machines->machines, id, &listed_machine::host) !=
-                    machines->machines.end())
-                continue;
-            const auto born = host->second.entry.born;
-            context_.log.write(
-                "owner", "host_left",
-                log_line().add("host", id).add("epoch", epoch()));
-            apply(pool_event::host_incarnation_ended{id, born});
+            departures.observe(listed->machines, known);
+            report_departures(departures, read_clocks().steady);
         }
-        co_await pause_for(context_.executor, departure_check_interval);
+        co_await pause_for(
+            context_.executor, departures.is_unconfirmed()
+                                   ? retry_pause
+                                   : departure_check_interval);
+    }
+}
+
+// Applies what machine lists, the last of which was received at `seen`, show of
+// hosts that have not answered this owner.
+void shard_owner::report_departures(departure_watch& departures, boot_time seen)
+{
+    const auto unsettled = engine_->unsettled_hosts();
+    for (const auto& departed : departures.departed())
+    {
+        const auto& id = departed.machine.host;
+        if (std::ranges::find(unsettled, id) == unsettled.end())
+            continue;
+        context_.log.write(
+            "owner", "host_left",
+            log_line()
+                .add("host", id)
+                .add("born_ms", departed.born.count())
+                .add("epoch", epoch()));
+        apply(pool_event::host_incarnation_ended{id, departed.born, seen});
+        departures.forget(id);
     }
 }
 
+// The end of a lease and the number of an acknowledged end count from the start
+// of an incarnation. A later one with the same id would take the first for one
+// of up to the longest lease, and forget ends that nobody has read.
+asio::awaitable<exchange_result> shard_owner::exchange_with(
+    const host_entry& host, http_request request, http_request question,
+    std::chrono::milliseconds timeout, bool question_suffices)
+{
+    const auto peer = parse_endpoint(host.address);
+    // Without a start time, the id alone tells incarnations apart, and the host
+    // compares it itself.
+    if (host.born == 0ms)
+        return context_.connections.exchange(
+            *peer, std::move(request), timeout, order_permission());
+    const auto name_of = [](std::chrono::milliseconds born) {
+        return std::to_string(born.count());
+    };
+    peer_check check{
+        name_of(host.born), std::move(question),
+        [name_of, born = host.born](const http_response& response) {
+            const auto report = platform::decode_hold(response.body());
+            const auto* readable = std::get_if<host_report>(&report);
+            return readable ? name_of(readable->born.value_or(born))
+                            : std::string();
+        },
+        question_suffices};
+    return context_.connections.exchange(
+        *peer, std::move(request), timeout, order_permission(),
+        std::move(check));
+}
+
 // Polls a host: fetches the running and the ended tasks, acknowledges ends that
 // are stored, and extends the lease under which the host's tasks run.
 asio::awaitable<void> shard_owner::poll_host(std::string id)
@@ -612,9 +667,10 @@
         const auto lease_end = engine_->extend_lease(id, sent);
         auto request = platform::encode_hold(
             address, host.ack_cursor, lease_end, wait ? hold_wait : 0ms);
-        auto result = co_await context_.connections.exchange(
-            *peer, std::move(request), order_timeout + (wait ? hold_wait : 0ms),
-            order_permission());
+        auto question = platform::encode_hold(address, 0, std::nullopt, 0ms);
+        auto result = co_await exchange_with(
+            host.entry, std::move(request), std::move(question),
+            order_timeout + (wait ? hold_wait : 0ms), true);
         if (lost_ || stopping_)
             co_return;
         const auto* response = std::get_if<http_response>(&result);
@@ -624,7 +680,8 @@
             {
                 const auto answer = platform::decode_order_answer(*response);
                 if (answer.answer == start_answer::other_incarnation)
-                    apply(pool_event::host_incarnation_ended{id, born});
+                    apply(pool_event::host_incarnation_ended{
+                        id, born, read_clocks().steady});
                 if (answer.answer == start_answer::fenced)
                     context_.log.write(
                         "owner", "host_fenced",
@@ -701,10 +758,10 @@
             order.host, host->second.entry.address, epoch()};
         auto request = platform::encode_start(
             address, order, s->record.spec.text, *lease_end);
-        auto result = co_await context_.connections.exchange(
-            *peer, std::move(request),
-            order_times_.timeout(static_cast<unsigned>(attempt)),
-            order_permission());
+        auto question = platform::encode_hold(address, 0, std::nullopt, 0ms);
+        auto result = co_await exchange_with(
+            host->second.entry, std::move(request), std::move(question),
+            order_times_.timeout(static_cast<unsigned>(attempt)), false);
         if (lost_)
             co_return;
         if (std::holds_alternative<http_response>(result))
@@ -913,17 +970,25 @@
         engine_->is_empty(host, read_clocks()) ? "empty" : "busy"};
 }
 
-asio::awaitable<shard_answer> shard_owner::host_ended(std::string host)
+// A report that names no incarnation, from a node of an earlier version, may
+// speak of an earlier one than the one that is known here. The host's tasks
+// then start elsewhere once its leases have expired.
+asio::awaitable<shard_answer> shard_owner::host_ended(host_departure departure)
 {
     const auto self = shared_from_this();
     if (!can_answer())
         co_return shard_answer{shard_outcome::not_owner, {}};
-    const auto found = engine_->hosts().find(host);
-    if (found != engine_->hosts().end())
-    {
-        const auto born = found->second.entry.born;
-        apply(pool_event::host_incarnation_ended{host, born});
-    }
+    if (departure.born)
+        apply(pool_event::host_incarnation_ended{
+            departure.host, *departure.born,
+            read_clocks().steady - departure.age});
+    else
+        context_.log.write(
+            "owner", "departure_ignored",
+            log_line()
+                .add("host", departure.host)
+                .add("reason", "the report names no incarnation of the host")
+                .add("epoch", epoch()));
     co_return shard_answer{shard_outcome::done, {}};
 }
 
--- a/src/libnode/shard_router.cpp
+++ b/src/libnode/shard_router.cpp
@@ -200,7 +200,8 @@
     case shard_call::verb::evacuate:
         return owner.evacuate(std::move(call.name));
     case shard_call::verb::host_ended:
-        return owner.host_ended(std::move(call.name));
+        return owner.host_ended(
+            decode_host_departure(call.name).value_or(host_departure{}));
     case shard_call::verb::demands:
         return owner.demands(std::move(call.name));
     default:
--- a/src/libsched/pool_engine.cpp
+++ b/src/libsched/pool_engine.cpp
@@ -392,14 +392,16 @@
                 found->second.evacuate_until = until->second;
         }
         auto& h = found->second;
+        h.listed = true;
+        // The list may be older than the host's own report of its incarnation,
+        // which may have other labels, another address or another capacity.
+        if (entry.born < h.entry.born)
+            continue;
         if (!h.entry.draining && entry.draining)
             effects_.emplace_back(
                 pool_effect::decision{"host_drains", {}, {}, 0, entry.id, {}});
-        // The list may be older than the host's own report of its incarnation.
-        const auto born = std::max(h.entry.born, entry.born);
         h.entry = entry;
-        h.entry.born = born;
-        h.listed = true;
+        h.described = true;
     }
 }
 
@@ -420,6 +422,7 @@
     expire_host(h);
     h.lease.observe(e.report.clock, now_.steady);
     h.last_answer = now_.steady;
+    h.last_answered_call = std::max(h.last_answered_call, e.sent);
     apply_ends(h, e.report);
     for (const auto& row : e.report.running)
         apply_running(h, row, e.report.clock);
@@ -437,11 +440,22 @@
 void pool_engine::on(const pool_event::host_incarnation_ended& e)
 {
     const auto found = hosts_.find(e.host);
-    if (found == hosts_.end() || found->second.entry.born != e.born)
+    if (found == hosts_.end())
         return;
-    release_all(
-        found->second,
-        "another incarnation answers at the address of the host");
+    const bool is_newer = found->second.entry.born > e.born;
+    if (is_newer || found->second.last_answered_call > e.seen)
+    {
+        effects_.emplace_back(pool_effect::decision{
+            "host_end_refuted",
+            {},
+            {},
+            0,
+            e.host,
+            is_newer ? "a later incarnation of the host is known"
+                     : "the host has answered a later call"});
+        return;
+    }
+    release_all(found->second, "the incarnation of the host has ended");
     settle_host(e.host);
     changes_.dropped_hosts.push_back(e.host);
     hosts_.erase(found);
@@ -717,6 +731,9 @@
     effects_.emplace_back(
         pool_effect::decision{"host_restarted", {}, {}, 0, h.entry.id, {}});
     h.entry.born = born;
+    h.described = false;
+    h.restarted = true;
+    h.last_answered_call = {};
     h.lease.begin_incarnation(now_.steady, terms_.max_lease);
     h.contacted = false;
     h.caught_up = false;
@@ -1351,10 +1368,11 @@
 bool pool_engine::is_eligible(const host_state& h) const
 {
     const auto now = now_.steady;
-    return h.listed && !h.entry.draining && h.contacted && h.recorded_in == 0 &&
-           !h.closed && h.evacuate_until <= now && h.lent_until <= now &&
-           h.blocked_until <= now && h.health.avoid_until <= now &&
-           !is_silent(h, now) && !h.lease.has_ended(now);
+    return h.listed && h.described && !h.entry.draining && h.contacted &&
+           h.recorded_in == 0 && !h.closed && h.evacuate_until <= now &&
+           h.lent_until <= now && h.blocked_until <= now &&
+           h.health.avoid_until <= now && !is_silent(h, now) &&
+           !h.lease.has_ended(now);
 }
 
 bool pool_engine::has_room_for(
@@ -1474,12 +1492,13 @@
 // Whether nothing that a previous owner started on the host can still run, or
 // be listed as ended under a lease that holds. `takeover_deadline_` covers the
 // leases of the previous owner only; this one extends those of a host that
-// answers.
+// answers, and an incarnation that is new to it may hold longer ones.
 bool pool_engine::has_expired(const std::string& host) const
 {
     const auto found = hosts_.find(host);
     return now_.steady > takeover_deadline_ &&
-           (found == hosts_.end() || !found->second.contacted ||
+           (found == hosts_.end() ||
+            (!found->second.contacted && !found->second.restarted) ||
             found->second.lease.has_ended(now_.steady));
 }
 
--- a/src/libsched/pool_hosts_test.cpp
+++ b/src/libsched/pool_hosts_test.cpp
@@ -158,7 +158,8 @@
     d.submit(pool_driver::make_submission(1));
     const auto first = d.effects_of<pool_effect::start>(d.tick());
     d.answer_starts({first[0]});
-    d.apply(pool_event::host_incarnation_ended{first[0].host, 1ms});
+    d.apply(
+        pool_event::host_incarnation_ended{first[0].host, 1ms, d.now.steady});
     const auto again = d.effects_of<pool_effect::start>(d.tick());
     ASSERT_EQ(again.size(), 1U);
     EXPECT_NE(again[0].host, first[0].host);
@@ -606,4 +607,73 @@
     EXPECT_EQ(on(all, "slow"), on(first, "slow"));
 }
 
+// Guards against applying a late report of a departure to the incarnation that
+// has begun since: its tasks were started elsewhere beside it.
+TEST(pool_hosts, end_of_an_earlier_incarnation_leaves_the_later_one_alone)
+{
+    pool_driver d;
+    d.connect_hosts({"a", "b"});
+    d.submit(pool_driver::make_submission(1));
+    const auto first = d.effects_of<pool_effect::start>(d.tick());
+    d.answer_starts({first[0]});
+    const auto id = first[0].host;
+    auto back = pool_driver::host(id);
+    back.born = 2ms;
+    const auto other = id == "a" ? "b" : "a";
+    d.apply(pool_event::hosts_listed{{back, pool_driver::host(other)}});
+    host_report report;
+    report.clock = 5ms;
+    report.born = 2ms;
+    report.running = {running_run(0, 1, 10)};
+    d.apply(pool_event::host_reported{id, 2ms, d.now.steady, report});
+    d.advance(50ms);
+    d.apply(pool_event::host_incarnation_ended{id, 1ms, d.now.steady});
+    EXPECT_EQ(d.engine.hosts().at(id).runs.size(), 1U);
+    EXPECT_TRUE(d.effects_of<pool_effect::start>(d.tick()).empty());
+    d.apply(pool_event::host_incarnation_ended{id, 2ms, d.now.steady});
+    EXPECT_FALSE(d.engine.hosts().contains(id));
+}
+
+// A list that lacks a host which lives, or that was made before the host's last
+// answer, says nothing of it.
+TEST(pool_hosts, answer_to_a_later_call_refutes_the_end_of_a_host)
+{
+    pool_driver d;
+    d.connect_hosts({"a"});
+    const auto seen = d.now.steady;
+    d.advance(10ms);
+    d.hold("a");
+    d.apply(pool_event::host_incarnation_ended{"a", 1ms, seen});
+    EXPECT_TRUE(d.engine.hosts().contains("a"));
+    d.apply(pool_event::host_incarnation_ended{"a", 1ms, d.now.steady});
+    EXPECT_FALSE(d.engine.hosts().contains("a"));
+}
+
+// A host may be back with other labels and another capacity. Until its entry is
+// read, or if only that of its earlier incarnation is, nothing starts there.
+TEST(pool_hosts, incarnation_is_not_used_by_the_entry_of_an_earlier_one)
+{
+    pool_driver d;
+    d.connect_hosts({"a"});
+    host_report report;
+    report.clock = 5ms;
+    report.born = 2ms;
+    d.apply(pool_event::host_reported{"a", 1ms, d.now.steady, report});
+    d.engine.extend_lease("a", d.now);
+    d.store();
+    auto submission = pool_driver::make_submission(1);
+    submission.spec.steps[0].label = "old";
+    auto entry = pool_driver::host("a");
+    entry.labels = {"old"};
+    d.apply(pool_event::hosts_listed{{entry}});
+    d.submit(submission);
+    d.advance(100ms);
+    d.apply(pool_event::host_reported{"a", 2ms, d.now.steady, report});
+    EXPECT_TRUE(d.effects_of<pool_effect::start>(d.tick()).empty());
+    entry.born = 2ms;
+    d.apply(pool_event::hosts_listed{{entry}});
+    d.store();
+    EXPECT_EQ(d.effects_of<pool_effect::start>(d.tick()).size(), 1U);
+}
+
 } // namespace dandeliontack::test
--- a/src/libsched/pool_takeover_test.cpp
+++ b/src/libsched/pool_takeover_test.cpp
@@ -433,4 +433,34 @@
     EXPECT_EQ(d.effects_of<pool_effect::start>(d.tick()).size(), 3U);
 }
 
+// An owner of an earlier version may have sent an incarnation a lease that ends
+// by the clock of the one before, so that it lasts for as long as a host
+// permits.
+TEST(pool_takeover, tasks_wait_for_the_longest_lease_of_a_restarted_host)
+{
+    const pool_terms terms;
+    pool_driver d(2);
+    d.restore_host("a");
+    d.restore_host("unreachable");
+    d.restore(pool_driver::make_submission(1));
+    d.begin();
+    auto back = pool_driver::host("unreachable");
+    back.born = 2ms;
+    d.apply(pool_event::hosts_listed{{pool_driver::host("a"), back}});
+    d.store();
+    ASSERT_GT(terms.max_lease, terms.leases.takeover_wait());
+    for (auto waited = 0ms; waited <= terms.max_lease; waited += 500ms)
+    {
+        d.hold("a");
+        d.tick();
+        ASSERT_TRUE(d.effects_of<pool_effect::start>(d.all_effects).empty())
+            << waited.count();
+        d.advance(500ms);
+    }
+    d.advance(500ms);
+    d.hold("a");
+    d.tick();
+    EXPECT_EQ(d.effects_of<pool_effect::start>(d.all_effects).size(), 1U);
+}
+
 } // namespace dandeliontack::test
--- a/src/libutil/http_connection.cpp
+++ b/src/libutil/http_connection.cpp
@@ -42,6 +42,7 @@
     beast::flat_buffer buffer;
     endpoint peer;
     std::uint64_t body_limit;
+    std::string peer_name;
     bool open = false;
 
     bool quiet();
@@ -113,6 +114,16 @@
 http_connection&
 http_connection::operator=(http_connection&&) noexcept = default;
 
+const std::string& http_connection::peer_name() const
+{
+    return core_->peer_name;
+}
+
+void http_connection::set_peer_name(std::string name)
+{
+    core_->peer_name = std::move(name);
+}
+
 bool http_connection::reusable() const
 {
     return core_->open;
@@ -121,6 +132,7 @@
 void http_connection::close()
 {
     core_->open = false;
+    core_->peer_name.clear();
     core_->buffer.clear();
     core_->stream.close();
 }
--- a/src/libutil/http_pool.cpp
+++ b/src/libutil/http_pool.cpp
@@ -29,9 +29,7 @@
     std::erase_if(idle_, [](const auto& item) { return item.second.empty(); });
 }
 
-asio::awaitable<exchange_result> http_pool::exchange(
-    endpoint peer, http_request request, std::chrono::milliseconds timeout,
-    send_permission may_send)
+http_connection http_pool::take(const endpoint& peer)
 {
     const auto now = std::chrono::steady_clock::now();
     close_old(now);
@@ -39,30 +37,71 @@
     while (!idle.empty() && (now - idle.front().since > limits_.longest_idle ||
                              !idle.front().connection.reusable()))
         idle.pop_front();
-    std::optional<http_connection> connection;
     if (idle.empty())
     {
-        connection.emplace(executor_, peer);
         ++opened_;
+        return {executor_, peer};
     }
-    else
-    {
-        connection = std::move(idle.back().connection);
-        idle.pop_back();
-    }
-    auto result = co_await connection->exchange(
-        std::move(request), timeout, std::move(may_send));
-    if (std::holds_alternative<exchange_error>(result))
+    auto connection = std::move(idle.back().connection);
+    idle.pop_back();
+    return connection;
+}
+
+void http_pool::give_back(
+    const endpoint& peer, http_connection connection,
+    const exchange_result& last)
+{
+    if (std::holds_alternative<exchange_error>(last))
     {
         forget(peer);
+        return;
     }
-    else if (connection->reusable())
+    auto& kept = idle_[peer];
+    if (connection.reusable() && kept.size() < limits_.idle_per_peer)
+        kept.push_back(
+            {std::move(connection), std::chrono::steady_clock::now()});
+}
+
+asio::awaitable<exchange_result> http_pool::exchange(
+    endpoint peer, http_request request, std::chrono::milliseconds timeout,
+    send_permission may_send)
+{
+    auto connection = take(peer);
+    auto result = co_await connection.exchange(
+        std::move(request), timeout, std::move(may_send));
+    give_back(peer, std::move(connection), result);
+    co_return result;
+}
+
+asio::awaitable<exchange_result> http_pool::exchange(
+    endpoint peer, http_request request, std::chrono::milliseconds timeout,
+    send_permission may_send, peer_check check)
+{
+    auto connection = take(peer);
+    // Asked right before the request is written, as the connection may have
+    // been opened anew by then.
+    bool is_named = true;
+    const send_permission may_send_to_named = [&] {
+        is_named = connection.peer_name() == check.expected;
+        return is_named && (!may_send || may_send());
+    };
+    auto copy = request;
+    auto result = co_await connection.exchange(
+        std::move(copy), timeout, may_send_to_named);
+    if (!is_named)
     {
-        auto& kept = idle_[peer];
-        if (kept.size() < limits_.idle_per_peer)
-            kept.push_back(
-                {std::move(*connection), std::chrono::steady_clock::now()});
+        result = co_await connection.exchange(
+            std::move(check.question), timeout, may_send);
+        const auto* answer = std::get_if<http_response>(&result);
+        if (answer && connection.reusable())
+            connection.set_peer_name(check.name_of(*answer));
+        if (auto* error = std::get_if<exchange_error>(&result))
+            error->result = outcome::not_run;
+        else if (!check.question_suffices)
+            result = co_await connection.exchange(
+                std::move(request), timeout, may_send_to_named);
     }
+    give_back(peer, std::move(connection), result);
     co_return result;
 }
 
