Let run numbers decide which run of a task goes on, in any order of reports

Cause: a restored task took the first end that was read for that of its newest run, and then no newer run was taken on; the planner gave the task to the host that still had the stopped run, where emplace did nothing, and the task stayed `starting` without a run on any host. The log has run_ended run 1, stop_ordered run 2, start_ordered run 1001 and nothing more.

Change: the highest run number known is the task's run; a higher one on any report takes its place, an older run is stopped, a done end of any run completes the task and a failed one counts. A task starts only once no host has a run of it. The engine checks each second that tasks in progress have their run, and repairs and logs what is not so (task_repaired).

Why it works: numbers rise from owner to owner, so the highest is what the last owner wanted, whatever is read first. No start can meet a run of the same task in the books.

Ruled out: holding back all reports until every host has answered; a host that can't be reached would keep ends from being acknowledged.

--- a/src/include/dandeliontack/pool_engine.hpp
+++ b/src/include/dandeliontack/pool_engine.hpp
@@ -128,15 +128,28 @@
     /// to be stored before it is acknowledged to the host.
     bool apply_end(host_state& h, const ended_row& row);
     void apply_ends(host_state& h, const host_report& report);
-    bool end_current_run(
+    bool end_newest_run(
         host_state& h, submission_state& s, task_state& t,
         const ended_row& row);
-    bool end_other_run(
+    bool end_older_run(
         host_state& h, submission_state& s, task_state& t,
         const ended_row& row);
     void complete_gang(submission_state& s, const task_ref& member);
+    /// Reserves capacity on the host for a run, in place of any other run of
+    /// the task there.
+    std::map<task_ref, host_run>::iterator
+    add_run(host_state& h, const task_ref& task, const host_run& run);
     std::map<task_ref, host_run>::iterator
     track_run(host_state& h, const running_row& row, const step_spec* step);
+    /// Orders the run that the task counts as its newest to stop, if it is in
+    /// progress.
+    void stop_newest_run(const task_ref& task, std::string_view reason);
+    /// Whether the run on the host takes the place of what is known of the
+    /// task.
+    bool is_adoptable(const task_ref& task, std::uint32_t run);
+    void adopt_run(host_state& h, const running_row& row);
+    /// Repairs tasks whose state contradicts the runs on hosts.
+    void check_tasks();
     void
     apply_running(host_state& h, const running_row& row, host_time reported);
     void release_missing(host_state& h, const pool_event::host_reported& e);
@@ -237,6 +250,7 @@
     /// When every host without a recorded list had answered, or its leases had
     /// expired.
     std::optional<boot_time> settled_at_;
+    boot_time tasks_checked_;
     std::uint64_t epoch_;
 
     moment now_;
--- a/src/include/dandeliontack/pool_state.hpp
+++ b/src/include/dandeliontack/pool_state.hpp
@@ -47,6 +47,9 @@
     /// A previous owner may have started it on a host that this owner has not
     /// contacted yet.
     bool inherited = false;
+    /// Hosts that have a run of it, which need not be the newest. It is not
+    /// started elsewhere until there is none.
+    std::uint32_t holders = 0;
     std::string host;
     std::string checkpoint;
     std::set<std::string> failed_on;
@@ -57,6 +60,10 @@
     boot_time retry_at;
 };
 
+/// Whether the task has ended as done, also if that is not stored yet.
+bool is_done(const task_state& t);
+/// Whether a run of the task is to be on its host.
+bool is_in_progress(const task_state& t);
 /// Counts a run that ended as failed.
 void add_failure(task_state& t, std::uint32_t run);
 /// The number of runs that ended as failed.
--- a/src/libnode/stored_records.cpp
+++ b/src/libnode/stored_records.cpp
@@ -116,12 +116,6 @@
     return terms;
 }
 
-bool is_done(const task_state& t)
-{
-    return t.phase == task_phase::done ||
-           (t.phase == task_phase::recording && t.ended_done);
-}
-
 progress_record::task row_of(const task_ref& task, const task_state& t)
 {
     return {task,           is_done(t),  t.failed_runs, t.older_failures,
--- a/src/libsched/pool_engine.cpp
+++ b/src/libsched/pool_engine.cpp
@@ -62,6 +62,8 @@
 // How long a host gets no new tasks after a lending request; more than two
 // rounds of the fleet duty, which repeats the request while it holds.
 constexpr auto lending_duration = 800ms;
+// Interval between checks of all tasks against the runs on hosts.
+constexpr auto task_check_interval = 1000ms;
 // A host that has not answered for this time, which is longer than a hold call
 // may take, counts as silent.
 constexpr auto silent_after = 1700ms;
@@ -82,6 +84,12 @@
 constexpr std::size_t max_short_checkpoint = 128;
 constexpr std::size_t max_short_failed_runs = 50;
 
+void mark_started(submission_state& s)
+{
+    s.started = true;
+    s.phase = submission_phase::running;
+}
+
 double work_of(const submission_spec& spec)
 {
     double sum = 0;
@@ -153,6 +161,18 @@
 
 } // namespace
 
+bool is_in_progress(const task_state& t)
+{
+    return t.phase == task_phase::starting || t.phase == task_phase::running ||
+           t.phase == task_phase::stopping;
+}
+
+bool is_done(const task_state& t)
+{
+    return t.phase == task_phase::done ||
+           (t.phase == task_phase::recording && t.ended_done);
+}
+
 void add_failure(task_state& t, std::uint32_t run)
 {
     t.failed_runs.insert(run);
@@ -489,11 +509,7 @@
             t->progressed = now_.steady;
         }
         if (auto* s = active_submission(e.task.submission))
-        {
-            s->started = true;
-            if (s->phase == submission_phase::queued)
-                s->phase = submission_phase::running;
-        }
+            mark_started(*s);
         if (h.fill_percent < full_percent && run->second.best_effort)
             effects_.emplace_back(pool_effect::pace{
                 e.host, e.born, e.task, e.run, h.fill_percent});
@@ -719,6 +735,8 @@
         return old;
     });
     update_takeover();
+    if (now_.steady - tasks_checked_ >= task_check_interval)
+        check_tasks();
     pool_planner(*this).plan();
 }
 
@@ -778,36 +796,34 @@
     const bool is_held = held != h.runs.end() && held->second.run == row.run;
     auto* s = active_submission(row.task.submission);
     auto* t = s ? find_task(row.task) : nullptr;
-    if (t && t->phase != task_phase::done)
+    if (t && !is_done(*t))
     {
         const bool is_newest =
-            row.run > t->recorded_run && t->phase != task_phase::recording &&
-            ((t->host == h.entry.id && t->run == row.run) ||
-             (t->inherited && t->phase == task_phase::waiting));
-        must_store = is_newest ? end_current_run(h, *s, *t, row)
-                               : end_other_run(h, *s, *t, row);
+            row.run > t->run ||
+            (row.run == t->run && t->host == h.entry.id && is_in_progress(*t));
+        must_store = is_newest ? end_newest_run(h, *s, *t, row)
+                               : end_older_run(h, *s, *t, row);
     }
     if (is_held)
         remove_run(h, row.task);
     return must_store;
 }
 
-// Applies the end of a run that is not the task's current one: a run that was
-// given up, or one of several that previous owners started. A failed run still
-// counts as an attempt. A done run completes the task only if no other run of
-// it is in progress; otherwise the end of that run decides.
-bool pool_engine::end_other_run(
+// Applies the end of a run of which a newer one is known, or which was given
+// up: hosts may report the runs that several owners started in any order. A
+// failed run still counts as an attempt, and a done one completes the task.
+bool pool_engine::end_older_run(
     host_state& h, submission_state& s, task_state& t, const ended_row& row)
 {
     const bool counts = row.outcome == run_outcome::failed &&
                         has_attempt_limit(s.record.spec.steps[row.task.step]) &&
                         !t.failed_runs.contains(row.run);
-    const bool is_open =
-        t.phase == task_phase::waiting || t.phase == task_phase::recording;
-    const bool settles = row.outcome == run_outcome::done && t.inherited &&
-                         is_open && !t.ended_done;
+    const bool settles = row.outcome == run_outcome::done;
     if (!counts && !settles)
         return false;
+    if (settles)
+        stop_newest_run(row.task, "an earlier run of the task is done");
+    const bool is_open = settles || !is_in_progress(t);
     log_decision(
         "run_ended", row.task, row.run, h.entry.id,
         std::string(to_string(row.outcome)));
@@ -819,12 +835,12 @@
     if (is_open)
     {
         t.phase = task_phase::recording;
-        t.ended_done = t.ended_done || settles;
+        t.ended_done = settles;
         t.recorded_in = next_batch_;
+        t.host.clear();
     }
-    t.run = std::max(t.run, row.run);
     t.recorded_run = std::max(t.recorded_run, row.run);
-    s.started = true;
+    mark_started(s);
     note_progress(s, row.task);
     if (settles && s.record.spec.steps[row.task.step].gang)
         complete_gang(s, row.task);
@@ -840,8 +856,12 @@
     for (std::uint32_t i = 0; i < tasks.size(); ++i)
     {
         auto& t = tasks[i];
+        const task_ref other{
+            member.submission, member.occurrence, member.step, i};
         if (i == member.index || t.phase == task_phase::done)
             continue;
+        if (t.run != run)
+            stop_newest_run(other, "another run of the gang is done");
         t.phase = task_phase::recording;
         t.ended_done = true;
         t.recorded_in = next_batch_;
@@ -849,23 +869,29 @@
         t.recorded_run = std::max(t.recorded_run, run);
         t.inherited = t.inherited && settling_;
         t.host.clear();
-        note_progress(
-            s, {member.submission, member.occurrence, member.step, i});
+        note_progress(s, other);
     }
 }
 
-bool pool_engine::end_current_run(
+// Applies the end of the newest run of a task. That it is newer than the run
+// that counted as such shows that a previous owner had given up the latter.
+bool pool_engine::end_newest_run(
     host_state& h, submission_state& s, task_state& t, const ended_row& row)
 {
     const auto& step = s.record.spec.steps[row.task.step];
-    t.run = std::max(t.run, row.run);
+    if (row.run > t.run)
+    {
+        stop_newest_run(row.task, "a newer run of the task has ended");
+        t.started = {};
+    }
+    t.run = row.run;
     keep_checkpoint(t, step, row.checkpoint);
     // A previous owner may have seen this end already and started the task
     // again.
     t.inherited = t.inherited && settling_;
     t.host.clear();
     t.percent = 0;
-    s.started = true;
+    mark_started(s);
     log_decision(
         "run_ended", row.task, row.run, h.entry.id,
         std::string(to_string(row.outcome)));
@@ -970,6 +996,17 @@
         "the tasks that failed on the host failed on other hosts too"});
 }
 
+std::map<task_ref, host_run>::iterator
+pool_engine::add_run(host_state& h, const task_ref& task, const host_run& run)
+{
+    if (h.runs.contains(task))
+        remove_run(h, task);
+    if (auto* t = find_task(task))
+        ++t->holders;
+    h.used = h.used + run.need;
+    return h.runs.emplace(task, run).first;
+}
+
 // Reserves capacity on the host for a run that it reports.
 std::map<task_ref, host_run>::iterator pool_engine::track_run(
     host_state& h, const running_row& row, const step_spec* step)
@@ -985,8 +1022,35 @@
         run.long_running = step->long_running;
         run.objective = step->latency_objective;
     }
-    h.used = h.used + run.need;
-    return h.runs.emplace(row.task, run).first;
+    return add_run(h, row.task, run);
+}
+
+// Run numbers rise from owner to owner, so the highest one is the run that the
+// last owner wanted, in whatever order hosts report. It goes on unless the task
+// is done.
+bool pool_engine::is_adoptable(const task_ref& task, std::uint32_t run)
+{
+    const auto* s = active_submission(task.submission);
+    const auto* t = find_task(task);
+    if (!s || !t || s->cancelled_in != 0 || run <= t->run)
+        return false;
+    return !is_done(*t);
+}
+
+void pool_engine::adopt_run(host_state& h, const running_row& row)
+{
+    stop_newest_run(row.task, "a newer run of the task goes on");
+    auto& s = *active_submission(row.task.submission);
+    auto& t = *find_task(row.task);
+    t.inherited = t.inherited && settling_;
+    t.phase = task_phase::running;
+    t.run = row.run;
+    t.host = h.entry.id;
+    t.percent = 0;
+    t.started = now_.steady;
+    t.progressed = now_.steady;
+    mark_started(s);
+    log_decision("run_adopted", row.task, row.run, h.entry.id);
 }
 
 void pool_engine::apply_running(
@@ -996,8 +1060,7 @@
     auto* s = active_submission(row.task.submission);
     auto* t = s ? find_task(row.task) : nullptr;
     const auto* step = spec_of(row.task);
-    const bool adopt = t && t->inherited && t->phase == task_phase::waiting &&
-                       row.run > t->recorded_run && s->cancelled_in == 0;
+    const bool adopt = is_adoptable(row.task, row.run);
     if (held != h.runs.end() && held->second.run != row.run && !adopt)
     {
         // A delayed start order was carried out for another run of a task that
@@ -1012,26 +1075,11 @@
     }
     if (held == h.runs.end() || held->second.run != row.run)
     {
-        if (held != h.runs.end())
-            remove_run(h, row.task);
-        held = track_run(h, row, step);
         if (adopt)
-        {
-            t->inherited = false;
-            t->phase = task_phase::running;
-            t->run = row.run;
-            t->host = h.entry.id;
-            t->started = now_.steady;
-            t->progressed = now_.steady;
-            s->started = true;
-            if (s->phase == submission_phase::queued)
-                s->phase = submission_phase::running;
-            log_decision("run_adopted", row.task, row.run, h.entry.id);
-        }
-        else
-        {
+            adopt_run(h, row);
+        held = track_run(h, row, step);
+        if (!adopt)
             order_stop(h, row.task, "the run is not current");
-        }
     }
     auto& run = held->second;
     run.confirmed = true;
@@ -1050,7 +1098,7 @@
         t->phase = task_phase::running;
         t->started = now_.steady;
         t->progressed = now_.steady;
-        s->started = true;
+        mark_started(*s);
     }
     if (step)
         keep_checkpoint(*t, *step, row.checkpoint);
@@ -1141,6 +1189,63 @@
     const auto held = h.runs.find(task);
     h.used = h.used - held->second.need;
     h.runs.erase(held);
+    if (auto* t = find_task(task); t && t->holders > 0)
+        --t->holders;
+}
+
+void pool_engine::stop_newest_run(const task_ref& task, std::string_view reason)
+{
+    const auto* t = find_task(task);
+    if (!t || !is_in_progress(*t))
+        return;
+    const auto h = hosts_.find(t->host);
+    if (h == hosts_.end())
+        return;
+    const auto run = h->second.runs.find(task);
+    if (run != h->second.runs.end() && run->second.run == t->run &&
+        !run->second.stop_ordered)
+        order_stop(h->second, task, reason);
+}
+
+// A task in progress without a run on its host would never be looked at again,
+// and one that seems to be held by a host would never start.
+void pool_engine::check_tasks()
+{
+    tasks_checked_ = now_.steady;
+    std::vector<task_ref> held;
+    for (const auto& [id, h] : hosts_)
+        std::ranges::copy(h.runs | std::views::keys, std::back_inserter(held));
+    std::ranges::sort(held);
+    const auto check = [&](const task_ref& task, task_state& t) {
+        const auto holders = static_cast<std::uint32_t>(
+            std::ranges::equal_range(held, task).size());
+        const auto h = hosts_.find(t.host);
+        const bool has_run = h != hosts_.end() &&
+                             h->second.runs.contains(task) &&
+                             h->second.runs.at(task).run == t.run;
+        const bool is_lost = is_in_progress(t) && !has_run;
+        if (holders == t.holders && !is_lost)
+            return;
+        log_decision(
+            "task_repaired", task, t.run, t.host,
+            is_lost ? "no host has the run that is in progress"
+                    : "the number of hosts with a run is wrong");
+        t.holders = holders;
+        if (!is_lost)
+            return;
+        t.phase = task_phase::waiting;
+        t.host.clear();
+        t.percent = 0;
+    };
+    for (auto& [id, s] : active_)
+        for (auto& [k, occurrence] : s.occurrences)
+            for (std::uint32_t i = 0; i < occurrence.steps.size(); ++i)
+            {
+                auto& tasks = occurrence.steps[i].tasks;
+                for (std::uint32_t j = 0; j < tasks.size(); ++j)
+                    if (tasks[j].holders > 0 || is_in_progress(tasks[j]))
+                        check({id, k, i, j}, tasks[j]);
+            }
 }
 
 void pool_engine::order_stop(
--- a/src/libsched/pool_planner.cpp
+++ b/src/libsched/pool_planner.cpp
@@ -88,7 +88,7 @@
 bool pool_planner::may_start(const task_state& t) const
 {
     return t.phase == task_phase::waiting && t.retry_at <= now_.steady &&
-           !(t.inherited && engine_.settling_);
+           t.holders == 0 && !(t.inherited && engine_.settling_);
 }
 
 std::vector<pool_planner::candidate> pool_planner::collect_candidates()
@@ -431,8 +431,7 @@
     held.best_effort = spec.best_effort;
     held.long_running = spec.long_running;
     held.objective = spec.latency_objective;
-    h.runs.emplace(task, held);
-    h.used = h.used + held.need;
+    engine_.add_run(h, task, held);
     auto& left = starts_left_[&h];
     left -= std::min<std::size_t>(left, 1);
     const auto advice = step.advice.find(h.entry.id);
--- a/src/libsched/pool_takeover_test.cpp
+++ b/src/libsched/pool_takeover_test.cpp
@@ -1,6 +1,11 @@
 #include "pool_driver.hpp"
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <numeric>
+#include <ranges>
+#include <set>
 
 namespace dandeliontack::test
 {
@@ -16,6 +21,94 @@
     return submission;
 }
 
+// What a host lists of a task's runs, which several owners started.
+struct host_facts
+{
+    std::string host;
+    std::vector<ended_row> ended;
+    std::vector<running_row> running;
+};
+
+// What follows from the reports for the task and its submission.
+struct conclusion
+{
+    std::optional<submission_phase> phase;
+    std::set<std::uint32_t> failed_runs;
+    bool done = false;
+    /// The host and the number of each run that is to go on.
+    std::set<std::pair<std::string, std::uint32_t>> going_on;
+
+    bool operator==(const conclusion&) const = default;
+};
+
+conclusion conclude(const pool_engine& engine)
+{
+    conclusion out;
+    out.phase = engine.find(submission_id)->phase;
+    if (const auto* s = engine.state_of(submission_id))
+    {
+        const auto& t = s->occurrences.at(0).steps[0].tasks[0];
+        out.done = t.phase == task_phase::done;
+        if (!out.done)
+            out.failed_runs = t.failed_runs;
+    }
+    for (const auto& [id, h] : engine.hosts())
+        for (const auto& [ref, run] : h.runs)
+            if (!run.stop_ordered)
+                out.going_on.emplace(id, run.run);
+    return out;
+}
+
+std::string
+describe(const std::vector<host_facts>& facts, const conclusion& result)
+{
+    std::string text;
+    for (const auto& host : facts)
+    {
+        text += host.host + ":";
+        for (const auto& row : host.ended)
+            text += " " + std::to_string(row.run) + " " +
+                    std::string(to_string(row.outcome));
+        for (const auto& row : host.running)
+            text += " " + std::to_string(row.run) + " runs";
+        text += "\n";
+    }
+    text += result.phase ? std::string(to_string(*result.phase)) : "unknown";
+    text += result.done ? " done" : "";
+    for (const auto run : result.failed_runs)
+        text += " failed " + std::to_string(run);
+    for (const auto& [host, run] : result.going_on)
+        text += " " + std::to_string(run) + " goes on on " + host;
+    return text + "\n";
+}
+
+// The state of a successor to which the hosts report in this order. Nothing
+// starts, as another host that may run the task does not answer.
+conclusion conclude(
+    const submission_record& submission, const std::vector<host_facts>& facts,
+    const std::vector<std::size_t>& order, bool store_each)
+{
+    pool_driver d(9);
+    std::vector<std::string> ids{"unreachable"};
+    for (const auto& host : facts)
+        ids.push_back(host.host);
+    for (const auto& id : ids)
+        d.restore_host(id);
+    d.restore(submission);
+    d.begin();
+    d.list_hosts(ids);
+    d.store();
+    for (const auto at : order)
+    {
+        d.hold(facts[at].host, facts[at].running, facts[at].ended);
+        d.tick();
+        if (store_each)
+            d.store();
+    }
+    d.store();
+    return conclude(d.engine);
+}
+
 } // namespace
 
 // Guards against ignoring leases granted by the previous owner: adopted runs
@@ -463,4 +556,193 @@
     EXPECT_EQ(d.effects_of<pool_effect::start>(d.all_effects).size(), 1U);
 }
 
+// Guards against review/7: a successor that read the failed end of an earlier
+// run first stopped the newer run on another host.
+TEST(pool_takeover, failed_end_of_an_earlier_run_keeps_the_newer_one)
+{
+    for (const bool end_first : {true, false})
+    {
+        pool_driver d(2);
+        d.restore_host("a");
+        d.restore_host("b");
+        d.restore(long_running_submission(1));
+        d.begin();
+        d.list_hosts({"a", "b"});
+        d.store();
+        if (end_first)
+            d.hold("a", {}, {ended_run(1, 0, 1, run_outcome::failed)});
+        d.hold("b", {running_run(0, 2)});
+        if (!end_first)
+            d.hold("a", {}, {ended_run(1, 0, 1, run_outcome::failed)});
+        d.store();
+        d.advance(50ms);
+        d.hold("a");
+        d.hold("b", {running_run(0, 2)});
+        d.tick();
+        EXPECT_TRUE(d.effects_of<pool_effect::stop>(d.all_effects).empty());
+        EXPECT_TRUE(d.effects_of<pool_effect::start>(d.all_effects).empty());
+        const auto& t = d.engine.state_of(submission_id)
+                            ->occurrences.at(0)
+                            .steps[0]
+                            .tasks[0];
+        EXPECT_EQ(t.phase, task_phase::running);
+        EXPECT_EQ(t.run, 2U);
+    }
+}
+
+// Guards against starting a task beside an earlier run of it that is being
+// stopped, and on the very host that still has it, where the order was lost.
+TEST(pool_takeover, task_starts_once_no_host_has_an_earlier_run)
+{
+    pool_driver d(2);
+    d.restore_host("a");
+    d.restore_host("b");
+    d.restore(long_running_submission(1));
+    d.begin();
+    d.list_hosts({"a", "b"});
+    d.store();
+    d.hold("b", {running_run(0, 1)});
+    d.hold("a", {}, {ended_run(1, 0, 2, run_outcome::stopped)});
+    d.advance(50ms);
+    d.hold("a");
+    EXPECT_EQ(d.effects_of<pool_effect::stop>(d.all_effects).size(), 1U);
+    EXPECT_TRUE(d.effects_of<pool_effect::start>(d.tick()).empty());
+    d.hold("b", {running_run(0, 1)});
+    EXPECT_TRUE(d.effects_of<pool_effect::start>(d.tick()).empty());
+    d.hold("b", {}, {ended_run(1, 0, 1, run_outcome::stopped)});
+    const auto starts = d.effects_of<pool_effect::start>(d.tick());
+    ASSERT_EQ(starts.size(), 1U);
+    const auto& runs = d.engine.hosts().at(starts[0].host).runs;
+    EXPECT_EQ(runs.at(task(0)).run, starts[0].run);
+}
+
+// A host may answer only after the tasks have been freed to start elsewhere.
+TEST(pool_takeover, done_end_from_a_late_host_completes_a_task_that_runs_again)
+{
+    pool_driver d(2);
+    d.restore_host("late");
+    d.restore(pool_driver::make_submission(1));
+    d.begin();
+    d.list_hosts({"a"});
+    d.store();
+    d.advance(pool_terms().leases.takeover_wait() + 500ms);
+    d.hold("a");
+    d.answer_starts(d.tick());
+    ASSERT_EQ(d.effects_of<pool_effect::start>(d.all_effects).size(), 1U);
+    d.list_hosts({"a", "late"});
+    d.hold("late", {}, {ended_run(1, 0, 1, run_outcome::done)});
+    EXPECT_EQ(d.effects_of<pool_effect::stop>(d.all_effects).size(), 1U);
+    d.store();
+    EXPECT_EQ(d.engine.find(submission_id)->phase, submission_phase::completed);
+}
+
+TEST(pool_takeover, done_member_completes_a_gang_that_runs_again)
+{
+    for (const bool end_first : {true, false})
+    {
+        auto gang = pool_driver::make_submission(2);
+        gang.spec.steps[0].gang = true;
+        pool_driver d(3);
+        d.restore_host("a");
+        d.restore_host("b");
+        d.restore(gang);
+        d.begin();
+        d.list_hosts({"a", "b"});
+        d.store();
+        if (end_first)
+            d.hold("a", {}, {ended_run(1, 0, 1, run_outcome::done)});
+        d.hold("b", {running_run(0, 2), running_run(1, 2)});
+        if (!end_first)
+            d.hold("a", {}, {ended_run(1, 0, 1, run_outcome::done)});
+        EXPECT_EQ(d.effects_of<pool_effect::stop>(d.all_effects).size(), 2U)
+            << end_first;
+        d.store();
+        EXPECT_EQ(
+            d.engine.find(submission_id)->phase, submission_phase::completed);
+    }
+}
+
+// A task in progress without a run on any host must not exist. Should one, it
+// goes on.
+TEST(pool_takeover, task_in_progress_without_a_run_is_started_again)
+{
+    pool_driver d;
+    d.engine.restore(
+        pool_driver::make_submission(1), d.now, [](submission_state& s) {
+            auto& occurrence = s.occurrences[0];
+            occurrence.steps.resize(1);
+            occurrence.steps[0].tasks.resize(1);
+            occurrence.steps[0].tasks[0].phase = task_phase::starting;
+            occurrence.steps[0].tasks[0].host = "a";
+        });
+    d.connect_hosts({"a"});
+    d.tick();
+    const auto decisions = d.effects_of<pool_effect::decision>(d.all_effects);
+    EXPECT_EQ(
+        std::ranges::count(
+            decisions, "task_repaired", &pool_effect::decision::name),
+        1);
+    EXPECT_EQ(d.effects_of<pool_effect::start>(d.all_effects).size(), 1U);
+}
+
+// The same facts, reported by the hosts in any order, with the changes stored
+// after each report or after all, lead to the same runs.
+RC_GTEST_PROP(pool_takeover, reports_in_any_order_lead_to_the_same_runs, ())
+{
+    const auto kind = *rc::gen::inRange(0, 3);
+    auto submission = pool_driver::make_submission(1);
+    submission.terms.max_attempts = 100;
+    submission.spec.steps[0].long_running = kind == 1;
+    submission.spec.steps[0].gang = kind == 2;
+    constexpr std::uint32_t max_runs = 4;
+    std::vector<host_facts> facts(3);
+    std::vector<std::uint64_t> ends(facts.size());
+    for (std::size_t i = 0; i < facts.size(); ++i)
+        facts[i].host = std::string(1, static_cast<char>('a' + i));
+    for (std::uint32_t run = 1; run <= max_runs; ++run)
+    {
+        const auto at = *rc::gen::inRange<std::size_t>(0, facts.size());
+        switch (*rc::gen::inRange(0, 5))
+        {
+        case 0:
+            facts[at].running = {running_run(0, run)};
+            break;
+        case 1:
+        case 2:
+            facts[at].ended.push_back(ended_run(
+                ++ends[at], 0, run,
+                *rc::gen::element(
+                    run_outcome::failed, run_outcome::stopped,
+                    run_outcome::lease_expired)));
+            break;
+        case 3:
+            if (kind != 1)
+                facts[at].ended.push_back(
+                    ended_run(++ends[at], 0, run, run_outcome::done));
+            break;
+        default:
+            break;
+        }
+    }
+    // A host ends its run before it takes on a newer one.
+    for (auto& host : facts)
+        if (!host.running.empty() &&
+            std::ranges::any_of(host.ended, [&](const ended_row& row) {
+                return row.run > host.running.front().run;
+            }))
+            host.running.clear();
+    std::vector<std::size_t> order(facts.size());
+    std::iota(order.begin(), order.end(), 0);
+    const auto first = conclude(submission, facts, order, false);
+    while (std::ranges::next_permutation(order).found)
+        for (const bool store_each : {false, true})
+        {
+            const auto other = conclude(submission, facts, order, store_each);
+            if (other != first)
+                RC_FAIL(
+                    describe(facts, first) + "in another order:\n" +
+                    describe({}, other));
+        }
+}
+
 } // namespace dandeliontack::test
