--- a/src/libnode/fleet_duty.cpp
+++ b/src/libnode/fleet_duty.cpp
@@ -631,9 +631,11 @@
 asio::awaitable<void> fleet_duty::report_order(
     listed_machine machine, std::optional<std::chrono::milliseconds> born)
 {
-    if (!machine.host.empty() && born)
-        co_await report_host_ended(
-            {std::move(machine), *born}, read_clocks().steady);
+    const auto self = shared_from_this();
+    if (machine.host.empty() || !born)
+        co_return;
+    departed_host departed{std::move(machine), *born};
+    co_await report_host_ended(std::move(departed), read_clocks().steady);
 }
 
 // Tells the owners which hosts have ended without an order of the duty, so that
