Store what hosts no longer run after the ends that it follows from

A task that had ended as done was started again by the successor of an owner that was handing over. Cause: the batch was sent in two calls, the records of hosts first, and the owner was lost between them; the host was stored as closed without the task, whose end was not stored yet. Change: records of hosts come last in a batch. Why it works: a prefix of a batch then holds the ends without the hosts' new state, which only makes a successor wait.

The new test of shard_records fails with the records in the former order.

--- a/src/libnode/ownership_history_test.cpp
+++ b/src/libnode/ownership_history_test.cpp
@@ -1092,6 +1092,13 @@
 
 } // namespace
 
+// Guards against a hand-over cut between two calls, after which a task that was
+// done ran again: 103 histories show it.
+TEST(ownership_history, plain_submissions)
+{
+    play({submission_kind::plain});
+}
+
 // Guards against review/7: a successor took the failed end of an earlier run
 // for that of the newest, stopped the sound newer run and started another.
 TEST(ownership_history, lasting_submissions)
--- a/src/libnode/shard_records.cpp
+++ b/src/libnode/shard_records.cpp
@@ -102,12 +102,6 @@
     const auto add_tombstone = [&](std::string key) {
         out.push_back({std::move(key), {}, 0});
     };
-    for (const auto& host : changes.dropped_hosts)
-        add_tombstone(host_key(host));
-    for (const auto& id : changes.used_hosts)
-        if (const auto host = engine.hosts().find(id);
-            host != engine.hosts().end())
-            out.push_back(host_record(engine, host->second, record_bytes));
     for (const auto id : changes.accepted)
         if (const auto* s = engine.state_of(id))
             out.push_back({submission_key(id), encode(s->record), 0});
@@ -135,6 +129,14 @@
         add_tombstone(task_key(task));
     for (const auto id : changes.forgotten)
         add_tombstone(progress_key({id, 0, 0}));
+    // That a host has no run of a task any more follows from the ends in the
+    // same batch, so it must not be stored without them.
+    for (const auto& host : changes.dropped_hosts)
+        add_tombstone(host_key(host));
+    for (const auto& id : changes.used_hosts)
+        if (const auto host = engine.hosts().find(id);
+            host != engine.hosts().end())
+            out.push_back(host_record(engine, host->second, record_bytes));
     return out;
 }
 
--- a/src/libnode/shard_records_test.cpp
+++ b/src/libnode/shard_records_test.cpp
@@ -243,6 +243,27 @@
     EXPECT_FALSE(use->closed);
 }
 
+// Guards against a hand-over that is cut between two calls: the host's record
+// said that it has no run of the task, and the end of that run was not stored.
+TEST(shard_records, host_without_a_run_is_not_stored_before_the_end_of_the_run)
+{
+    shard owner(1, {});
+    owner.apply(pool_event::submitted{submission({1})});
+    owner.store();
+    ASSERT_EQ(owner.start().size(), 1U);
+    owner.hold({{1, {id, 0, 0, 0}, 1, run_outcome::done, {}}});
+    owner.engine.begin_handover();
+    auto records =
+        records_of(owner.engine, owner.engine.take_changes(), record_bytes);
+    records.pop_back();
+    for (auto& record : records)
+        owner.stored[record.key] = record.value;
+    const auto use = decode_host_use(owner.stored.at(host_key("a")));
+    ASSERT_TRUE(use);
+    EXPECT_FALSE(use->closed);
+    EXPECT_TRUE(owner.stored.contains(progress_key({id, 0, 0})));
+}
+
 // Past occurrences of a schedule leave nothing but their numbers.
 TEST(shard_records, past_occurrences_take_no_room)
 {
