Take a submission as failed once its failures are stored

Cause: failures that were to be stored with a later batch counted as soon as an earlier one was stored. The submission was finished in memory, its unstored ends were dropped, and ends that came then were acknowledged at once. The log has submission_finished before the append with the failure was sent.

Change: attempts are used up only if the newest end of the task, for a gang of each member, is stored. A run is not stopped for a cancel that is not stored. GET shows a submission once it is accepted, and one that the store refused as failed once that is stored. A holder of the fleet duty reports waves that are stored as completed, which the last holder may not have reported.

Why it works: a successor comes to the same result by the same records, so nothing that is ordered or acknowledged after it can contradict that.

Ruled out: dating failures one by one; what a task's newest batch holds covers all older ones.

With the conditions taken out, four new tests of tack_sched fail, and completed_wave_is_reported_by_each_holder without its report.

--- a/src/include/dandeliontack/fleet_duty.hpp
+++ b/src/include/dandeliontack/fleet_duty.hpp
@@ -84,6 +84,8 @@
     boost::asio::awaitable<bool>
     record_orders(std::vector<std::string> machines);
     boost::asio::awaitable<void> report_wave(std::string wave, bool completed);
+    /// Reports the waves that are stored as completed, once each.
+    boost::asio::awaitable<void> report_completed_waves();
     boost::asio::awaitable<void>
     order_upkeep(std::string wave, listed_machine machine);
     boost::asio::awaitable<void> evacuate_host(listed_machine machine);
@@ -125,6 +127,7 @@
         bool requested = false;
         bool completed = false;
         bool reported = false;
+        bool completion_reported = false;
         /// Machines for which an upkeep order is in progress.
         std::set<std::string> ordering;
         wall_time began;
--- a/src/include/dandeliontack/pool_engine.hpp
+++ b/src/include/dandeliontack/pool_engine.hpp
@@ -28,9 +28,12 @@
 struct submission_view
 {
     submission_phase phase = submission_phase::queued;
-    /// The batch that has to be stored before the owner may report this status;
-    /// 0 if it may be reported at once.
+    /// The batch that has to be stored before the owner may confirm that the
+    /// submission is accepted or cancelled; 0 if it may do so at once.
     std::uint64_t after_batch = 0;
+    /// The batch that has to be stored before the owner may show the phase: a
+    /// successor would not come to it by what is stored. 0 if there is none.
+    std::uint64_t shown_after = 0;
 };
 
 /// Scheduler state machine of one shard of pools: applies events to the state
@@ -107,6 +110,10 @@
     {
         submission_phase phase;
         boot_time since;
+        /// The batch that contains it; 0 if it was restored.
+        std::uint64_t stored_in = 0;
+        /// See `submission_view`.
+        std::uint64_t shown_after = 0;
     };
 
     void on(const pool_event::submitted& e);
--- a/src/libnode/fleet_duty.cpp
+++ b/src/libnode/fleet_duty.cpp
@@ -399,6 +399,7 @@
             co_await pause_for(context_.executor, claim_check_interval);
             continue;
         }
+        co_await report_completed_waves();
         const auto asked = read_clocks().steady;
         const auto boots = known_boots_();
         auto listed = co_await platform_.list();
@@ -470,7 +471,7 @@
         waves_[name].completed = true;
         const bool saved = co_await save_wave(name);
         if (saved)
-            co_await report_wave(name, true);
+            co_await report_completed_waves();
         co_return;
     }
     for (const auto& machine : step.evacuate)
@@ -878,6 +879,19 @@
     moving_.erase(machine.name);
 }
 
+// The previous holder may have been lost after it had stored that a wave is
+// completed and before it reported that.
+asio::awaitable<void> fleet_duty::report_completed_waves()
+{
+    const auto self = shared_from_this();
+    std::vector<std::string> names;
+    for (auto& [name, wave] : waves_)
+        if (wave.completed && !std::exchange(wave.completion_reported, true))
+            names.push_back(name);
+    for (const auto& name : names)
+        co_await report_wave(name, true);
+}
+
 asio::awaitable<void> fleet_duty::report_wave(std::string name, bool completed)
 {
     append_call call{
--- a/src/libnode/ownership_history_test.cpp
+++ b/src/libnode/ownership_history_test.cpp
@@ -43,8 +43,10 @@
 constexpr auto longest_lease = 10'000ms;
 constexpr auto renewal_interval = 400ms;
 constexpr auto entry_expiry = 4500ms;
-// Mean number of steps between two faults.
-constexpr int fault_steps = 40;
+// Bounds of the mean number of steps between two faults of a history.
+constexpr int fault_kinds = 12;
+constexpr int min_fault_steps = 20;
+constexpr int max_fault_steps = 80;
 constexpr auto calm_time = 40s;
 constexpr int default_histories = 1000;
 constexpr std::uint64_t default_seed = 20261206;
@@ -187,7 +189,9 @@
         }
         failure_percent_ = draw(0, 60);
         late_percent_ = draw(0, 3) == 0 ? 5 : 0;
-        slow_store_ = draw(0, 3) == 0;
+        slow_store_ = draw(0, 2) == 0;
+        fault_steps_ = draw(min_fault_steps, max_fault_steps);
+        frequent_fault_ = draw(0, fault_kinds);
     }
 
     // Returns the rule that was broken, or nothing.
@@ -200,7 +204,7 @@
         const auto faults_end = now_ + draw(2000ms, 16'000ms);
         while (now_ < faults_end && !broken_)
         {
-            if (draw(0, fault_steps) == 0)
+            if (draw(0, fault_steps_) == 0)
                 cause_fault();
             step();
         }
@@ -924,7 +928,7 @@
     {
         auto& h = hosts_[static_cast<std::size_t>(
             draw(0, static_cast<int>(hosts_.size())))];
-        switch (draw(0, 12))
+        switch (draw(0, 2) == 0 ? frequent_fault_ : draw(0, fault_kinds))
         {
         case 0:
             lose_owner();
@@ -1064,6 +1068,8 @@
     bool slow_store_ = false;
     bool is_calm_ = false;
     int failure_percent_ = 0;
+    int fault_steps_ = 0;
+    int frequent_fault_ = 0;
     int late_percent_ = 0;
     std::map<std::uint64_t, submission_record> records_;
     std::map<std::uint64_t, submission_kind> kind_of_;
@@ -1093,12 +1099,19 @@
 } // namespace
 
 // Guards against a hand-over cut between two calls, after which a task that was
-// done ran again: 103 histories show it.
+// done ran again.
 TEST(ownership_history, plain_submissions)
 {
     play({submission_kind::plain});
 }
 
+// Guards against review/9: a submission was taken as failed before its failures
+// were stored.
+TEST(ownership_history, failing_submissions)
+{
+    play({submission_kind::failing});
+}
+
 // Guards against review/7: a successor took the failed end of an earlier run
 // for that of the newest, stopped the sound newer run and started another.
 TEST(ownership_history, lasting_submissions)
--- a/src/libnode/shard_owner.cpp
+++ b/src/libnode/shard_owner.cpp
@@ -945,8 +945,8 @@
     const auto view = engine_->find(id);
     if (!view)
         co_return shard_answer{shard_outcome::not_found, {}};
-    co_return shard_answer{
-        shard_outcome::done, std::string(to_string(view->phase))};
+    const auto outcome = co_await wait_until_stored(view->shown_after);
+    co_return shard_answer{outcome, std::string(to_string(view->phase))};
 }
 
 asio::awaitable<shard_answer> shard_owner::pending(std::string route)
--- a/src/libsched/pool_engine.cpp
+++ b/src/libsched/pool_engine.cpp
@@ -132,7 +132,8 @@
 }
 
 // Applies the ends of a step's tasks that are stored up to `batch`. Returns
-// whether a task or the gang has used up its attempts.
+// whether a task or the gang has used up its attempts, by stored ends alone: a
+// successor has to come to the same result.
 bool apply_stored_ends(
     step_state& step, const step_spec& spec, std::uint32_t max_attempts,
     std::uint64_t batch)
@@ -152,10 +153,15 @@
     step.done = count_done();
     if (!has_attempt_limit(spec))
         return false;
+    const auto is_stored = [&](const task_state& t) {
+        return t.recorded_in <= batch;
+    };
     if (spec.gang)
-        return step.done == 0 && gang_failures_of(step) >= max_attempts;
+        return step.done == 0 && std::ranges::all_of(step.tasks, is_stored) &&
+               gang_failures_of(step) >= max_attempts;
     return std::ranges::any_of(step.tasks, [&](const task_state& t) {
-        return t.phase != task_phase::done && failures_of(t) >= max_attempts;
+        return t.phase != task_phase::done && is_stored(t) &&
+               failures_of(t) >= max_attempts;
     });
 }
 
@@ -295,7 +301,7 @@
 void pool_engine::restore_finished(
     std::uint64_t submission, submission_phase phase, moment now)
 {
-    finished_[submission] = {phase, now.steady};
+    finished_[submission] = {phase, now.steady, 0, 0};
 }
 
 void pool_engine::restore_host(const host_use& use, moment now)
@@ -646,6 +652,9 @@
         else
         {
             finish(*s, submission_phase::failed);
+            // A successor does not know what the store has refused.
+            auto& ended = finished_.at(id);
+            ended.shown_after = ended.stored_in;
         }
     }
 }
@@ -836,9 +845,9 @@
     {
         t.phase = task_phase::recording;
         t.ended_done = settles;
-        t.recorded_in = next_batch_;
         t.host.clear();
     }
+    t.recorded_in = next_batch_;
     t.recorded_run = std::max(t.recorded_run, row.run);
     mark_started(s);
     note_progress(s, row.task);
@@ -1030,11 +1039,8 @@
 // is done.
 bool pool_engine::is_adoptable(const task_ref& task, std::uint32_t run)
 {
-    const auto* s = active_submission(task.submission);
     const auto* t = find_task(task);
-    if (!s || !t || s->cancelled_in != 0 || run <= t->run)
-        return false;
-    return !is_done(*t);
+    return t && run > t->run && !is_done(*t);
 }
 
 void pool_engine::adopt_run(host_state& h, const running_row& row)
@@ -1337,7 +1343,7 @@
     effects_.emplace_back(pool_effect::finished{
         id, to_string(phase), s.record.terms.route, s.record.terms.pool,
         delays_of(s, estimate_factor(s), now_.steady)});
-    finished_[id] = {phase, now_.steady};
+    finished_[id] = {phase, now_.steady, next_batch_, 0};
     changes_.finished.push_back(id);
     std::ranges::copy(
         s.stored_parts, std::back_inserter(changes_.dropped_parts));
@@ -1733,13 +1739,16 @@
 std::optional<submission_view> pool_engine::find(std::uint64_t id) const
 {
     if (const auto done = finished_.find(id); done != finished_.end())
-        return submission_view{done->second.phase, 0};
+        return submission_view{
+            done->second.phase, done->second.shown_after,
+            done->second.shown_after};
     const auto found = active_.find(id);
     if (found == active_.end())
         return std::nullopt;
     const auto& s = found->second;
     return submission_view{
-        s.phase, s.cancelled_in != 0 ? s.cancelled_in : s.accepted_in};
+        s.phase, s.cancelled_in != 0 ? s.cancelled_in : s.accepted_in,
+        s.accepted_in};
 }
 
 const submission_state* pool_engine::state_of(std::uint64_t id) const
--- a/src/libsched/pool_hosts_test.cpp
+++ b/src/libsched/pool_hosts_test.cpp
@@ -676,4 +676,80 @@
     EXPECT_EQ(d.effects_of<pool_effect::start>(d.tick()).size(), 1U);
 }
 
+// Guards against review/9: a submission was taken as failed while its last
+// failure was not stored. What ended then was acknowledged and forgotten, and a
+// successor ran it again.
+TEST(pool_hosts, failures_of_a_later_batch_do_not_count_with_an_earlier_one)
+{
+    pool_driver d;
+    d.connect_hosts({"a"});
+    auto submission = pool_driver::make_submission(3);
+    submission.terms.max_attempts = 1;
+    d.submit(submission);
+    d.answer_starts(d.tick());
+    d.hold("a", {}, {ended_run(1, 1, 1, run_outcome::done)});
+    const auto first = d.engine.take_changes();
+    d.hold("a", {}, {ended_run(2, 0, 1, run_outcome::failed)});
+    d.apply(pool_event::batch_stored{first.batch});
+    EXPECT_EQ(d.engine.find(submission_id)->phase, submission_phase::running);
+    d.hold("a", {}, {ended_run(3, 2, 1, run_outcome::done)});
+    EXPECT_EQ(d.engine.hosts().at("a").ack_cursor, 1U);
+    d.store();
+    EXPECT_EQ(d.engine.find(submission_id)->phase, submission_phase::failed);
+}
+
+TEST(pool_hosts, gang_fails_once_its_failures_are_stored)
+{
+    pool_driver d(3);
+    d.restore_host("a");
+    d.restore_host("b");
+    auto gang = pool_driver::make_submission(2);
+    gang.terms.max_attempts = 2;
+    gang.spec.steps[0].gang = true;
+    d.restore(gang);
+    d.begin();
+    d.list_hosts({"a", "b"});
+    d.store();
+    d.hold("a", {}, {ended_run(1, 0, 1, run_outcome::failed)});
+    const auto first = d.engine.take_changes();
+    d.hold("b", {}, {ended_run(1, 1, 2, run_outcome::failed)});
+    d.apply(pool_event::batch_stored{first.batch});
+    EXPECT_EQ(d.engine.find(submission_id)->phase, submission_phase::running);
+    d.store();
+    EXPECT_EQ(d.engine.find(submission_id)->phase, submission_phase::failed);
+}
+
+// A successor would not know of the cancel.
+TEST(pool_hosts, run_is_not_stopped_for_a_cancel_that_is_not_stored)
+{
+    pool_driver d(2);
+    d.restore_host("a");
+    d.restore(pool_driver::make_submission(1));
+    d.begin();
+    d.list_hosts({"a"});
+    d.store();
+    d.apply(pool_event::cancelled{submission_id});
+    d.hold("a", {running_run(0, 1)});
+    EXPECT_TRUE(d.effects_of<pool_effect::stop>(d.all_effects).empty());
+    d.store();
+    EXPECT_EQ(d.effects_of<pool_effect::stop>(d.all_effects).size(), 1U);
+    EXPECT_EQ(d.engine.find(submission_id)->phase, submission_phase::cancelled);
+}
+
+// A phase is shown once a successor would show it too.
+TEST(pool_hosts, phase_that_only_this_owner_knows_is_not_shown)
+{
+    pool_driver d;
+    d.connect_hosts({"a"});
+    d.apply(pool_event::submitted{pool_driver::make_submission(1)});
+    const auto accepted_in = d.engine.find(submission_id)->shown_after;
+    EXPECT_EQ(d.store().batch, accepted_in);
+    EXPECT_EQ(d.engine.find(submission_id)->shown_after, 0U);
+    d.answer_starts(d.tick());
+    d.apply(pool_event::records_refused{{submission_id}, {}});
+    EXPECT_EQ(d.engine.find(submission_id)->phase, submission_phase::failed);
+    const auto shown_after = d.engine.find(submission_id)->shown_after;
+    EXPECT_EQ(d.store().batch, shown_after);
+}
+
 } // namespace dandeliontack::test
--- a/testsuite/fleet_nodes/fleet_nodes_test.cpp
+++ b/testsuite/fleet_nodes/fleet_nodes_test.cpp
@@ -519,6 +519,31 @@
     check_runs();
 }
 
+// Guards against a holder of the fleet duty that is lost between storing that a
+// wave is completed and reporting it, and against the end of its process on a
+// report about an ordered machine.
+TEST_F(node_fleet, completed_wave_is_reported_by_each_holder)
+{
+    start_nodes();
+    post(
+        platform_address_, "/wave?name=1",
+        R"({"wave":1,"machines":["m-i-0","m-i-1"],"durationS":20,)"
+        R"("maxCount":1})");
+    const auto reports = [&] {
+        return std::stoi(
+            get(platform_address_, "/records?topic=keyed.status&key=wave/1")
+                .body());
+    };
+    // Running, then completed.
+    ASSERT_TRUE(eventually([&] { return reports() == 2; }));
+    for (auto& [name, process] : nodes_)
+        EXPECT_FALSE(process.wait_exit(std::chrono::milliseconds(0))) << name;
+    for (auto& [name, process] : nodes_)
+        process.send_signal(SIGKILL);
+    start_nodes();
+    EXPECT_TRUE(eventually([&] { return reports() == 3; }));
+}
+
 TEST_F(node_fleet, hands_over_in_a_planned_stop)
 {
     start_nodes();
--- a/testsuite/standins/fleet/main.cpp
+++ b/testsuite/standins/fleet/main.cpp
@@ -1,6 +1,9 @@
 // Takes the place of the platform that nodes run on: the store, the list of
 // machines, and hosts that run tasks. Beside the platform's calls:
 //   POST /configuration          puts the body into force
+//   POST /wave?name=NAME         requests a wave of upkeep, the body; upkeep
+//   and
+//                                moves are accepted and change nothing
 //   POST /fault?mode=MODE        none, down (503) or lose-answers (appends)
 //   POST /entry                  an entry among the hosts', as another writer
 //                                leaves it: its key, a line break, its bytes
@@ -156,8 +159,14 @@
                                        query_value(target, "topic"),
                                        query_value(target, "key"))
                                    .size()));
+        if (path == "/machine-upkeep" || path == "/machine-move")
+            co_return make_response(http::status::ok, "application/json", "{}");
         if (path == "/configuration")
             store_.put("keyed.op", "config", request.body());
+        else if (path == "/wave")
+            store_.put(
+                "keyed.op", "wave/" + query_value(target, "name"),
+                request.body());
         else if (path == "/entry")
             store_.put(
                 "keyed.servers",
