Start long-running tasks again however they end

Cause: the end of a run as done made a task done whatever the kind of its step, and the stored record said so to successors too. The log has run_ended and nothing after it.

Change: a long-running task is never done, in the present run, in one of a past owner, in a gang, in a repetition, or in a record of an earlier version. Such an end is stored like a failed one, and nothing is learned from it about the host or the duration of tasks. A task whose runs end soon time after time, as done or as failed, is started again at intervals that grow to 4 s.

Why it works: nothing sets a task of such a step to done any more, so that it is a candidate for a start whenever it has no run.

Ruled out: no pause at all, which gives some 20 starts a second for as long as a program leaves at once.

--- a/src/include/dandeliontack/pool_engine.hpp
+++ b/src/include/dandeliontack/pool_engine.hpp
@@ -142,6 +142,7 @@
         host_state& h, submission_state& s, task_state& t,
         const ended_row& row);
     void complete_gang(submission_state& s, const task_ref& member);
+    void delay_restart(task_state& t) const;
     /// Reserves capacity on the host for a run, in place of any other run of
     /// the task there.
     std::map<task_ref, host_run>::iterator
--- a/src/include/dandeliontack/pool_state.hpp
+++ b/src/include/dandeliontack/pool_state.hpp
@@ -40,8 +40,9 @@
     std::set<std::uint32_t> failed_runs;
     /// Failed runs that are counted, but no longer in `failed_runs`.
     std::uint32_t older_failures = 0;
-    /// While `recording`: whether the stored end is `done`, and the batch that
-    /// contains it.
+    /// While `recording`: whether the task is done with the end that is being
+    /// stored, and the batch that contains the newest end. A long-running task
+    /// is never done.
     bool ended_done = false;
     std::uint64_t recorded_in = 0;
     /// A previous owner may have started it on a host that this owner has not
@@ -58,6 +59,9 @@
     /// When `percent` last rose.
     boot_time progressed;
     boot_time retry_at;
+    /// For a long-running task: how many of its last runs in a row ended soon
+    /// after their start.
+    std::uint32_t short_runs = 0;
 };
 
 /// Whether the task has ended as done, also if that is not stored yet.
--- a/src/libnode/ownership_history_test.cpp
+++ b/src/libnode/ownership_history_test.cpp
@@ -737,9 +737,7 @@
         if (kind == submission_kind::lasting)
         {
             run.left = draw(0, 3) == 0 && !is_calm_ ? draw(100ms, 5000ms) : 1h;
-            run.end = draw(0, 3) == 0 && ends_lasting_as_done
-                          ? run_outcome::done
-                          : run_outcome::failed;
+            run.end = draw(0, 3) == 0 ? run_outcome::done : run_outcome::failed;
         }
         else if (kind == submission_kind::failing)
         {
@@ -1048,8 +1046,6 @@
         });
     }
 
-    static constexpr bool ends_lasting_as_done = false;
-
     std::mt19937_64 random_;
     std::vector<submission_kind> kinds_;
     boot_time now_{1h};
--- a/src/libnode/shard_records_test.cpp
+++ b/src/libnode/shard_records_test.cpp
@@ -264,6 +264,41 @@
     EXPECT_TRUE(owner.stored.contains(progress_key({id, 0, 0})));
 }
 
+// Records of earlier versions say that a long-running task which ended as done
+// is done, by itself or by its place in a part.
+TEST(shard_records, long_running_task_that_is_stored_as_done_goes_on)
+{
+    for (const auto count : {1U, 2U})
+    {
+        auto record = submission({count});
+        shard owner(1, {});
+        owner.apply(pool_event::submitted{record});
+        owner.store();
+        ASSERT_EQ(owner.start().size(), count);
+        owner.hold({{1, {id, 0, 0, 0}, 1, run_outcome::done, {}}});
+        owner.store();
+        // The parts are those of a submission whose tasks end.
+        record.spec.steps[0].long_running = true;
+        auto stored = owner.stored;
+        stored[submission_key(id)] = encode(record);
+        progress_record progress;
+        progress.done_bits = "\x01";
+        progress.tasks = {{{id, 0, 0, 0}, true, {}, 0, 1, {}}};
+        for (const auto& form : {true, false})
+        {
+            auto as_stored = progress;
+            if (form)
+                as_stored.done_bits.clear();
+            else
+                as_stored.tasks.clear();
+            stored[progress_key({id, 0, 0})] = encode(as_stored);
+            shard successor(2, stored, owner.now);
+            ASSERT_TRUE(successor.engine.state_of(id));
+            EXPECT_EQ(successor.start().size(), count);
+        }
+    }
+}
+
 // Past occurrences of a schedule leave nothing but their numbers.
 TEST(shard_records, past_occurrences_take_no_room)
 {
--- a/src/libnode/stored_records.cpp
+++ b/src/libnode/stored_records.cpp
@@ -561,6 +561,7 @@
     return record;
 }
 
+// Earlier versions stored long-running tasks as done if they had ended so.
 void apply_progress(const progress_record& record, submission_state& s)
 {
     if (record.cancelled)
@@ -576,7 +577,8 @@
             continue;
         const auto task = task_with_number(
             s, record.occurrence, std::uint64_t{record.first_task} + at);
-        if (auto* t = task ? state_of(s, *task) : nullptr)
+        if (auto* t = task ? state_of(s, *task) : nullptr;
+            t && !s.record.spec.steps[task->step].long_running)
             t->phase = task_phase::done;
     }
     for (const auto& row : record.tasks)
@@ -585,7 +587,9 @@
         if (!t || t->phase == task_phase::done ||
             row.recorded_run < t->recorded_run)
             continue;
-        t->phase = row.done ? task_phase::done : task_phase::waiting;
+        const bool is_done =
+            row.done && !s.record.spec.steps[row.task.step].long_running;
+        t->phase = is_done ? task_phase::done : task_phase::waiting;
         t->failed_runs = row.failed_runs;
         t->older_failures = row.older_failures;
         t->recorded_run = row.recorded_run;
--- a/src/libsched/pool_engine.cpp
+++ b/src/libsched/pool_engine.cpp
@@ -33,6 +33,12 @@
 // Bounds of the suspension time, which doubles with each suspension in a row.
 constexpr auto min_suspension = 2000ms;
 constexpr auto max_suspension = 8000ms;
+// Runs of a long-running task that end earlier than this are short. From the
+// second in a row, the task is started again after a pause, which doubles with
+// each one up to 4 s.
+constexpr auto steady_run_time = 5000ms;
+constexpr auto min_restart_pause = 250ms;
+constexpr std::uint32_t max_restart_doublings = 4;
 // A host that refused a start, or had no room for it, gets no starts for this
 // time. After a malformed request, the task is not started for its pause.
 constexpr auto refusal_pause = 500ms;
@@ -827,7 +833,8 @@
     const bool counts = row.outcome == run_outcome::failed &&
                         has_attempt_limit(s.record.spec.steps[row.task.step]) &&
                         !t.failed_runs.contains(row.run);
-    const bool settles = row.outcome == run_outcome::done;
+    const bool settles = row.outcome == run_outcome::done &&
+                         !s.record.spec.steps[row.task.step].long_running;
     if (!counts && !settles)
         return false;
     if (settles)
@@ -904,13 +911,15 @@
     log_decision(
         "run_ended", row.task, row.run, h.entry.id,
         std::string(to_string(row.outcome)));
+    t.ended_done = row.outcome == run_outcome::done && !step.long_running;
     switch (row.outcome)
     {
     case run_outcome::done:
+        if (step.long_running)
+            break;
         h.health.failures = 0;
         h.health.suspensions = 0;
         h.health.failed_submissions.clear();
-        t.ended_done = true;
         s.occurrences.at(row.task.occurrence).steps[row.task.step].times.ended =
             now_.steady;
         if (step.estimate.count() > 0 && t.started != boot_time{} &&
@@ -931,13 +940,14 @@
         if (has_attempt_limit(step))
             add_failure(t, row.run);
         t.failed_on.insert(h.entry.id);
-        t.ended_done = false;
         count_failure(h, row.task, t.failed_on);
         break;
     default:
         t.phase = task_phase::waiting;
         return false;
     }
+    if (step.long_running)
+        delay_restart(t);
     t.phase = task_phase::recording;
     t.recorded_in = next_batch_;
     t.recorded_run = row.run;
@@ -947,6 +957,18 @@
     return true;
 }
 
+// A long-running task is started again however it ends. One that ends soon
+// after each start is started at growing intervals.
+void pool_engine::delay_restart(task_state& t) const
+{
+    const bool is_short = now_.steady - t.started < steady_run_time;
+    t.short_runs = is_short ? t.short_runs + 1 : 0;
+    if (t.short_runs < 2)
+        return;
+    const auto doublings = std::min(t.short_runs - 2, max_restart_doublings);
+    t.retry_at = now_.steady + min_restart_pause * (1U << doublings);
+}
+
 // A task that has failed on one host only counts against that host. Once it
 // fails on a second host, the task is considered faulty, and its failure no
 // longer counts against the first host.
