Acknowledge an end once what it led to is stored, whoever reported it first

Cause: the first member's end marked all members as done with the next batch. The ends of the others, listed by another host, changed nothing any more, and were acknowledged at once. The log has the ackCursor for that host while the owner's append is unanswered.

Change: apply_end returns the batch of the newest change of the task, or of the record that its submission is over, and the cursor passes the end once that batch is stored; an end whose record the store refuses waits for that of its submission. A task starts only once all its known ends are stored. While ends wait, the next hold waits for the newest of their batches.

Why it works: whatever the cursor passes was stored before, or led to nothing that a successor would do otherwise.

Ruled out: tying each end to the next batch; ends that are stored already would wait for an append that nothing else asks for.

--- a/src/include/dandeliontack/pool_engine.hpp
+++ b/src/include/dandeliontack/pool_engine.hpp
@@ -131,14 +131,15 @@
     void on(const pool_event::tick& e);
 
     void open_occurrences(submission_state& s);
-    /// Applies a run that the host lists as ended. Returns whether the end has
-    /// to be stored before it is acknowledged to the host.
-    bool apply_end(host_state& h, const ended_row& row);
+    /// Applies a run that the host lists as ended. Returns the batch that has
+    /// to be stored before the end is acknowledged to the host, after which the
+    /// host may forget it.
+    std::uint64_t apply_end(host_state& h, const ended_row& row);
     void apply_ends(host_state& h, const host_report& report);
-    bool end_newest_run(
+    void end_newest_run(
         host_state& h, submission_state& s, task_state& t,
         const ended_row& row);
-    bool end_older_run(
+    void end_older_run(
         host_state& h, submission_state& s, task_state& t,
         const ended_row& row);
     void complete_gang(submission_state& s, const task_ref& member);
@@ -161,7 +162,7 @@
     void
     apply_running(host_state& h, const running_row& row, host_time reported);
     void release_missing(host_state& h, const pool_event::host_reported& e);
-    void advance_ack_cursor(host_state& h);
+    void advance_ack_cursor(host_state& h) const;
     void release(host_state& h, const task_ref& task, std::string_view reason);
     void release_all(host_state& h, std::string_view reason);
     void remove_run(host_state& h, const task_ref& task);
@@ -237,6 +238,8 @@
     std::map<std::string, host_state> hosts_;
     pool_changes changes_;
     std::uint64_t next_batch_ = 1;
+    /// All batches up to this one are stored.
+    std::uint64_t stored_batch_ = 0;
     std::map<std::uint64_t, std::set<std::uint64_t>> unstored_progress_;
     /// Arriving work in host milliseconds, by pool.
     std::map<std::string, arrival_rate> arrivals_;
--- a/src/include/dandeliontack/pool_state.hpp
+++ b/src/include/dandeliontack/pool_state.hpp
@@ -202,6 +202,17 @@
     boot_time avoid_until;
 };
 
+/// An end that a host lists and may not forget yet.
+struct unacknowledged_end
+{
+    /// The host's number of the end.
+    std::uint64_t number = 0;
+    std::uint64_t submission = 0;
+    /// The batch with which everything is stored that follows from the end, and
+    /// from earlier ends of the task.
+    std::uint64_t batch = 0;
+};
+
 struct host_state
 {
     host_entry entry;
@@ -230,9 +241,8 @@
     std::map<task_ref, host_run> runs;
     std::uint64_t last_seen_end = 0;
     std::uint64_t ack_cursor = 0;
-    /// Ends that are not acknowledged yet, as pairs of the host's end number
-    /// and the batch that stores it, in the host's order.
-    std::deque<std::pair<std::uint64_t, std::uint64_t>> unstored_ends;
+    /// Ends that are not acknowledged yet, in the host's order.
+    std::deque<unacknowledged_end> unacknowledged_ends;
     host_health health;
     boot_time blocked_until;
     boot_time evacuate_until;
--- a/src/libnode/ownership_history_test.cpp
+++ b/src/libnode/ownership_history_test.cpp
@@ -562,8 +562,8 @@
                 grant(h, *until);
             acknowledge(h, known->second.ack_cursor);
         }
-        const bool waits =
-            known->second.contacted && known->second.unstored_ends.empty();
+        const bool waits = known->second.contacted &&
+                           known->second.unacknowledged_ends.empty();
         call.made = now_ + (waits ? draw(0ms, 300ms) : draw(0ms, 40ms));
         call.arrives =
             call.made + (draw(0, 10) == 0 ? draw(0ms, 600ms) : draw(0ms, 40ms));
@@ -1108,6 +1108,13 @@
     play({submission_kind::failing});
 }
 
+// Guards against review/8: ends of the members of a gang were acknowledged
+// before the end of the gang was stored.
+TEST(ownership_history, gangs)
+{
+    play({submission_kind::gang});
+}
+
 // Guards against review/7: a successor took the failed end of an earlier run
 // for that of the newest, stopped the sound newer run and started another.
 TEST(ownership_history, lasting_submissions)
--- a/src/libnode/shard_owner.cpp
+++ b/src/libnode/shard_owner.cpp
@@ -662,7 +662,7 @@
         const platform::host_address address{id, host.entry.address, epoch()};
         // The first request must not wait: its answer brings the clock that a
         // lease needs. With ends awaiting storage the host answers at once.
-        const bool wait = host.contacted && host.unstored_ends.empty();
+        const bool wait = host.contacted && host.unacknowledged_ends.empty();
         const auto sent = read_clocks();
         const auto lease_end = engine_->extend_lease(id, sent);
         auto request = platform::encode_hold(
@@ -704,9 +704,13 @@
         apply(pool_event::host_reported{
             id, born, sent.steady, std::move(std::get<host_report>(report))});
         const auto now = engine_->hosts().find(id);
-        if (now != engine_->hosts().end() && !now->second.unstored_ends.empty())
+        if (now != engine_->hosts().end() &&
+            !now->second.unacknowledged_ends.empty())
         {
-            const auto batch = now->second.unstored_ends.back().second;
+            const auto batch = std::ranges::max(
+                                   now->second.unacknowledged_ends, {},
+                                   &unacknowledged_end::batch)
+                                   .batch;
             if (stored_batch_ < batch)
                 co_await stored_signal_.wait(store_wait);
         }
--- a/src/libsched/pool_engine.cpp
+++ b/src/libsched/pool_engine.cpp
@@ -596,6 +596,7 @@
 
 void pool_engine::on(const pool_event::batch_stored& e)
 {
+    stored_batch_ = e.batch;
     while (!unstored_progress_.empty() &&
            unstored_progress_.begin()->first <= e.batch)
     {
@@ -623,12 +624,7 @@
     {
         if (h.recorded_in != 0 && h.recorded_in <= e.batch)
             h.recorded_in = 0;
-        while (!h.unstored_ends.empty() &&
-               h.unstored_ends.front().second <= e.batch)
-        {
-            h.ack_cursor = h.unstored_ends.front().first;
-            h.unstored_ends.pop_front();
-        }
+        advance_ack_cursor(h);
     }
 }
 
@@ -661,6 +657,10 @@
             // A successor does not know what the store has refused.
             auto& ended = finished_.at(id);
             ended.shown_after = ended.stored_in;
+            for (auto& [name, h] : hosts_)
+                for (auto& end : h.unacknowledged_ends)
+                    if (end.submission == id)
+                        end.batch = ended.stored_in;
         }
     }
 }
@@ -772,7 +772,7 @@
     h.caught_up = false;
     h.last_seen_end = 0;
     h.ack_cursor = 0;
-    h.unstored_ends.clear();
+    h.unacknowledged_ends.clear();
     h.health = {};
     h.fill_percent = full_percent;
     h.recorded_in = next_batch_;
@@ -796,17 +796,16 @@
         if (number <= h.last_seen_end)
             continue;
         h.last_seen_end = number;
-        // An end that changes nothing stored is not tied to a batch.
-        h.unstored_ends.emplace_back(
-            number, row && apply_end(h, *row) ? next_batch_ : 0);
+        // No successor could do more with an end that can't be read.
+        h.unacknowledged_ends.push_back(
+            {number, row ? row->task.submission : 0,
+             row ? apply_end(h, *row) : 0});
     }
 }
 
-// Applies one reported end. Returns true if it has to be stored before it is
-// acknowledged, after which the host may delete it.
-bool pool_engine::apply_end(host_state& h, const ended_row& row)
+std::uint64_t pool_engine::apply_end(host_state& h, const ended_row& row)
 {
-    bool must_store = false;
+    std::uint64_t batch = 0;
     const auto held = h.runs.find(row.task);
     const bool is_held = held != h.runs.end() && held->second.run == row.run;
     auto* s = active_submission(row.task.submission);
@@ -816,18 +815,27 @@
         const bool is_newest =
             row.run > t->run ||
             (row.run == t->run && t->host == h.entry.id && is_in_progress(*t));
-        must_store = is_newest ? end_newest_run(h, *s, *t, row)
-                               : end_older_run(h, *s, *t, row);
+        if (is_newest)
+            end_newest_run(h, *s, *t, row);
+        else
+            end_older_run(h, *s, *t, row);
     }
+    // An end that changes nothing, as an earlier one has led to the same,
+    // stands for what that one has led to if that is lost.
+    if (t)
+        batch = t->recorded_in;
+    else if (const auto ended = finished_.find(row.task.submission);
+             ended != finished_.end())
+        batch = ended->second.stored_in;
     if (is_held)
         remove_run(h, row.task);
-    return must_store;
+    return batch;
 }
 
 // Applies the end of a run of which a newer one is known, or which was given
 // up: hosts may report the runs that several owners started in any order. A
 // failed run still counts as an attempt, and a done one completes the task.
-bool pool_engine::end_older_run(
+void pool_engine::end_older_run(
     host_state& h, submission_state& s, task_state& t, const ended_row& row)
 {
     const bool counts = row.outcome == run_outcome::failed &&
@@ -836,7 +844,7 @@
     const bool settles = row.outcome == run_outcome::done &&
                          !s.record.spec.steps[row.task.step].long_running;
     if (!counts && !settles)
-        return false;
+        return;
     if (settles)
         stop_newest_run(row.task, "an earlier run of the task is done");
     const bool is_open = settles || !is_in_progress(t);
@@ -860,7 +868,6 @@
     note_progress(s, row.task);
     if (settles && s.record.spec.steps[row.task.step].gang)
         complete_gang(s, row.task);
-    return true;
 }
 
 // The members of a gang end as done together, so the end of one is stored for
@@ -891,7 +898,7 @@
 
 // Applies the end of the newest run of a task. That it is newer than the run
 // that counted as such shows that a previous owner had given up the latter.
-bool pool_engine::end_newest_run(
+void pool_engine::end_newest_run(
     host_state& h, submission_state& s, task_state& t, const ended_row& row)
 {
     const auto& step = s.record.spec.steps[row.task.step];
@@ -944,7 +951,7 @@
         break;
     default:
         t.phase = task_phase::waiting;
-        return false;
+        return;
     }
     if (step.long_running)
         delay_restart(t);
@@ -954,7 +961,6 @@
     note_progress(s, row.task);
     if (step.gang && t.ended_done)
         complete_gang(s, row.task);
-    return true;
 }
 
 // A long-running task is started again however it ends. One that ends soon
@@ -1173,12 +1179,13 @@
         t.checkpoint = checkpoint;
 }
 
-void pool_engine::advance_ack_cursor(host_state& h)
+void pool_engine::advance_ack_cursor(host_state& h) const
 {
-    while (!h.unstored_ends.empty() && h.unstored_ends.front().second == 0)
+    while (!h.unacknowledged_ends.empty() &&
+           h.unacknowledged_ends.front().batch <= stored_batch_)
     {
-        h.ack_cursor = h.unstored_ends.front().first;
-        h.unstored_ends.pop_front();
+        h.ack_cursor = h.unacknowledged_ends.front().number;
+        h.unacknowledged_ends.pop_front();
     }
 }
 
--- a/src/libsched/pool_planner.cpp
+++ b/src/libsched/pool_planner.cpp
@@ -88,7 +88,8 @@
 bool pool_planner::may_start(const task_state& t) const
 {
     return t.phase == task_phase::waiting && t.retry_at <= now_.steady &&
-           t.holders == 0 && !(t.inherited && engine_.settling_);
+           t.recorded_in <= engine_.stored_batch_ && t.holders == 0 &&
+           !(t.inherited && engine_.settling_);
 }
 
 std::vector<pool_planner::candidate> pool_planner::collect_candidates()
--- a/src/libsched/pool_takeover_test.cpp
+++ b/src/libsched/pool_takeover_test.cpp
@@ -745,4 +745,106 @@
         }
 }
 
+// Guards against review/8: ends of the other members of a gang were
+// acknowledged before the end of the gang was stored, and the gang ran again.
+TEST(pool_takeover, ends_of_a_gang_wait_for_the_first_to_be_stored)
+{
+    pool_driver d;
+    auto gang = pool_driver::make_submission(4);
+    gang.spec.steps[0].gang = true;
+    gang.spec.steps[0].need = {8000, 1000, 0};
+    d.connect_hosts({"a", "b"});
+    d.submit(gang);
+    const auto effects = d.tick();
+    d.answer_starts(effects);
+    std::map<std::string, std::vector<ended_row>> ends;
+    for (const auto& order : d.effects_of<pool_effect::start>(effects))
+    {
+        auto& listed = ends[order.host];
+        listed.push_back(
+            {listed.size() + 1, order.task, order.run, run_outcome::done, {}});
+    }
+    ASSERT_EQ(ends.size(), 2U);
+    for (const auto* host : {"a", "b"})
+        d.hold(host, {}, ends[host]);
+    for (const auto* host : {"a", "b"})
+        EXPECT_EQ(d.engine.hosts().at(host).ack_cursor, 0U);
+    d.store();
+    for (const auto* host : {"a", "b"})
+        EXPECT_EQ(d.engine.hosts().at(host).ack_cursor, 2U);
+}
+
+// The end of a run that goes on for a moment after an earlier one is done, and
+// a second failure of the same run under two owners, change nothing any more.
+TEST(pool_takeover, end_that_changes_nothing_waits_for_the_one_that_did)
+{
+    for (const auto outcome :
+         {run_outcome::done, run_outcome::failed, run_outcome::stopped})
+    {
+        pool_driver d(3);
+        d.restore_host("a");
+        d.restore_host("b");
+        d.restore(pool_driver::make_submission(2));
+        d.begin();
+        d.list_hosts({"a", "b"});
+        d.store();
+        d.hold("a", {}, {ended_run(1, 0, 1, run_outcome::done)});
+        d.hold("b", {}, {ended_run(1, 0, 2, outcome)});
+        EXPECT_EQ(d.engine.hosts().at("a").ack_cursor, 0U);
+        EXPECT_EQ(d.engine.hosts().at("b").ack_cursor, 0U);
+        d.store();
+        EXPECT_EQ(d.engine.hosts().at("b").ack_cursor, 1U);
+    }
+}
+
+TEST(pool_takeover, ends_of_a_finished_submission_wait_for_its_record)
+{
+    pool_driver d;
+    d.connect_hosts({"a"});
+    auto submission = pool_driver::make_submission(2);
+    submission.terms.max_attempts = 1;
+    d.submit(submission);
+    d.answer_starts(d.tick());
+    d.hold("a", {running_run(1, 1)}, {ended_run(1, 0, 1, run_outcome::failed)});
+    d.store();
+    ASSERT_EQ(d.engine.find(submission_id)->phase, submission_phase::failed);
+    d.hold("a", {}, {ended_run(2, 1, 1, run_outcome::stopped)});
+    EXPECT_EQ(d.engine.hosts().at("a").ack_cursor, 1U);
+    d.store();
+    EXPECT_EQ(d.engine.hosts().at("a").ack_cursor, 2U);
+}
+
+// The store takes the batch without the records that it refuses for good.
+TEST(pool_takeover, end_in_a_refused_record_waits_for_that_of_the_submission)
+{
+    pool_driver d;
+    d.connect_hosts({"a"});
+    d.submit(pool_driver::make_submission(2));
+    d.answer_starts(d.tick());
+    d.hold("a", {running_run(1, 1)}, {ended_run(1, 0, 1, run_outcome::done)});
+    const auto refused = d.engine.take_changes();
+    d.apply(pool_event::records_refused{{submission_id}, {}});
+    d.apply(pool_event::batch_stored{refused.batch});
+    EXPECT_EQ(d.engine.hosts().at("a").ack_cursor, 0U);
+    d.store();
+    EXPECT_EQ(d.engine.hosts().at("a").ack_cursor, 1U);
+}
+
+// A failure that is not stored may be the last one that the task may have.
+TEST(pool_takeover, task_starts_once_every_known_end_of_it_is_stored)
+{
+    pool_driver d(3);
+    d.restore_host("a");
+    d.restore_host("b");
+    d.restore(pool_driver::make_submission(1));
+    d.begin();
+    d.list_hosts({"a", "b"});
+    d.store();
+    d.hold("a", {}, {ended_run(1, 0, 1, run_outcome::failed)});
+    d.hold("b", {}, {ended_run(1, 0, 2, run_outcome::stopped)});
+    EXPECT_TRUE(d.effects_of<pool_effect::start>(d.tick()).empty());
+    d.store();
+    EXPECT_EQ(d.effects_of<pool_effect::start>(d.tick()).size(), 1U);
+}
+
 } // namespace dandeliontack::test
