Know an occurrence by what hosts list of it, whatever the clock says

Cause: ends and runs of an occurrence that is not open met no task.

Change: a run or an end that a host lists opens its occurrence; tasks that have not started wait until it is due by the owner's own clock, also if the store told of it. An occurrence that comes due before the takeover has settled waits for the hosts that have not answered.

Why it works: only an owner that took it as due starts a task of an occurrence, so a run of it is proof enough.

Ruled out: a record for each opened occurrence, an append before each due time.

--- a/src/libnode/ownership_history_test.cpp
+++ b/src/libnode/ownership_history_test.cpp
@@ -1122,4 +1122,19 @@
     play({submission_kind::lasting});
 }
 
+// Guards against an occurrence that a successor does not know, as its clock is
+// behind: its tasks ran again.
+TEST(ownership_history, timed_submissions)
+{
+    play({submission_kind::timed});
+}
+
+TEST(ownership_history, all_kinds)
+{
+    play(
+        {submission_kind::plain, submission_kind::failing,
+         submission_kind::gang, submission_kind::lasting,
+         submission_kind::timed});
+}
+
 } // namespace dandeliontack
--- a/src/libsched/pool_engine.cpp
+++ b/src/libsched/pool_engine.cpp
@@ -388,17 +388,63 @@
         max_open_occurrences);
     for (auto& k = s.next_occurrence; k < total; ++k)
     {
-        const auto due = spec.first_due + spec.interval * k;
-        if ((spec.repetitions > 0 && due > now_.wall) ||
-            s.occurrences.size() >= most_open)
+        if (!is_due(s, k) || s.occurrences.size() >= most_open)
             break;
-        if (s.occurrences.contains(k) || s.occurrences_done.contains(k))
+        if (!s.occurrences.contains(k) && !s.occurrences_done.contains(k))
+            open_occurrence(s, k);
+    }
+}
+
+occurrence_state&
+pool_engine::open_occurrence(submission_state& s, std::uint32_t k)
+{
+    const auto& spec = s.record.spec;
+    auto& occurrence = s.occurrences[k];
+    occurrence.due = spec.repetitions > 0 ? now_.steady : s.arrived;
+    for (std::uint32_t i = 0; i < spec.steps.size(); ++i)
+    {
+        auto& tasks = occurrence.steps.emplace_back().tasks;
+        tasks.resize(spec.steps[i].count);
+        if (s.record.epoch == epoch_)
             continue;
-        auto& occurrence = s.occurrences[k];
-        occurrence.due = spec.repetitions > 0 ? now_.steady : s.arrived;
-        for (const auto& step : spec.steps)
-            occurrence.steps.emplace_back().tasks.resize(step.count);
+        for (std::uint32_t j = 0; j < tasks.size(); ++j)
+            tasks[j].inherited = may_be_inherited({s.record.id, k, i, j});
     }
+    return occurrence;
+}
+
+void pool_engine::open_reported_occurrence(const task_ref& task)
+{
+    auto* s = active_submission(task.submission);
+    if (!s)
+        return;
+    const auto& spec = s->record.spec;
+    if (task.occurrence >= std::max<std::uint32_t>(spec.repetitions, 1) ||
+        s->occurrences.contains(task.occurrence) ||
+        s->occurrences_done.contains(task.occurrence) ||
+        task.step >= spec.steps.size() ||
+        task.index >= spec.steps[task.step].count)
+        return;
+    open_occurrence(*s, task.occurrence);
+    log_decision(
+        "occurrence_opened", task, 0, {},
+        "a host lists a run of it that a previous owner started");
+}
+
+bool pool_engine::is_due(const submission_state& s, std::uint32_t k) const
+{
+    const auto& spec = s.record.spec;
+    return spec.repetitions == 0 ||
+           spec.first_due + spec.interval * k <= now_.wall;
+}
+
+bool pool_engine::may_be_inherited(const task_ref& task) const
+{
+    if (!settling_ || !settled_at_)
+        return settling_;
+    return std::ranges::any_of(unsettled_closed_hosts_, [&](const auto& item) {
+        return item.second.contains(task);
+    });
 }
 
 void pool_engine::on(const pool_event::hosts_listed& e)
@@ -806,6 +852,7 @@
 std::uint64_t pool_engine::apply_end(host_state& h, const ended_row& row)
 {
     std::uint64_t batch = 0;
+    open_reported_occurrence(row.task);
     const auto held = h.runs.find(row.task);
     const bool is_held = held != h.runs.end() && held->second.run == row.run;
     auto* s = active_submission(row.task.submission);
@@ -1090,6 +1137,7 @@
 void pool_engine::apply_running(
     host_state& h, const running_row& row, host_time reported)
 {
+    open_reported_occurrence(row.task);
     auto held = h.runs.find(row.task);
     auto* s = active_submission(row.task.submission);
     auto* t = s ? find_task(row.task) : nullptr;
@@ -1679,11 +1727,6 @@
 
 void pool_engine::release_inherited()
 {
-    const auto may_run = [&](const task_ref& task) {
-        return std::ranges::any_of(
-            unsettled_closed_hosts_,
-            [&](const auto& item) { return item.second.contains(task); });
-    };
     for (auto& [id, s] : active_)
         for (auto& [k, occurrence] : s.occurrences)
             for (std::uint32_t i = 0; i < occurrence.steps.size(); ++i)
@@ -1691,7 +1734,7 @@
                 auto& tasks = occurrence.steps[i].tasks;
                 for (std::uint32_t j = 0; j < tasks.size(); ++j)
                     tasks[j].inherited =
-                        tasks[j].inherited && may_run({id, k, i, j});
+                        tasks[j].inherited && may_be_inherited({id, k, i, j});
             }
 }
 
--- a/src/libsched/pool_takeover_test.cpp
+++ b/src/libsched/pool_takeover_test.cpp
@@ -847,4 +847,86 @@
     EXPECT_EQ(d.effects_of<pool_effect::start>(d.tick()).size(), 1U);
 }
 
+// Guards against an occurrence that the previous owner had opened by a clock
+// that was ahead: ends of its tasks were acknowledged and dropped, and all ran
+// again when it was due by the successor's clock.
+TEST(pool_takeover, occurrence_of_a_clock_that_was_ahead_is_not_run_again)
+{
+    pool_driver d(2);
+    auto timed = pool_driver::make_submission(2);
+    timed.spec.repetitions = 1;
+    timed.spec.first_due = d.now.wall + 1200ms;
+    d.restore_host("a");
+    d.restore(timed);
+    d.begin();
+    d.list_hosts({"a"});
+    d.store();
+    d.hold(
+        "a", {running_run(1, 1, 10)}, {ended_run(1, 0, 1, run_outcome::done)});
+    EXPECT_EQ(d.engine.hosts().at("a").ack_cursor, 0U);
+    EXPECT_TRUE(d.effects_of<pool_effect::stop>(d.all_effects).empty());
+    d.store();
+    EXPECT_EQ(d.engine.hosts().at("a").ack_cursor, 1U);
+    for (int i = 0; i < 30; ++i)
+    {
+        d.advance(50ms);
+        d.hold("a", {running_run(1, 1, 10)});
+        d.tick();
+    }
+    EXPECT_TRUE(d.effects_of<pool_effect::start>(d.all_effects).empty());
+    d.hold("a", {}, {ended_run(2, 1, 1, run_outcome::done)});
+    d.store();
+    EXPECT_EQ(d.engine.find(submission_id)->phase, submission_phase::completed);
+}
+
+// What the previous owner had not started waits until it is due.
+TEST(pool_takeover, occurrence_that_is_known_early_starts_when_it_is_due)
+{
+    pool_driver d(2);
+    auto timed = pool_driver::make_submission(2);
+    timed.spec.repetitions = 1;
+    timed.spec.first_due = d.now.wall + 1200ms;
+    d.restore_host("a");
+    d.restore(timed);
+    d.begin();
+    d.list_hosts({"a"});
+    d.store();
+    d.hold("a", {running_run(0, 1, 10)});
+    d.store();
+    d.advance(1000ms);
+    d.hold("a", {running_run(0, 1, 10)});
+    EXPECT_TRUE(d.effects_of<pool_effect::start>(d.tick()).empty());
+    d.advance(300ms);
+    d.hold("a", {running_run(0, 1, 10)});
+    const auto starts = d.effects_of<pool_effect::start>(d.tick());
+    ASSERT_EQ(starts.size(), 1U);
+    EXPECT_EQ(starts[0].task, task(1));
+}
+
+// The previous owner may have opened an occurrence that comes due meanwhile.
+TEST(pool_takeover, occurrence_due_before_the_takeover_settles_waits)
+{
+    pool_driver d(2);
+    auto timed = pool_driver::make_submission(1);
+    timed.spec.repetitions = 1;
+    timed.spec.first_due = d.now.wall + 300ms;
+    d.restore_host("a");
+    d.restore_host("unreachable");
+    d.restore(timed);
+    d.begin();
+    d.list_hosts({"a"});
+    d.store();
+    const auto wait = pool_terms().leases.takeover_wait();
+    for (auto waited = 0ms; waited <= wait; waited += 500ms)
+    {
+        d.hold("a");
+        d.tick();
+        ASSERT_TRUE(d.effects_of<pool_effect::start>(d.all_effects).empty())
+            << waited.count();
+        d.advance(500ms);
+    }
+    d.hold("a");
+    EXPECT_EQ(d.effects_of<pool_effect::start>(d.tick()).size(), 1U);
+}
+
 } // namespace dandeliontack::test
