--- a/src/include/dandeliontack/fleet_duty.hpp
+++ b/src/include/dandeliontack/fleet_duty.hpp
@@ -99,7 +99,7 @@
     report_host_ended(departed_host departed, boot_time seen);
     /// The same for an order that ended the incarnation which was known before
     /// the order was sent, if any was.
-    boost::asio::awaitable<void> report_order(
+    boost::asio::awaitable<void> report_ordered_end(
         listed_machine machine, std::optional<std::chrono::milliseconds> born);
     void report_departures();
     boost::asio::awaitable<void>
@@ -142,7 +142,7 @@
     std::map<std::string, wave_state> waves_;
     std::vector<listed_machine> machines_;
     /// When the newest list of machines was received.
-    boot_time listed_;
+    boot_time machines_received_;
     departure_watch departures_;
     /// Hosts whose end is being reported to their owners.
     std::set<std::string> reporting_;
--- a/src/include/dandeliontack/pool_engine.hpp
+++ b/src/include/dandeliontack/pool_engine.hpp
@@ -131,12 +131,10 @@
     void on(const pool_event::tick& e);
 
     void open_occurrences(submission_state& s);
-    occurrence_state& open_occurrence(submission_state& s, std::uint32_t k);
+    void open_occurrence(submission_state& s, std::uint32_t k);
     /// Opens the occurrence of a task that a host has a run of. The previous
     /// owner, whose clock may have been ahead, has opened it.
     void open_reported_occurrence(const task_ref& task);
-    /// Whether the occurrence is due by this owner's clock.
-    bool is_due(const submission_state& s, std::uint32_t k) const;
     /// Whether a previous owner may have started the task on a host that has
     /// not answered yet.
     bool may_be_inherited(const task_ref& task) const;
--- a/src/include/dandeliontack/shard_owner.hpp
+++ b/src/include/dandeliontack/shard_owner.hpp
@@ -98,7 +98,7 @@
     boost::asio::awaitable<bool> wait_until_listed(std::uint64_t queue);
     boost::asio::awaitable<void> run_planning();
     boost::asio::awaitable<void> detect_departed_hosts();
-    void report_departures(departure_watch& departures, boot_time seen);
+    void apply_departures(departure_watch& departures, boot_time seen);
     /// Starts polling each host that is not polled yet.
     void poll_hosts();
     /// Starts a coroutine of the owner; the shard is given up if it fails.
@@ -107,7 +107,7 @@
     boost::asio::awaitable<void> poll_host(std::string host);
     /// Sends a request that holds for one incarnation of a host only, and only
     /// to this incarnation. `question` is a hold call without effect.
-    boost::asio::awaitable<exchange_result> exchange_with(
+    boost::asio::awaitable<exchange_result> exchange_with_incarnation(
         const host_entry& host, http_request request, http_request question,
         std::chrono::milliseconds timeout, bool question_suffices);
     boost::asio::awaitable<void> send_orders(std::string host);
--- a/src/libnode/fleet_duty.cpp
+++ b/src/libnode/fleet_duty.cpp
@@ -406,7 +406,7 @@
         if (listed)
         {
             machines_ = std::move(listed->machines);
-            listed_ = read_clocks().steady;
+            machines_received_ = read_clocks().steady;
             if (listed->complete)
                 departures_.observe(machines_, *boots);
             if (!router_.layout())
@@ -553,7 +553,7 @@
         // A repeated order may have been executed earlier, in which case the
         // machine's current host is a new one that continues to run.
         if (first && answer == machine_answer::accepted)
-            co_await report_order(machine, born);
+            co_await report_ordered_end(machine, born);
     }
     co_await record_order_end(machine.name);
     waves_[name].ordering.erase(machine.name);
@@ -629,7 +629,7 @@
     co_return answer.outcome == shard_outcome::done;
 }
 
-asio::awaitable<void> fleet_duty::report_order(
+asio::awaitable<void> fleet_duty::report_ordered_end(
     listed_machine machine, std::optional<std::chrono::milliseconds> born)
 {
     const auto self = shared_from_this();
@@ -647,7 +647,8 @@
         return;
     for (const auto& departed : departures_.departed())
         if (reporting_.insert(departed.machine.host).second)
-            start_coroutine("departure", report_departure(departed, listed_));
+            start_coroutine(
+                "departure", report_departure(departed, machines_received_));
 }
 
 asio::awaitable<void>
@@ -872,7 +873,7 @@
     if (answer == machine_answer::fenced)
         mark_lost("a higher fencing token was used for a machine");
     if (answer == machine_answer::accepted && !is_off)
-        co_await report_order(machine, born);
+        co_await report_ordered_end(machine, born);
     co_await record_order_end(machine.name);
     // Waits until the next list of machines shows the move.
     co_await pause_for(context_.executor, round_interval);
--- a/src/libnode/shard_owner.cpp
+++ b/src/libnode/shard_owner.cpp
@@ -581,7 +581,7 @@
         if (listed && listed->complete)
         {
             departures.observe(listed->machines, known);
-            report_departures(departures, read_clocks().steady);
+            apply_departures(departures, read_clocks().steady);
         }
         co_await pause_for(
             context_.executor, departures.is_unconfirmed()
@@ -592,7 +592,7 @@
 
 // Applies what machine lists, the last of which was received at `seen`, show of
 // hosts that have not answered this owner.
-void shard_owner::report_departures(departure_watch& departures, boot_time seen)
+void shard_owner::apply_departures(departure_watch& departures, boot_time seen)
 {
     const auto unsettled = engine_->unsettled_hosts();
     for (const auto& departed : departures.departed())
@@ -614,7 +614,7 @@
 // The end of a lease and the number of an acknowledged end count from the start
 // of an incarnation. A later one with the same id would take the first for one
 // of up to the longest lease, and forget ends that nobody has read.
-asio::awaitable<exchange_result> shard_owner::exchange_with(
+asio::awaitable<exchange_result> shard_owner::exchange_with_incarnation(
     const host_entry& host, http_request request, http_request question,
     std::chrono::milliseconds timeout, bool question_suffices)
 {
@@ -668,7 +668,7 @@
         auto request = platform::encode_hold(
             address, host.ack_cursor, lease_end, wait ? hold_wait : 0ms);
         auto question = platform::encode_hold(address, 0, std::nullopt, 0ms);
-        auto result = co_await exchange_with(
+        auto result = co_await exchange_with_incarnation(
             host.entry, std::move(request), std::move(question),
             order_timeout + (wait ? hold_wait : 0ms), true);
         if (lost_ || stopping_)
@@ -763,7 +763,7 @@
         auto request = platform::encode_start(
             address, order, s->record.spec.text, *lease_end);
         auto question = platform::encode_hold(address, 0, std::nullopt, 0ms);
-        auto result = co_await exchange_with(
+        auto result = co_await exchange_with_incarnation(
             host->second.entry, std::move(request), std::move(question),
             order_times_.timeout(static_cast<unsigned>(attempt)), false);
         if (lost_)
--- a/src/libsched/pool_engine.cpp
+++ b/src/libsched/pool_engine.cpp
@@ -388,15 +388,16 @@
         max_open_occurrences);
     for (auto& k = s.next_occurrence; k < total; ++k)
     {
-        if (!is_due(s, k) || s.occurrences.size() >= most_open)
+        const auto due = spec.first_due + spec.interval * k;
+        if ((spec.repetitions > 0 && due > now_.wall) ||
+            s.occurrences.size() >= most_open)
             break;
         if (!s.occurrences.contains(k) && !s.occurrences_done.contains(k))
             open_occurrence(s, k);
     }
 }
 
-occurrence_state&
-pool_engine::open_occurrence(submission_state& s, std::uint32_t k)
+void pool_engine::open_occurrence(submission_state& s, std::uint32_t k)
 {
     const auto& spec = s.record.spec;
     auto& occurrence = s.occurrences[k];
@@ -410,7 +411,6 @@
         for (std::uint32_t j = 0; j < tasks.size(); ++j)
             tasks[j].inherited = may_be_inherited({s.record.id, k, i, j});
     }
-    return occurrence;
 }
 
 void pool_engine::open_reported_occurrence(const task_ref& task)
@@ -431,13 +431,6 @@
         "a host lists a run of it that a previous owner started");
 }
 
-bool pool_engine::is_due(const submission_state& s, std::uint32_t k) const
-{
-    const auto& spec = s.record.spec;
-    return spec.repetitions == 0 ||
-           spec.first_due + spec.interval * k <= now_.wall;
-}
-
 bool pool_engine::may_be_inherited(const task_ref& task) const
 {
     if (!settling_ || !settled_at_)
@@ -867,8 +860,8 @@
         else
             end_older_run(h, *s, *t, row);
     }
-    // An end that changes nothing, as an earlier one has led to the same,
-    // stands for what that one has led to if that is lost.
+    // An end that changes nothing more may be all that a successor learns from,
+    // if this owner is lost before it has stored what earlier ends changed.
     if (t)
         batch = t->recorded_in;
     else if (const auto ended = finished_.find(row.task.submission);
--- a/src/libsched/pool_planner.cpp
+++ b/src/libsched/pool_planner.cpp
@@ -108,8 +108,7 @@
             !hosts_.contains(s.record.terms.pool))
             continue;
         for (auto& [k, o] : s.occurrences)
-            for (std::uint32_t i = 0;
-                 engine_.is_due(s, k) && i < o.steps.size(); ++i)
+            for (std::uint32_t i = 0; i < o.steps.size(); ++i)
             {
                 auto& step = o.steps[i];
                 if (step.done == step.tasks.size() ||
