Split the polling of hosts, and one way to end a gang in the histories

No change of behaviour but that a new owner watches the machine lists for the hosts only that have not answered it; other machines that move made it ask again sooner.

--- a/src/include/dandeliontack/shard_owner.hpp
+++ b/src/include/dandeliontack/shard_owner.hpp
@@ -105,6 +105,9 @@
     void start_coroutine(
         std::string_view name, boost::asio::awaitable<void> coroutine);
     boost::asio::awaitable<void> poll_host(std::string host);
+    /// Waits, for a limited time, until the ends that the host lists are
+    /// stored.
+    boost::asio::awaitable<void> wait_for_ends(std::string host);
     /// Sends a request that holds for one incarnation of a host only, and only
     /// to this incarnation. `question` is a hold call without effect.
     boost::asio::awaitable<exchange_result> exchange_with_incarnation(
--- a/src/libnode/ownership_history_test.cpp
+++ b/src/libnode/ownership_history_test.cpp
@@ -447,6 +447,7 @@
         owner_->engine =
             std::make_unique<pool_engine>(pool_terms{}, owner_->epoch);
         std::vector<keyed_record> records;
+        records.reserve(stored_.size());
         for (const auto& [key, value] : stored_)
             records.push_back({key, value, 0});
         const auto restored =
@@ -762,10 +763,11 @@
             "ends " + h.id + " " + task_name(task) + " run " +
             std::to_string(run) + " " + std::string(to_string(outcome)));
         if (spec_of(task).gang && outcome != run_outcome::done)
-            break_gang(task, run);
+            end_gang(task, run, run_outcome::gang_broken);
     }
 
-    void break_gang(const task_ref& member, std::uint32_t run)
+    void
+    end_gang(const task_ref& member, std::uint32_t run, run_outcome outcome)
     {
         for (auto& h : hosts_)
             for (std::uint32_t i = 0; i < spec_of(member).count; ++i)
@@ -774,7 +776,7 @@
                     member.submission, member.occurrence, member.step, i};
                 const auto found = h.running.find(other);
                 if (found != h.running.end() && found->second.run == run)
-                    end(h, other, run_outcome::gang_broken);
+                    end(h, other, outcome);
             }
     }
 
@@ -790,19 +792,6 @@
         return present == spec_of(member).count;
     }
 
-    void finish_gang(const task_ref& member, std::uint32_t run)
-    {
-        for (auto& h : hosts_)
-            for (std::uint32_t i = 0; i < spec_of(member).count; ++i)
-            {
-                const task_ref other{
-                    member.submission, member.occurrence, member.step, i};
-                const auto found = h.running.find(other);
-                if (found != h.running.end() && found->second.run == run)
-                    end(h, other, run_outcome::done);
-            }
-    }
-
     void run_host(simulated_host& h)
     {
         if (!h.up)
@@ -840,7 +829,7 @@
                 if (run.left <= 0ms && draw(0, 100) < failure_percent_ / 4)
                     end(h, task, run_outcome::failed);
                 else if (run.left <= 0ms)
-                    finish_gang(task, run.run);
+                    end_gang(task, run.run, run_outcome::done);
             }
             else if (now_ - run.began > gang_patience)
                 end(h, task, run_outcome::gang_incomplete);
@@ -870,7 +859,7 @@
         const auto runs = std::exchange(h.running, {});
         for (const auto& [task, run] : runs)
             if (spec_of(task).gang)
-                break_gang(task, run.run);
+                end_gang(task, run.run, run_outcome::gang_broken);
         expiries_[h.id] = now_ + entry_expiry;
     }
 
--- a/src/libnode/shard_owner.cpp
+++ b/src/libnode/shard_owner.cpp
@@ -575,11 +575,14 @@
                 machine.host = id;
                 departures.expect(machine);
             }
-        const auto listed = co_await platform.list();
+        auto listed = co_await platform.list();
         if (lost_)
             co_return;
         if (listed && listed->complete)
         {
+            std::erase_if(listed->machines, [&](const auto& machine) {
+                return !known.contains(machine.host);
+            });
             departures.observe(listed->machines, known);
             apply_departures(departures, read_clocks().steady);
         }
@@ -641,6 +644,21 @@
         std::move(check));
 }
 
+// A host with ends that are not acknowledged answers at once, so the next hold
+// waits until these may be acknowledged.
+asio::awaitable<void> shard_owner::wait_for_ends(std::string host)
+{
+    const auto self = shared_from_this();
+    const auto found = engine_->hosts().find(host);
+    if (found == engine_->hosts().end() ||
+        found->second.unacknowledged_ends.empty())
+        co_return;
+    const auto newest = std::ranges::max(
+        found->second.unacknowledged_ends, {}, &unacknowledged_end::batch);
+    if (stored_batch_ < newest.batch)
+        co_await stored_signal_.wait(store_wait);
+}
+
 // Polls a host: fetches the running and the ended tasks, acknowledges ends that
 // are stored, and extends the lease under which the host's tasks run.
 asio::awaitable<void> shard_owner::poll_host(std::string id)
@@ -703,17 +721,7 @@
         }
         apply(pool_event::host_reported{
             id, born, sent.steady, std::move(std::get<host_report>(report))});
-        const auto now = engine_->hosts().find(id);
-        if (now != engine_->hosts().end() &&
-            !now->second.unacknowledged_ends.empty())
-        {
-            const auto batch = std::ranges::max(
-                                   now->second.unacknowledged_ends, {},
-                                   &unacknowledged_end::batch)
-                                   .batch;
-            if (stored_batch_ < batch)
-                co_await stored_signal_.wait(store_wait);
-        }
+        co_await wait_for_ends(id);
         co_await pause_for(context_.executor, hold_pause);
     }
     polled_hosts_.erase(id);
