Look for hosts that have left sooner after a takeover

A new owner goes by two lists of machines, the second 150 ms after the first, so its tasks waited 0.17 s longer for hosts that had left. The first list is asked for after 150 ms instead of 300 ms, when hosts that live have answered.

--- a/src/libnode/shard_owner.cpp
+++ b/src/libnode/shard_owner.cpp
@@ -49,7 +49,7 @@
 constexpr auto evacuation_time = 3000ms;
 // When a new owner first checks whether hosts that have not answered still
 // exist, and how often it repeats the check.
-constexpr auto first_departure_check = 300ms;
+constexpr auto first_departure_check = 150ms;
 constexpr auto departure_check_interval = 1000ms;
 constexpr auto hand_over_timeout = 1500ms;
 // Longest wait for a queue that the registry does not list yet.
