Date the owners' answers, so that the fleet duty need not read the hosts

Change: owners date their answers by their own clock and epoch; a report of a departure carries the date of the answer that the duty had received before it asked for the first of the confirming lists, or before the first attempt of an order. The owner ends the incarnation if it has known it since before that, in the same epoch, and if it has answered no later call.

Why it works: an incarnation that the owner knew before the list was requested began before the list was made. No clock but the owner's own is compared.

Ruled out: start times in the owners' answers, some 60 kB a second.

--- a/src/include/dandeliontack/departure_watch.hpp
+++ b/src/include/dandeliontack/departure_watch.hpp
@@ -2,32 +2,15 @@
 
 #include <dandeliontack/machine_list.hpp>
 
-#include <array>
-#include <chrono>
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <string>
 #include <vector>
 
 namespace dandeliontack
 {
 
-/// The start time of the newest known incarnation of each host, by id.
-using host_boots = std::map<std::string, std::chrono::milliseconds>;
-
-/// A host that machine lists do not name any more.
-struct departed_host
-{
-    /// As listed before.
-    listed_machine machine;
-    /// Start time of the newest incarnation that is certain to have ended.
-    std::chrono::milliseconds born{0};
-};
-
-/// Finds hosts that have ended by comparing successive machine lists. A list
-/// names hosts by their id, which outlives an incarnation, so it says something
-/// only of incarnations that began before it was requested. Load
+/// Finds hosts that have ended by comparing successive machine lists. Load
 /// pattern: the hosts of a rack fall silent during a load peak. Their owners
 /// can't tell a crash from a cut link and would wait for every lease to expire,
 /// while the platform already lists the machines without a host.
@@ -38,14 +21,12 @@
     void expect(const listed_machine& machine);
 
     /// Records a list, which must have been requested after the last one was
-    /// answered. `known` are the incarnations known before it was requested.
-    void observe(
-        const std::vector<listed_machine>& machines, const host_boots& known);
+    /// answered.
+    void observe(const std::vector<listed_machine>& machines);
 
-    /// The hosts that are missing from the last `lists_to_confirm` lists, if an
-    /// incarnation of theirs began before the first of these; without those
-    /// passed to `forget`.
-    std::vector<departed_host> departed() const;
+    /// The machines whose host is missing from the last `lists_to_confirm`
+    /// lists, as listed before; without those passed to `forget`.
+    std::vector<listed_machine> departed() const;
 
     /// Whether a host is missing from some of the last lists, but not from
     /// enough.
@@ -67,11 +48,6 @@
         listed_machine machine;
         /// Successive lists that did not name the host.
         std::uint32_t missed = 0;
-        std::optional<std::chrono::milliseconds> newest_boot;
-        /// The newest incarnation known before each of the last lists, the
-        /// oldest list first.
-        std::array<std::optional<std::chrono::milliseconds>, lists_to_confirm>
-            boots{};
     };
 
     std::map<std::string, known_host> hosts_;
--- a/src/include/dandeliontack/fleet_duty.hpp
+++ b/src/include/dandeliontack/fleet_duty.hpp
@@ -14,7 +14,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
-#include <functional>
+#include <array>
 #include <map>
 #include <memory>
 #include <optional>
@@ -32,12 +32,8 @@
 class fleet_duty : public std::enable_shared_from_this<fleet_duty>
 {
 public:
-    /// Returns the incarnations of hosts that the registry names.
-    using boots_source = std::function<std::shared_ptr<const host_boots>()>;
-
     fleet_duty(
-        node_context& context, store_client& store, shard_router& router,
-        boots_source known_boots);
+        node_context& context, store_client& store, shard_router& router);
 
     /// Claims the duty with epoch `last` + 1 and loads its records. Returns
     /// false if another node claimed it first or the store is unavailable.
@@ -93,19 +89,19 @@
     boost::asio::awaitable<void> move(machine_move order);
     boost::asio::awaitable<void> store_layout();
     shard_id shard_of_machine(const listed_machine& machine) const;
-    /// Tells the host's owner that the incarnation has ended, by an answer of
-    /// the platform that was received at `seen`.
-    boost::asio::awaitable<bool>
-    report_host_ended(departed_host departed, boot_time seen);
-    /// The same for an order that ended the incarnation which was known before
-    /// the order was sent, if any was.
-    boost::asio::awaitable<void> report_ordered_end(
-        listed_machine machine, std::optional<std::chrono::milliseconds> born);
+    /// Tells the owner of the machine's host that the incarnation which it knew
+    /// at `known_before` has ended, by an answer of the platform that was
+    /// received at `seen`. Tells nothing if no such moment is known.
+    boost::asio::awaitable<bool> report_host_ended(
+        listed_machine machine, std::optional<owner_moment> known_before,
+        boot_time seen);
     void report_departures();
-    boost::asio::awaitable<void>
-    report_departure(departed_host departed, boot_time seen);
-    std::optional<std::chrono::milliseconds>
-    known_boot(const std::string& host) const;
+    boost::asio::awaitable<void> report_departure(listed_machine machine);
+    /// Moments of the owners of shards.
+    using owner_moments = std::map<shard_id, owner_moment>;
+    /// That of the owner of the machine's host.
+    std::optional<owner_moment>
+    find_moment(const owner_moments& in, const listed_machine& machine) const;
     /// Demands by cell, from the shard owners that answered.
     boost::asio::awaitable<std::vector<std::vector<pool_demand>>>
     collect_demands();
@@ -136,7 +132,6 @@
     node_context& context_;
     store_client& store_;
     shard_router& router_;
-    boots_source known_boots_;
     machine_client platform_;
     shard_claim claim_;
     std::map<std::string, wave_state> waves_;
@@ -144,6 +139,11 @@
     /// When the newest list of machines was received.
     boot_time machines_received_;
     departure_watch departures_;
+    /// When owners gave their newest answers, and those that had been received
+    /// before each of the lists that confirm a departure, the oldest first.
+    owner_moments answers_;
+    std::array<owner_moments, departure_watch::lists_to_confirm>
+        answers_before_lists_;
     /// Hosts whose end is being reported to their owners.
     std::set<std::string> reporting_;
     /// Hosts that their owners reported as empty and keep empty for a while,
--- a/src/include/dandeliontack/pool_demand.hpp
+++ b/src/include/dandeliontack/pool_demand.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <dandeliontack/arrival_rate.hpp>
+#include <dandeliontack/host_departure.hpp>
 
 #include <chrono>
 #include <cstdint>
@@ -48,6 +49,8 @@
     std::uint32_t long_running_hosts = 0;
     /// Ids of hosts that run no task.
     std::vector<std::string> idle;
+    /// When the owner said so; no epoch from a node of an earlier version.
+    owner_moment answered;
 
     bool operator==(const pool_demand&) const = default;
 };
--- a/src/include/dandeliontack/pool_events.hpp
+++ b/src/include/dandeliontack/pool_events.hpp
@@ -128,12 +128,12 @@
     boot_time sent;
     host_report report;
 };
-/// The incarnation of the host, and those before it, have ended. Says nothing
-/// of later ones.
+/// The incarnation of the host that this owner has known since before a moment
+/// has ended. Says nothing of a later one.
 struct host_incarnation_ended
 {
     std::string host;
-    std::chrono::milliseconds born{0};
+    boot_time known_before;
     /// When the evidence was received: a call that the incarnation answers and
     /// that was sent later refutes it.
     boot_time seen;
--- a/src/include/dandeliontack/pool_state.hpp
+++ b/src/include/dandeliontack/pool_state.hpp
@@ -225,6 +225,8 @@
     /// then it may list the end of any task that a previous owner started.
     bool caught_up = false;
     boot_time last_answer;
+    /// Since when this owner knows of this incarnation.
+    boot_time known_since;
     /// When the newest call that this incarnation has answered was sent.
     boot_time last_answered_call;
     /// Whether `entry` is of this incarnation, not of an earlier one.
--- a/src/include/dandeliontack/shard_owner.hpp
+++ b/src/include/dandeliontack/shard_owner.hpp
@@ -98,7 +98,8 @@
     boost::asio::awaitable<bool> wait_until_listed(std::uint64_t queue);
     boost::asio::awaitable<void> run_planning();
     boost::asio::awaitable<void> detect_departed_hosts();
-    void apply_departures(departure_watch& departures, boot_time seen);
+    void apply_departures(
+        departure_watch& departures, boot_time known_before, boot_time seen);
     /// Starts polling each host that is not polled yet.
     void poll_hosts();
     /// Starts a coroutine of the owner; the shard is given up if it fails.
--- a/src/include/dandeliontack/tack_node.hpp
+++ b/src/include/dandeliontack/tack_node.hpp
@@ -61,9 +61,6 @@
     void apply_operator_record(const keyed_record& record);
     void apply_host_record(const keyed_record& record);
     void assign_hosts();
-    /// Starts reading the registry of hosts, once.
-    void follow_hosts();
-    std::shared_ptr<const host_boots> known_boots();
     bool is_known_pool(const std::string& pool) const;
     void drop_lost_shards();
     bool is_ready() const;
@@ -83,8 +80,6 @@
     http_server peers_;
     http_server metrics_;
     std::map<std::string, host_entry> hosts_;
-    /// The incarnations in `hosts_`; empty once these have changed.
-    std::shared_ptr<const host_boots> boots_;
     std::set<std::string> known_pools_;
     bool hosts_changed_ = false;
     bool following_hosts_ = false;
--- a/src/libnode/fleet_duty.cpp
+++ b/src/libnode/fleet_duty.cpp
@@ -71,12 +71,10 @@
 } // namespace
 
 fleet_duty::fleet_duty(
-    node_context& context, store_client& store, shard_router& router,
-    boots_source known_boots)
+    node_context& context, store_client& store, shard_router& router)
     : context_(context),
       store_(store),
       router_(router),
-      known_boots_(std::move(known_boots)),
       platform_(context, [this] { return has_valid_claim(); }),
       claim_(context, store, fleet_shard),
       appends_(
@@ -401,14 +399,19 @@
         }
         co_await report_completed_waves();
         const auto asked = read_clocks().steady;
-        const auto boots = known_boots_();
+        auto answers = answers_;
         auto listed = co_await platform_.list();
         if (listed)
         {
             machines_ = std::move(listed->machines);
             machines_received_ = read_clocks().steady;
             if (listed->complete)
-                departures_.observe(machines_, *boots);
+            {
+                departures_.observe(machines_);
+                std::ranges::rotate(
+                    answers_before_lists_, answers_before_lists_.begin() + 1);
+                answers_before_lists_.back() = std::move(answers);
+            }
             if (!router_.layout())
                 co_await store_layout();
             report_departures();
@@ -510,7 +513,7 @@
     const auto self = shared_from_this();
     const bool first =
         waves_[name].progress.unanswered.insert(machine.name).second;
-    const auto born = known_boot(machine.host);
+    const auto known_before = find_moment(answers_, machine);
     const bool recorded = co_await record_upkeep_order(name, machine.name);
     // The owner keeps the host empty for a limited time only.
     const bool is_still_empty =
@@ -552,8 +555,10 @@
         confirmed_empty_.erase(machine.host);
         // A repeated order may have been executed earlier, in which case the
         // machine's current host is a new one that continues to run.
-        if (first && answer == machine_answer::accepted)
-            co_await report_ordered_end(machine, born);
+        if (first && answer == machine_answer::accepted &&
+            !machine.host.empty())
+            co_await report_host_ended(
+                machine, known_before, read_clocks().steady);
     }
     co_await record_order_end(machine.name);
     waves_[name].ordering.erase(machine.name);
@@ -602,20 +607,22 @@
     return shard_of(machine.pool, cell, context_.settings.store.partitions);
 }
 
-std::optional<std::chrono::milliseconds>
-fleet_duty::known_boot(const std::string& host) const
+std::optional<owner_moment> fleet_duty::find_moment(
+    const owner_moments& in, const listed_machine& machine) const
 {
-    const auto boots = known_boots_();
-    const auto found = boots->find(host);
-    return found == boots->end() ? std::nullopt : std::optional(found->second);
+    const auto found = in.find(shard_of_machine(machine));
+    return found == in.end() ? std::nullopt : std::optional(found->second);
 }
 
-asio::awaitable<bool>
-fleet_duty::report_host_ended(departed_host departed, boot_time seen)
+asio::awaitable<bool> fleet_duty::report_host_ended(
+    listed_machine machine, std::optional<owner_moment> known_before,
+    boot_time seen)
 {
-    const auto& machine = departed.machine;
+    const auto self = shared_from_this();
+    if (!known_before)
+        co_return false;
     const host_departure departure{
-        machine.host, departed.born, read_clocks().steady - seen};
+        machine.host, known_before, read_clocks().steady - seen};
     shard_call call{
         shard_call::verb::host_ended,
         shard_of_machine(machine),
@@ -629,40 +636,29 @@
     co_return answer.outcome == shard_outcome::done;
 }
 
-asio::awaitable<void> fleet_duty::report_ordered_end(
-    listed_machine machine, std::optional<std::chrono::milliseconds> born)
-{
-    const auto self = shared_from_this();
-    if (machine.host.empty() || !born)
-        co_return;
-    departed_host departed{std::move(machine), *born};
-    co_await report_host_ended(std::move(departed), read_clocks().steady);
-}
-
 // Tells the owners which hosts have ended without an order of the duty, so that
 // their tasks need not wait until every lease has expired.
 void fleet_duty::report_departures()
 {
     if (!router_.layout())
         return;
-    for (const auto& departed : departures_.departed())
-        if (reporting_.insert(departed.machine.host).second)
-            start_coroutine(
-                "departure", report_departure(departed, machines_received_));
+    for (const auto& machine : departures_.departed())
+        if (reporting_.insert(machine.host).second)
+            start_coroutine("departure", report_departure(machine));
 }
 
-asio::awaitable<void>
-fleet_duty::report_departure(departed_host departed, boot_time seen)
+asio::awaitable<void> fleet_duty::report_departure(listed_machine machine)
 {
     const auto self = shared_from_this();
-    const bool known = co_await report_host_ended(departed, seen);
-    const auto& machine = departed.machine;
+    const auto known_before =
+        find_moment(answers_before_lists_.front(), machine);
+    const bool known =
+        co_await report_host_ended(machine, known_before, machines_received_);
     context_.log.write(
         "fleet", "host_departed",
         log_line()
             .add("machine", machine.name)
             .add("host", machine.host)
-            .add("born_ms", departed.born.count())
             .add("pool", machine.pool)
             .add("epoch", claim_.epoch())
             .add("answered", known));
@@ -704,6 +700,8 @@
                                  ? decode_demands(answer->value)
                                  : std::nullopt;
         ++answer;
+        if (demands && !demands->empty() && demands->front().answered.epoch > 0)
+            answers_[shard] = demands->front().answered;
         if (demands)
             std::ranges::copy_if(
                 *demands, std::back_inserter(all[cell]),
@@ -840,7 +838,7 @@
     bool empty = true;
     // Before the first attempt: a repeated order may have been executed
     // earlier, and a host that has come since then goes on.
-    const auto born = known_boot(machine.host);
+    const auto known_before = find_moment(answers_, machine);
     auto answer = machine_answer::unknown;
     for (int attempt = 0; attempt < max_move_attempts && has_valid_claim() &&
                           answer == machine_answer::unknown;
@@ -872,8 +870,8 @@
             cell.forbid(machine.pool, order.to_pool);
     if (answer == machine_answer::fenced)
         mark_lost("a higher fencing token was used for a machine");
-    if (answer == machine_answer::accepted && !is_off)
-        co_await report_ordered_end(machine, born);
+    if (answer == machine_answer::accepted && !is_off && !machine.host.empty())
+        co_await report_host_ended(machine, known_before, read_clocks().steady);
     co_await record_order_end(machine.name);
     // Waits until the next list of machines shows the move.
     co_await pause_for(context_.executor, round_interval);
--- a/src/libnode/shard_owner.cpp
+++ b/src/libnode/shard_owner.cpp
@@ -562,29 +562,33 @@
     const auto self = shared_from_this();
     machine_client platform(context_);
     departure_watch departures;
+    // When the lists that confirm a departure were requested, the oldest first.
+    std::array<boot_time, departure_watch::lists_to_confirm> lists_asked{};
     co_await pause_for(context_.executor, first_departure_check);
     while (!lost_ && !engine_->unsettled_hosts().empty())
     {
-        host_boots known;
-        for (const auto& id : engine_->unsettled_hosts())
-            if (const auto host = engine_->hosts().find(id);
-                host != engine_->hosts().end())
-            {
-                known[id] = host->second.entry.born;
-                listed_machine machine;
-                machine.host = id;
-                departures.expect(machine);
-            }
+        const auto unsettled = engine_->unsettled_hosts();
+        for (const auto& id : unsettled)
+        {
+            listed_machine machine;
+            machine.host = id;
+            departures.expect(machine);
+        }
+        const auto asked = read_clocks().steady;
         auto listed = co_await platform.list();
         if (lost_)
             co_return;
         if (listed && listed->complete)
         {
             std::erase_if(listed->machines, [&](const auto& machine) {
-                return !known.contains(machine.host);
+                return std::ranges::find(unsettled, machine.host) ==
+                       unsettled.end();
             });
-            departures.observe(listed->machines, known);
-            apply_departures(departures, read_clocks().steady);
+            departures.observe(listed->machines);
+            std::ranges::rotate(lists_asked, lists_asked.begin() + 1);
+            lists_asked.back() = asked;
+            apply_departures(
+                departures, lists_asked.front(), read_clocks().steady);
         }
         co_await pause_for(
             context_.executor, departures.is_unconfirmed()
@@ -593,23 +597,21 @@
     }
 }
 
-// Applies what machine lists, the last of which was received at `seen`, show of
-// hosts that have not answered this owner.
-void shard_owner::apply_departures(departure_watch& departures, boot_time seen)
+// Applies what machine lists show of hosts that have not answered this owner.
+// The first was requested at `known_before`, the last received at `seen`.
+void shard_owner::apply_departures(
+    departure_watch& departures, boot_time known_before, boot_time seen)
 {
     const auto unsettled = engine_->unsettled_hosts();
     for (const auto& departed : departures.departed())
     {
-        const auto& id = departed.machine.host;
+        const auto& id = departed.host;
         if (std::ranges::find(unsettled, id) == unsettled.end())
             continue;
         context_.log.write(
             "owner", "host_left",
-            log_line()
-                .add("host", id)
-                .add("born_ms", departed.born.count())
-                .add("epoch", epoch()));
-        apply(pool_event::host_incarnation_ended{id, departed.born, seen});
+            log_line().add("host", id).add("epoch", epoch()));
+        apply(pool_event::host_incarnation_ended{id, known_before, seen});
         departures.forget(id);
     }
 }
@@ -699,7 +701,7 @@
                 const auto answer = platform::decode_order_answer(*response);
                 if (answer.answer == start_answer::other_incarnation)
                     apply(pool_event::host_incarnation_ended{
-                        id, born, read_clocks().steady});
+                        id, sent.steady, read_clocks().steady});
                 if (answer.answer == start_answer::fenced)
                     context_.log.write(
                         "owner", "host_fenced",
@@ -982,24 +984,26 @@
         engine_->is_empty(host, read_clocks()) ? "empty" : "busy"};
 }
 
-// A report that names no incarnation, from a node of an earlier version, may
-// speak of an earlier one than the one that is known here. The host's tasks
-// then start elsewhere once its leases have expired.
+// A report that was made by the answers of another owner, or by none, from a
+// node of an earlier version, may speak of an earlier incarnation than the one
+// that is known here. The host's tasks then start elsewhere once its leases
+// have expired.
 asio::awaitable<shard_answer> shard_owner::host_ended(host_departure departure)
 {
     const auto self = shared_from_this();
     if (!can_answer())
         co_return shard_answer{shard_outcome::not_owner, {}};
-    if (departure.born)
+    const auto& known = departure.known_before;
+    if (known && known->epoch == epoch())
         apply(pool_event::host_incarnation_ended{
-            departure.host, *departure.born,
-            read_clocks().steady - departure.age});
+            departure.host, known->at, read_clocks().steady - departure.age});
     else
         context_.log.write(
             "owner", "departure_ignored",
             log_line()
                 .add("host", departure.host)
-                .add("reason", "the report names no incarnation of the host")
+                .add(
+                    "reason", "the report is not made by answers of this owner")
                 .add("epoch", epoch()));
     co_return shard_answer{shard_outcome::done, {}};
 }
--- a/src/libnode/stored_records.cpp
+++ b/src/libnode/stored_records.cpp
@@ -442,6 +442,8 @@
         row.set_leaving(demand.draining);
         for (const auto& id : demand.idle)
             row.add_idle(id);
+        row.set_epoch(demand.answered.epoch);
+        row.set_answered_ms(demand.answered.at.time_since_epoch().count());
     }
     return out.SerializeAsString();
 }
@@ -466,7 +468,8 @@
              row.hosts(),
              row.leaving(),
              row.lasting_hosts(),
-             {row.idle().begin(), row.idle().end()}});
+             {row.idle().begin(), row.idle().end()},
+             {row.epoch(), boot_time(milliseconds(row.answered_ms()))}});
     return demands;
 }
 
--- a/src/libnode/tack_node.cpp
+++ b/src/libnode/tack_node.cpp
@@ -435,18 +435,6 @@
     waves_[name] = std::move(wave);
 }
 
-std::shared_ptr<const host_boots> tack_node::known_boots()
-{
-    if (!boots_)
-    {
-        auto boots = std::make_shared<host_boots>();
-        for (const auto& [id, entry] : hosts_)
-            boots->emplace(id, entry.born);
-        boots_ = std::move(boots);
-    }
-    return boots_;
-}
-
 void tack_node::apply_host_record(const keyed_record& record)
 {
     const auto known = hosts_.find(record.key);
@@ -454,7 +442,6 @@
     {
         hosts_changed_ = hosts_changed_ || known != hosts_.end();
         hosts_.erase(record.key);
-        boots_.reset();
         return;
     }
     auto decoded = platform::decode_host_entry(record.key, record.value);
@@ -467,14 +454,11 @@
                 .add("reason", to_string(wrong->front())));
         hosts_changed_ = hosts_changed_ || known != hosts_.end();
         hosts_.erase(record.key);
-        boots_.reset();
         return;
     }
     auto& entry = std::get<host_entry>(decoded);
     if (known != hosts_.end() && known->second == entry)
         return;
-    if (known == hosts_.end() || known->second.born != entry.born)
-        boots_.reset();
     hosts_changed_ = true;
     hosts_[record.key] = std::move(entry);
 }
@@ -615,7 +599,10 @@
         router_.add_owner(owner);
         owner->set_queues(*front_.table());
         router_.tell_nodes(shard, owner->record());
-        follow_hosts();
+        if (!std::exchange(following_hosts_, true))
+            spawn_with_restart(context_, "host records", [this] {
+                return host_records_.run();
+            });
         hosts_changed_ = true;
         assign_hosts();
     }
@@ -626,17 +613,9 @@
     claiming_.erase(shard);
 }
 
-void tack_node::follow_hosts()
-{
-    if (!std::exchange(following_hosts_, true))
-        spawn_with_restart(
-            context_, "host records", [this] { return host_records_.run(); });
-}
-
 asio::awaitable<void> tack_node::claim_duty()
 {
-    const auto duty = std::make_shared<fleet_duty>(
-        context_, store_, router_, [this] { return known_boots(); });
+    const auto duty = std::make_shared<fleet_duty>(context_, store_, router_);
     for (const auto& [name, wave] : waves_)
         duty->request(wave);
     const auto last = last_epoch(fleet_shard);
@@ -648,7 +627,6 @@
             duty->request(wave);
         duty->set_table(front_.shared_table());
         duty_ = duty;
-        follow_hosts();
         router_.tell_nodes(fleet_shard, duty->record());
     }
     else if (taken)
--- a/src/libsched/pool_engine.cpp
+++ b/src/libsched/pool_engine.cpp
@@ -318,6 +318,7 @@
     h.entry.pool = use.pool;
     h.entry.address = use.address;
     h.unlisted_since = now.steady;
+    h.known_since = now.steady;
     // Tasks that a previous owner started there run under leases that it
     // granted.
     h.lease.begin_incarnation(now.steady, terms_.leases.takeover_wait());
@@ -456,6 +457,7 @@
         if (found == hosts_.end())
         {
             found = hosts_.emplace(entry.id, host_state{}).first;
+            found->second.known_since = now_.steady;
             found->second.recorded_in = next_batch_;
             changes_.used_hosts.push_back(entry.id);
             if (const auto until = evacuations_.find(entry.id);
@@ -513,7 +515,7 @@
     const auto found = hosts_.find(e.host);
     if (found == hosts_.end())
         return;
-    const bool is_newer = found->second.entry.born > e.born;
+    const bool is_newer = found->second.known_since > e.known_before;
     if (is_newer || found->second.last_answered_call > e.seen)
     {
         effects_.emplace_back(pool_effect::decision{
@@ -522,7 +524,7 @@
             {},
             0,
             e.host,
-            is_newer ? "a later incarnation of the host is known"
+            is_newer ? "the incarnation may have begun later"
                      : "the host has answered a later call"});
         return;
     }
@@ -803,6 +805,7 @@
     effects_.emplace_back(
         pool_effect::decision{"host_restarted", {}, {}, 0, h.entry.id, {}});
     h.entry.born = born;
+    h.known_since = now_.steady;
     h.described = false;
     h.restarted = true;
     h.last_answered_call = {};
@@ -2050,6 +2053,7 @@
     for (auto& [pool, demand] : out)
     {
         demand.pool = pool;
+        demand.answered = {epoch_, now.steady};
         if (const auto sum = arrivals_.find(pool); sum != arrivals_.end())
             demand.arrivals = sum->second.levels(now.steady);
         list.push_back(std::move(demand));
