--- a/src/libnode/ownership_history_test.cpp
+++ b/src/libnode/ownership_history_test.cpp
@@ -43,8 +43,9 @@
 constexpr auto longest_lease = 10'000ms;
 constexpr auto renewal_interval = 400ms;
 constexpr auto entry_expiry = 4500ms;
-// Bounds of the mean number of steps between two faults of a history.
+// The cases of `cause_fault`.
 constexpr int fault_kinds = 12;
+// Bounds of the mean number of steps between two faults of a history.
 constexpr int min_fault_steps = 20;
 constexpr int max_fault_steps = 80;
 constexpr auto calm_time = 40s;
