Let no start of the histories reach a later incarnation of its host

Trace: a host crashed at 600 ms and was back at 780 ms; at 840 ms its owner, which did not know that yet, had a start carried out there. The model asked whether the incarnation that the owner knew had answered on the connection, but not whether that incarnation was still the one at its other end, as it does for holds. The owner's record then named the former incarnation, and the next owner did not wait for the host.

Holds and starts of the model ask the same now.

--- a/src/libnode/ownership_history_test.cpp
+++ b/src/libnode/ownership_history_test.cpp
@@ -544,6 +544,14 @@
             h.lease_end, std::min(until, h.clock(now_) + longest_lease));
     }
 
+    // Calls that hold for one incarnation go over connections on which it has
+    // answered. These end with it.
+    static bool
+    is_connected(simulated_owner& o, const simulated_host& h, milliseconds born)
+    {
+        return h.born == born && o.answered[h.id] == born;
+    }
+
     void begin_hold(simulated_owner& o, simulated_host& h)
     {
         const auto known = o.engine->hosts().find(h.id);
@@ -556,9 +564,7 @@
             o.next_hold[h.id] = now_ + 150ms;
             return;
         }
-        // Calls that hold for one incarnation go over connections on which it
-        // has answered.
-        if (o.answered[h.id] == call.born && call.born == h.born)
+        if (is_connected(o, h, call.born))
         {
             if (const auto until = o.engine->extend_lease(h.id, time_of(o)))
                 grant(h, *until);
@@ -660,7 +666,7 @@
             o.engine->is_wanted(order)
                 ? o.engine->extend_lease(order.host, time_of(o))
                 : std::nullopt;
-        if (lease_end && h.up && o.answered[h.id] == order.born)
+        if (lease_end && h.up && is_connected(o, h, order.born))
         {
             if (h.reachable(now_) && draw(0, 100) >= late_percent_)
             {
