Client accounts: keys at the entry, and configurations from other nodes

Cause: no node knew accounts or keys, so requests with unknown keys ran (ROUTE), and nodes that the store turns away kept keys that had been taken away (CONFIG).

Change: platform/ decodes accounts, keys and public queues; the entry refuses requests without the key of an account with 401 before anything else; the account is stored with the submission. A node that has not read the operator's topic to its end asks three others for a newer version, with accounts only.

--- a/src/include/dandeliontack/caller_front.hpp
+++ b/src/include/dandeliontack/caller_front.hpp
@@ -32,6 +32,8 @@
     struct request_scope
     {
         queue_entry queue;
+        /// The account of the request's key; empty for a public queue.
+        std::string account;
         const fleet_layout& layout;
         /// The shard that was called last.
         shard_id shard = 0;
@@ -62,6 +64,9 @@
     /// `not_found` if none has; else that of one that does not say.
     boost::asio::awaitable<shard_answer>
     ask_former_shards(request_scope& scope, shard_call call);
+    /// The answer to a request without the key of an account.
+    http_response refuse_key(
+        const queue_table& table, const queue_entry& queue, bool has_key);
     http_response owner_error_response(
         const shard_answer& answer, const request_scope& scope);
 
--- /dev/null
+++ b/src/include/dandeliontack/configuration_relay.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <dandeliontack/boot_clock.hpp>
+#include <dandeliontack/stored_records.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace dandeliontack
+{
+
+/// When a node asks others for the configuration, and whom.
+struct relay_terms
+{
+    /// The configuration counts as possibly outdated once the operator's topic
+    /// has not been read to its end for this long.
+    std::chrono::milliseconds stale_after{1200};
+    /// Interval between two rounds of questions.
+    std::chrono::milliseconds interval{400};
+    /// Nodes that are asked in one round.
+    std::size_t peers = 3;
+};
+
+/// Derives the terms from the time within which a configuration must be in
+/// force on every node.
+relay_terms relay_terms_of(std::chrono::milliseconds config_bound);
+
+/// The newest configuration that a node has read, for nodes that the store
+/// turns away while others can still use it: keys that were taken away must not
+/// stay valid there. Used in deployments with client accounts only.
+class configuration_relay
+{
+public:
+    explicit configuration_relay(relay_terms terms);
+
+    const relay_terms& terms() const;
+
+    /// Keeps a configuration in the operator's encoding, if it is newer.
+    void keep(std::uint64_t version, std::string encoded);
+    /// Notes that the operator's topic was read to its end.
+    void mark_read(boot_time now);
+    /// Whether other nodes should be asked now. False while no configuration is
+    /// kept.
+    bool is_stale(boot_time now) const;
+    /// The nodes to ask in the next round: other ones in each round, until all
+    /// have been asked.
+    std::vector<node_announcement>
+    next_peers(std::vector<node_announcement> others);
+
+    /// The kept configuration, if it is newer than `version`.
+    std::optional<std::string> newer_than(std::uint64_t version) const;
+    /// The version that is kept; 0 if there is none.
+    std::uint64_t version() const;
+
+private:
+    relay_terms terms_;
+    std::uint64_t version_ = 0;
+    std::string encoded_;
+    boot_time last_read_;
+    std::size_t next_ = 0;
+};
+
+} // namespace dandeliontack
--- a/src/include/dandeliontack/queue_table.hpp
+++ b/src/include/dandeliontack/queue_table.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <dandeliontack/client_account.hpp>
 #include <dandeliontack/submission.hpp>
 
 #include <chrono>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -18,6 +20,8 @@
     std::string host;
     std::string path_prefix;
     std::chrono::milliseconds timeout{0};
+    /// Callers need no key of an account.
+    bool is_public = false;
     queue_terms terms;
 };
 
@@ -37,6 +41,8 @@
     std::uint64_t version = 0;
     std::vector<queue_entry> queues;
     std::vector<pool_entry> pools;
+    /// Null in a deployment without client accounts.
+    std::shared_ptr<const account_table> accounts;
     /// Limits for callers' requests and their connections.
     std::uint64_t header_bytes = 16 * 1024;
     std::uint64_t body_bytes = 256 * 1024;
--- a/src/include/dandeliontack/shard_router.hpp
+++ b/src/include/dandeliontack/shard_router.hpp
@@ -35,7 +35,9 @@
         /// Asks the holder of the fleet duty to store a node's announcement.
         announce,
         /// Tells a node who owns a shard, or that its owner released it.
-        owner_changed
+        owner_changed,
+        /// Asks a node for a newer configuration than that of a version.
+        configuration
     };
     verb kind = verb::state;
     shard_id shard = 0;
@@ -43,7 +45,7 @@
     /// The argument: a route for `pending`, a host for `evacuate`, the encoded
     /// departure for `host_ended`, the encoded host loans for `demands`, the
     /// encoded announcement for `announce`, the encoded owner record for
-    /// `owner_changed`.
+    /// `owner_changed`, the version, in decimal, for `configuration`.
     std::string name;
     std::optional<submission_record> record;
 };
@@ -83,6 +85,16 @@
         std::function<boost::asio::awaitable<shard_answer>(std::string)>;
     void set_announcement_store(announcement_store store);
 
+    /// Returns the newest configuration of this node, in the operator's
+    /// encoding, if it is newer than the given version.
+    using configuration_source =
+        std::function<std::optional<std::string>(std::uint64_t)>;
+    void set_configuration_source(configuration_source source);
+    /// Asks nodes for a configuration newer than `version`; the answers of
+    /// those that have one, in the operator's encoding.
+    boost::asio::awaitable<std::vector<std::string>> ask_configuration(
+        std::vector<node_announcement> nodes, std::uint64_t version);
+
     /// Handles a call from another node.
     boost::asio::awaitable<http_response> serve(http_request request);
 
@@ -110,6 +122,10 @@
     boost::asio::awaitable<shard_answer> ask_remote(
         const owner_record& owner, const shard_call& call,
         std::chrono::milliseconds timeout);
+    /// Empty if the node has no newer one, or does not answer in time.
+    boost::asio::awaitable<std::string>
+    ask_node(std::string address, shard_call call);
+    shard_answer answer_configuration(const std::string& version) const;
     boost::asio::awaitable<void>
     tell_node(std::string address, shard_call call);
 
@@ -117,6 +133,7 @@
     shard_map& shards_;
     std::map<shard_id, std::shared_ptr<shard_owner>> owners_;
     announcement_store announcement_store_;
+    configuration_source configuration_source_;
     wake_signal owner_changed_;
 };
 
--- a/src/include/dandeliontack/submission.hpp
+++ b/src/include/dandeliontack/submission.hpp
@@ -129,6 +129,8 @@
     std::chrono::sys_time<std::chrono::milliseconds> accepted;
     /// The ownership epoch in which it was accepted.
     std::uint64_t epoch = 0;
+    /// The client account that submitted it; empty if none was needed.
+    std::string account;
 
     bool operator==(const submission_record&) const = default;
 };
--- a/src/include/dandeliontack/tack_node.hpp
+++ b/src/include/dandeliontack/tack_node.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <dandeliontack/caller_front.hpp>
+#include <dandeliontack/configuration_relay.hpp>
 #include <dandeliontack/fleet_duty.hpp>
 #include <dandeliontack/http_server.hpp>
 #include <dandeliontack/node_context.hpp>
@@ -59,6 +60,10 @@
     boost::asio::awaitable<void> hand_over(std::shared_ptr<fleet_duty> duty);
     boost::asio::awaitable<void> hand_over_all(std::shared_ptr<bool> done);
     void apply_operator_record(const keyed_record& record);
+    void apply_configuration(std::string_view encoded, std::string_view source);
+    /// Asks other nodes for the configuration while the store turns this one
+    /// away.
+    boost::asio::awaitable<void> relay_configuration();
     void apply_host_record(const keyed_record& record);
     void assign_hosts();
     bool is_known_pool(const std::string& pool) const;
@@ -72,6 +77,8 @@
     shard_map shards_;
     shard_router router_;
     caller_front front_;
+    configuration_relay relay_;
+    bool relaying_ = false;
     topic_follower operator_records_;
     topic_follower registry_;
     topic_follower host_records_;
--- a/src/libnode/caller_front.cpp
+++ b/src/libnode/caller_front.cpp
@@ -130,6 +130,15 @@
     if (!queue)
         co_return error_response(
             http::status::not_found, outcome::not_run, "no such queue", path);
+    std::string account;
+    if (held->accounts && !queue->is_public)
+    {
+        const auto key = platform::decode_account_key(request);
+        const auto* holder = key ? held->accounts->find_by_key(*key) : nullptr;
+        if (!holder)
+            co_return refuse_key(*held, *queue, key.has_value());
+        account = holder->name;
+    }
     if (!router_.shards().has_been_read())
         co_return retry_later(
             "no registry",
@@ -141,7 +150,11 @@
             "no layout",
             "this node has not read the layout of the deployment's cells yet");
     request_scope scope{
-        *queue, *layout, 0, path.substr(queue->path_prefix.size()),
+        *queue,
+        std::move(account),
+        *layout,
+        0,
+        path.substr(queue->path_prefix.size()),
         platform::decode_request_deadline(request).value_or(default_timeout) -
             answer_margin};
     scope.timeout = std::max<std::chrono::milliseconds>(scope.timeout, 1ms);
@@ -184,6 +197,26 @@
     co_return response;
 }
 
+http_response caller_front::refuse_key(
+    const queue_table& table, const queue_entry& queue, bool has_key)
+{
+    context_.metrics
+        .get_counter(
+            has_key ? "tack_keys_refused_total{cause=\"unknown\"}"
+                    : "tack_keys_refused_total{cause=\"missing\"}")
+        .add();
+    context_.log.write(
+        "front", "key_refused",
+        log_line()
+            .add("route", queue.terms.route)
+            .add("configuration", table.version)
+            .add("reason", has_key ? "no account has the key" : "no key"));
+    return error_response(
+        http::status::unauthorized, outcome::not_run, "key needed",
+        has_key ? "the request's key belongs to no client account"
+                : "the request carries no readable key of a client account");
+}
+
 http_response caller_front::owner_error_response(
     const shard_answer& answer, const request_scope& scope)
 {
@@ -232,7 +265,8 @@
         cell_of_submission(scope.layout, *id, spec, scope.queue.terms.pool));
     shard_call call{shard_call::verb::submit, scope.shard, *id, {}, {}};
     call.record = submission_record{
-        *id, std::move(spec), scope.queue.terms, read_clocks().wall, 0};
+        *id, std::move(spec), scope.queue.terms, read_clocks().wall,
+        0,   scope.account};
     if (auto refusal = check_stored_size(*call.record))
         co_return std::move(*refusal);
     const auto answer = co_await submit_once(std::move(call), scope);
--- /dev/null
+++ b/src/libnode/configuration_relay.cpp
@@ -0,0 +1,84 @@
+#include <dandeliontack/configuration_relay.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace dandeliontack
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+// A read of the operator's topic waits up to 800 ms for a record, so a node
+// that can use the store reads its end more often than this.
+constexpr auto min_stale_time = 1200ms;
+// As fractions of the time within which a configuration must be in force.
+constexpr int stale_divisor = 3;
+constexpr int interval_divisor = 8;
+
+} // namespace
+
+relay_terms relay_terms_of(std::chrono::milliseconds config_bound)
+{
+    relay_terms terms;
+    terms.stale_after = std::max<std::chrono::milliseconds>(
+        config_bound / stale_divisor, min_stale_time);
+    terms.interval = config_bound / interval_divisor;
+    return terms;
+}
+
+configuration_relay::configuration_relay(relay_terms terms) : terms_(terms) {}
+
+const relay_terms& configuration_relay::terms() const
+{
+    return terms_;
+}
+
+void configuration_relay::keep(std::uint64_t version, std::string encoded)
+{
+    if (version <= version_)
+        return;
+    version_ = version;
+    encoded_ = std::move(encoded);
+}
+
+void configuration_relay::mark_read(boot_time now)
+{
+    last_read_ = now;
+}
+
+bool configuration_relay::is_stale(boot_time now) const
+{
+    return version_ > 0 && now - last_read_ >= terms_.stale_after;
+}
+
+std::vector<node_announcement>
+configuration_relay::next_peers(std::vector<node_announcement> others)
+{
+    const auto count = std::min(terms_.peers, others.size());
+    if (count == 0)
+        return {};
+    next_ %= others.size();
+    std::ranges::rotate(
+        others, others.begin() + static_cast<std::ptrdiff_t>(next_));
+    next_ += count;
+    others.resize(count);
+    return others;
+}
+
+std::optional<std::string>
+configuration_relay::newer_than(std::uint64_t version) const
+{
+    if (version_ <= version)
+        return std::nullopt;
+    return encoded_;
+}
+
+std::uint64_t configuration_relay::version() const
+{
+    return version_;
+}
+
+} // namespace dandeliontack
--- /dev/null
+++ b/src/libnode/configuration_relay_test.cpp
@@ -0,0 +1,78 @@
+#include <dandeliontack/configuration_relay.hpp>
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace dandeliontack
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+std::vector<node_announcement> nodes(std::size_t count)
+{
+    std::vector<node_announcement> out(count);
+    for (std::size_t i = 0; i < count; ++i)
+        out[i].name = "node-" + std::to_string(i);
+    return out;
+}
+
+} // namespace
+
+TEST(configuration_relay, a_node_without_a_configuration_asks_nobody)
+{
+    configuration_relay relay(relay_terms_of(3000ms));
+    EXPECT_FALSE(relay.is_stale(boot_time(1h)));
+    relay.keep(5, "five");
+    EXPECT_TRUE(relay.is_stale(boot_time(1h)));
+}
+
+TEST(configuration_relay, reads_to_the_end_keep_it_from_asking)
+{
+    configuration_relay relay(relay_terms_of(3000ms));
+    relay.keep(5, "five");
+    const boot_time read(1h);
+    relay.mark_read(read);
+    EXPECT_FALSE(relay.is_stale(read + relay.terms().stale_after - 1ms));
+    EXPECT_TRUE(relay.is_stale(read + relay.terms().stale_after));
+}
+
+// Half of the bound is left for the answers and for a second round.
+TEST(configuration_relay, asks_well_within_the_bound_of_configurations)
+{
+    for (const auto bound : {3000ms, 4000ms, 10'000ms})
+    {
+        const auto terms = relay_terms_of(bound);
+        EXPECT_LE(terms.stale_after + terms.interval, bound * 3 / 5);
+    }
+}
+
+TEST(configuration_relay, only_a_newer_configuration_is_kept_and_told)
+{
+    configuration_relay relay({});
+    relay.keep(7, "seven");
+    relay.keep(5, "five");
+    EXPECT_EQ(relay.version(), 7U);
+    EXPECT_EQ(relay.newer_than(6), "seven");
+    EXPECT_FALSE(relay.newer_than(7));
+    EXPECT_FALSE(relay.newer_than(8));
+}
+
+// Load pattern: the store turns a third of the nodes away, so some of those
+// that are asked know no more.
+TEST(configuration_relay, rounds_reach_every_node_in_turn)
+{
+    configuration_relay relay({1200ms, 400ms, 3});
+    std::set<std::string> asked;
+    for (int round = 0; round < 4; ++round)
+        for (const auto& node : relay.next_peers(nodes(10)))
+            asked.insert(node.name);
+    EXPECT_EQ(asked.size(), 10U);
+    EXPECT_TRUE(relay.next_peers({}).empty());
+    EXPECT_EQ(relay.next_peers(nodes(2)).size(), 2U);
+}
+
+} // namespace dandeliontack
--- a/src/libnode/shard_router.cpp
+++ b/src/libnode/shard_router.cpp
@@ -24,6 +24,8 @@
 constexpr auto retry_delay = 60ms;
 // Timeout of a message about an owner, which is not repeated.
 constexpr auto tell_timeout = 500ms;
+// Timeout of a question to a node about the configuration, asked in rounds.
+constexpr auto configuration_timeout = 400ms;
 constexpr int http_version = 11;
 constexpr std::size_t path_segments = 3;
 
@@ -42,7 +44,8 @@
     verb_row{shard_call::verb::host_ended, "host-ended"},
     verb_row{shard_call::verb::demands, "demands"},
     verb_row{shard_call::verb::announce, "announce"},
-    verb_row{shard_call::verb::owner_changed, "owner-changed"}};
+    verb_row{shard_call::verb::owner_changed, "owner-changed"},
+    verb_row{shard_call::verb::configuration, "configuration"}};
 
 struct outcome_row
 {
@@ -184,6 +187,65 @@
         *peer, encode_call(address, call), tell_timeout);
 }
 
+void shard_router::set_configuration_source(configuration_source source)
+{
+    configuration_source_ = std::move(source);
+}
+
+asio::awaitable<std::string>
+shard_router::ask_node(std::string address, shard_call call)
+{
+    const auto peer = parse_endpoint(address);
+    if (!peer)
+        co_return std::string();
+    auto result = co_await context_.connections.exchange(
+        *peer, encode_call(address, call), configuration_timeout);
+    auto* response = std::get_if<http_response>(&result);
+    if (!response || response->result() != http::status::ok)
+        co_return std::string();
+    co_return std::move(response->body());
+}
+
+asio::awaitable<std::vector<std::string>> shard_router::ask_configuration(
+    std::vector<node_announcement> nodes, std::uint64_t version)
+{
+    std::vector<std::string> newer;
+    std::size_t unanswered = nodes.size();
+    wake_signal done(context_.executor);
+    for (const auto& node : nodes)
+        asio::co_spawn(
+            context_.executor,
+            ask_node(
+                node.address, {shard_call::verb::configuration,
+                               0,
+                               0,
+                               std::to_string(version),
+                               {}}),
+            [&](const std::exception_ptr& error, std::string answer) {
+                if (!error && !answer.empty())
+                    newer.push_back(std::move(answer));
+                --unanswered;
+                done.notify();
+            });
+    while (unanswered > 0)
+        co_await done.wait(configuration_timeout);
+    co_return newer;
+}
+
+shard_answer
+shard_router::answer_configuration(const std::string& version) const
+{
+    std::uint64_t known = 0;
+    const auto* end = version.data() + version.size();
+    const auto parsed = std::from_chars(version.data(), end, known);
+    if (!configuration_source_ || parsed.ec != std::errc() || parsed.ptr != end)
+        return {shard_outcome::not_found, {}};
+    auto newer = configuration_source_(known);
+    if (!newer)
+        return {shard_outcome::not_found, {}};
+    return {shard_outcome::done, std::move(*newer)};
+}
+
 asio::awaitable<shard_answer>
 shard_router::ask_local(shard_owner& owner, shard_call call)
 {
@@ -349,6 +411,10 @@
     {
         answer = co_await announcement_store_(std::move(call->name));
     }
+    else if (call->kind == shard_call::verb::configuration)
+    {
+        answer = answer_configuration(call->name);
+    }
     else if (call->kind == shard_call::verb::owner_changed)
     {
         if (!shards_.apply(
--- a/src/libnode/stored_records.cpp
+++ b/src/libnode/stored_records.cpp
@@ -169,6 +169,7 @@
     put(record.terms, *out.mutable_terms());
     out.set_accepted_ms(record.accepted.time_since_epoch().count());
     out.set_epoch(record.epoch);
+    out.set_account(record.account);
     return out.SerializeAsString();
 }
 
@@ -189,6 +190,7 @@
     record.terms = terms_of(in->terms());
     record.accepted = wall_time(milliseconds(in->accepted_ms()));
     record.epoch = in->epoch();
+    record.account = in->account();
     const auto& terms = in->terms();
     const std::array times{in->first_due_ms(),       in->interval_ms(),
                            in->accepted_ms(),        terms.target_ms(),
--- a/src/libnode/tack_node.cpp
+++ b/src/libnode/tack_node.cpp
@@ -103,6 +103,9 @@
       shards_(takeover_timing{}),
       router_(context, shards_),
       front_(context, router_),
+      relay_(relay_terms_of(std::chrono::round<std::chrono::milliseconds>(
+          std::chrono::duration<double, std::milli>(
+              context.settings.bounds.config_ms)))),
       operator_records_(
           context, store_,
           {{std::string(platform::operator_topic), 0},
@@ -110,7 +113,8 @@
            0ms,
            configuration_pause(context.settings),
            [this] { return operator_read_limit(); }},
-          [this](const keyed_record& r) { apply_operator_record(r); }, [] {}),
+          [this](const keyed_record& r) { apply_operator_record(r); },
+          [this] { relay_.mark_read(read_clocks().steady); }),
       registry_(
           context, store_,
           {registry_partition(), 0ms, registry_interval, 0ms, {}},
@@ -154,6 +158,8 @@
     router_.set_announcement_store([this](std::string record) {
         return store_announcement(std::move(record));
     });
+    router_.set_configuration_source(
+        [this](std::uint64_t version) { return relay_.newer_than(version); });
 }
 
 void tack_node::start()
@@ -391,29 +397,62 @@
     }
 }
 
-void tack_node::apply_operator_record(const keyed_record& record)
+void tack_node::apply_configuration(
+    std::string_view encoded, std::string_view source)
 {
-    if (record.key == platform::configuration_key)
+    auto decoded = platform::decode_configuration(encoded);
+    if (const auto* wrong = std::get_if<findings>(&decoded))
     {
-        auto decoded = platform::decode_configuration(record.value);
-        if (const auto* wrong = std::get_if<findings>(&decoded))
-            context_.log.write(
-                "node", "configuration_unreadable",
-                log_line()
-                    .add("offset", record.offset)
-                    .add("reason", to_string(*wrong)));
-        else
+        context_.log.write(
+            "node", "configuration_unreadable",
+            log_line().add("source", source).add("reason", to_string(*wrong)));
+        return;
+    }
+    auto& table = std::get<queue_table>(decoded);
+    if (table.accounts)
+    {
+        relay_.keep(table.version, std::string(encoded));
+        if (!std::exchange(relaying_, true))
+            spawn_with_restart(context_, "configuration relay", [this] {
+                return relay_configuration();
+            });
+    }
+    front_.set_table(std::make_shared<const queue_table>(std::move(table)));
+    auto pools = pools_of(*front_.table());
+    hosts_changed_ = hosts_changed_ || pools != known_pools_;
+    known_pools_ = std::move(pools);
+    if (duty_)
+        duty_->set_table(front_.shared_table());
+    for (const auto& [shard, owner] : router_.owners())
+        owner->set_queues(*front_.table());
+}
+
+asio::awaitable<void> tack_node::relay_configuration()
+{
+    while (!leaving_)
+    {
+        const auto now = read_clocks().steady;
+        if (relay_.is_stale(now))
         {
-            front_.set_table(std::make_shared<const queue_table>(
-                std::move(std::get<queue_table>(decoded))));
-            auto pools = pools_of(*front_.table());
-            hosts_changed_ = hosts_changed_ || pools != known_pools_;
-            known_pools_ = std::move(pools);
-            if (duty_)
-                duty_->set_table(front_.shared_table());
-            for (const auto& [shard, owner] : router_.owners())
-                owner->set_queues(*front_.table());
+            auto others = shards_.alive_nodes(now);
+            std::erase_if(others, [this](const node_announcement& node) {
+                return node.process_incarnation == context_.process_incarnation;
+            });
+            auto peers = relay_.next_peers(std::move(others));
+            const auto newer = co_await router_.ask_configuration(
+                std::move(peers), relay_.version());
+            for (const auto& encoded : newer)
+                apply_configuration(encoded, "peer");
         }
+        co_await pause_for(context_.executor, relay_.terms().interval);
+    }
+}
+
+void tack_node::apply_operator_record(const keyed_record& record)
+{
+    if (record.key == platform::configuration_key)
+    {
+        apply_configuration(record.value, "store");
         return;
     }
     if (!record.key.starts_with(platform::wave_prefix) || record.value.empty())
