Planner: skip needs that no host of the pool has room for in a round

Cause: while a pool is full, each round looked at every host for every waiting step: 350 hosts times thousands of steps, on a part of a core.

Change: a need for which no eligible host has room is noted for the rest of the round, and steps that need at least as much are passed over. What is started does not change.

--- a/src/libsched/pool_planner.cpp
+++ b/src/libsched/pool_planner.cpp
@@ -214,9 +214,12 @@
     const candidate& c, const step_spec& spec, const task_state& t,
     const std::string& rack)
 {
+    const auto& pool = c.submission->record.terms.pool;
+    if (unfit_[pool].contains(reserved_resources(spec)))
+        return nullptr;
     host_state* best = nullptr;
     double least = std::numeric_limits<double>::max();
-    for (auto* h : hosts_[c.submission->record.terms.pool])
+    for (auto* h : hosts_[pool])
     {
         if (!can_place(*h, c, spec))
             continue;
@@ -230,6 +233,17 @@
     return best;
 }
 
+void pool_planner::note_unfit(const std::string& pool, const resources& need)
+{
+    const bool has_room =
+        std::ranges::any_of(hosts_[pool], [&](const host_state* h) {
+            return starts_left_.at(h) > 0 &&
+                   fits(need, h->entry.capacity - h->used);
+        });
+    if (!has_room)
+        unfit_[pool].add(need);
+}
+
 std::string pool_planner::rack_in_use(const candidate& c) const
 {
     const auto& step = c.submission->occurrences.at(c.occurrence).steps[c.step];
@@ -348,6 +362,8 @@
         auto* h = best_host(c, spec, t, rack);
         if (!h)
         {
+            note_unfit(
+                c.submission->record.terms.pool, reserved_resources(spec));
             if (c.submission->record.terms.advice)
                 request_advice(c);
             return;
--- a/src/libsched/pool_planner.hpp
+++ b/src/libsched/pool_planner.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "unfit_needs.hpp"
 #include <dandeliontack/pool_engine.hpp>
 
 #include <map>
@@ -43,6 +44,8 @@
     host_state* best_host(
         const candidate& c, const step_spec& spec, const task_state& t,
         const std::string& rack);
+    /// Notes a need that no host of the pool has room for in this round.
+    void note_unfit(const std::string& pool, const resources& need);
     /// Whether a task of the step may start on the host, advice aside.
     bool has_room(
         const host_state& h, const candidate& c, const step_spec& spec) const;
@@ -80,6 +83,8 @@
     /// Moving average of the work of a submission, in core milliseconds, by
     /// queue.
     std::map<std::string, double> mean_work_;
+    /// By pool.
+    std::map<std::string, unfit_needs> unfit_;
 };
 
 /// The resources that a task reserves on its host. A best-effort task reserves
