--- a/src/include/dandeliontack/shard_map.hpp
+++ b/src/include/dandeliontack/shard_map.hpp
@@ -65,6 +65,10 @@
     /// read of the registry has left. Longer than clocks differ or jump by, and
     /// longer than the longest interval between announcements.
     std::chrono::milliseconds max_announcement_age{10'000};
+    /// A node must have been available for this long before another hands it a
+    /// shard, longer than a node that restarts in a loop stays up; 0 if shards
+    /// are never handed over to balance the load.
+    std::chrono::milliseconds balance_after{0};
 };
 
 /// The results of a node's own calls to the store.
@@ -131,6 +135,14 @@
     std::vector<shard_id> shards_to_claim(
         const std::set<shard_id>& wanted, const claimant& self, boot_time now);
 
+    /// Whether another node has so much less load for its CPU that `self`
+    /// should hand one of its shards over to it. Load pattern: nodes that were
+    /// cut off come back without shards, and a node that took theirs owns two
+    /// pools when the load peak of one comes.
+    bool should_hand_over(
+        const std::set<shard_id>& wanted, const claimant& self,
+        boot_time now) const;
+
 private:
     struct node_entry
     {
@@ -139,9 +151,12 @@
         /// Its announcement was too old on the first read of the registry;
         /// no shards are assigned to it.
         bool departed = false;
+        /// When it could own shards again after it could not.
+        boot_time available_since;
     };
 
     bool has_timed_out(const node_entry& node, boot_time now) const;
+    bool is_available(const node_entry& node, boot_time now) const;
     bool is_outdated(
         const std::string& name, const node_announcement& announcement) const;
 
--- a/src/include/dandeliontack/tack_node.hpp
+++ b/src/include/dandeliontack/tack_node.hpp
@@ -57,6 +57,9 @@
     boost::asio::awaitable<void> load_layout();
     boost::asio::awaitable<void> write_log_regularly();
     boost::asio::awaitable<void> hand_over(std::shared_ptr<shard_owner> owner);
+    /// Hands over the shard with the least work if another node has much less
+    /// load.
+    void balance_shards(const std::set<shard_id>& wanted);
     boost::asio::awaitable<void> hand_over(std::shared_ptr<fleet_duty> duty);
     boost::asio::awaitable<void> hand_over_all(std::shared_ptr<bool> done);
     void apply_operator_record(const keyed_record& record);
@@ -99,6 +102,8 @@
     /// The epoch of this process in the registry; 0 before the first
     /// announcement.
     std::uint64_t node_epoch_ = 0;
+    /// When the shards that this node owns changed last.
+    boot_time owned_changed_;
     bool leaving_ = false;
     bool without_store_ = false;
     wake_signal announce_now_;
--- a/src/include/dandeliontack/tack_node_settings.hpp
+++ b/src/include/dandeliontack/tack_node_settings.hpp
@@ -68,6 +68,9 @@
     double lease_ms = 3000;
     /// A new configuration is in force on every node within this time.
     double config_ms = 2000;
+    /// A node hands shards over to one that has been available for this long
+    /// and has much less load; 0 for never.
+    double balance_ms = 0;
 };
 
 /// Section `[limits]`: the machine's resources for the process.
--- a/src/libnode/shard_map.cpp
+++ b/src/libnode/shard_map.cpp
@@ -150,7 +150,14 @@
         const bool departed =
             !first_read_ && announcement->at != wall_time{} &&
             now.wall - announcement->at > timing_.max_announcement_age;
-        nodes_[name] = {*announcement, now.steady, departed};
+        const auto known = nodes_.find(name);
+        const bool was_available =
+            known != nodes_.end() && is_available(known->second, now.steady) &&
+            known->second.announcement.process_incarnation ==
+                announcement->process_incarnation;
+        const auto available_since =
+            was_available ? known->second.available_since : now.steady;
+        nodes_[name] = {*announcement, now.steady, departed, available_since};
         return true;
     }
     if (key.starts_with(queues_prefix))
@@ -215,6 +222,12 @@
                node.announcement.interval * timing_.missed_intervals);
 }
 
+bool shard_map::is_available(const node_entry& node, boot_time now) const
+{
+    return !has_timed_out(node, now) && !node.departed &&
+           !node.announcement.leaving && !node.announcement.without_store;
+}
+
 std::optional<owner_record> shard_map::owner(shard_id shard) const
 {
     const auto found = owners_.find(shard);
@@ -243,8 +256,7 @@
 {
     std::vector<node_announcement> out;
     for (const auto& [name, node] : nodes_)
-        if (!has_timed_out(node, now) && !node.departed &&
-            !node.announcement.leaving && !node.announcement.without_store)
+        if (is_available(node, now))
             out.push_back(node.announcement);
     return out;
 }
@@ -368,4 +380,35 @@
     return out;
 }
 
+bool shard_map::should_hand_over(
+    const std::set<shard_id>& wanted, const claimant& self, boot_time now) const
+{
+    // A handover must bring the load of this node down by a good part.
+    constexpr double max_remaining_load = 0.75;
+    if (timing_.balance_after.count() == 0 || !first_read_ ||
+        now - last_read_ > max_read_gap)
+        return false;
+    std::map<std::string, std::uint32_t> load;
+    for (const auto shard : wanted)
+    {
+        const auto known = owner(shard);
+        // Shards without an owner go to the nodes with the least load anyway.
+        if (!known || !is_alive(*known, now))
+            return false;
+        ++load[known->node];
+    }
+    const auto share = [](std::uint32_t shards, std::uint32_t cpu_milli) {
+        return static_cast<double>(shards) /
+               std::max<std::uint32_t>(cpu_milli, 1);
+    };
+    const auto& own = self.announcement;
+    const auto most = share(load[own.name], own.cpu_milli) * max_remaining_load;
+    return std::ranges::any_of(nodes_, [&](const auto& item) {
+        const auto& [name, node] = item;
+        return name != own.name && is_available(node, now) &&
+               now - node.available_since >= timing_.balance_after &&
+               share(load[name] + 1, node.announcement.cpu_milli) <= most;
+    });
+}
+
 } // namespace dandeliontack
--- a/src/libnode/shard_map_test.cpp
+++ b/src/libnode/shard_map_test.cpp
@@ -364,4 +364,87 @@
     EXPECT_EQ(map.owner(5)->epoch, 4U);
 }
 
+class shard_balance_test : public shard_map_test
+{
+protected:
+    shard_balance_test()
+    {
+        takeover_timing timing;
+        timing.balance_after = 2000ms;
+        map = shard_map(timing);
+    }
+
+    bool hands_over(const node_announcement& self)
+    {
+        return map.should_hand_over({1, 2, 3}, {self, {}, {}}, now);
+    }
+
+    // Node `a` owns two shards, `b` one and `c` none.
+    void distribute()
+    {
+        set_owner(1, a, 1);
+        set_owner(2, a, 1);
+        set_owner(3, b, 1);
+    }
+
+    node_announcement a = node("a", 1);
+    node_announcement b = node("b", 2);
+    node_announcement c = node("c", 3);
+};
+
+TEST_F(shard_balance_test, owner_of_two_hands_one_to_a_node_that_came_back)
+{
+    advance(3000ms, {a, b});
+    distribute();
+    EXPECT_FALSE(hands_over(a));
+    advance(1000ms, {a, b, c});
+    EXPECT_FALSE(hands_over(a)) << "it has just come back";
+    advance(2000ms, {a, b, c});
+    EXPECT_TRUE(hands_over(a));
+    EXPECT_FALSE(hands_over(b)) << "the load would only move";
+}
+
+TEST_F(shard_balance_test, restart_and_lost_store_begin_the_wait_anew)
+{
+    advance(3000ms, {a, b, c});
+    distribute();
+    ASSERT_TRUE(hands_over(a));
+    auto restarted = node("c", 4);
+    restarted.epoch = 4;
+    advance(1000ms, {a, b, restarted});
+    EXPECT_FALSE(hands_over(a));
+    advance(2000ms, {a, b, restarted});
+    EXPECT_TRUE(hands_over(a));
+    restarted.without_store = true;
+    advance(500ms, {a, b, restarted});
+    EXPECT_FALSE(hands_over(a));
+    restarted.without_store = false;
+    advance(1000ms, {a, b, restarted});
+    EXPECT_FALSE(hands_over(a));
+}
+
+TEST_F(shard_balance_test, nothing_moves_to_a_node_with_less_cpu)
+{
+    c.cpu_milli = 120;
+    advance(3000ms, {a, b, c});
+    distribute();
+    EXPECT_FALSE(hands_over(a));
+}
+
+TEST_F(shard_balance_test, nothing_moves_while_a_shard_has_no_owner)
+{
+    advance(3000ms, {a, b, c});
+    distribute();
+    set_owner(3, b, 1, true);
+    EXPECT_FALSE(hands_over(a));
+}
+
+TEST_F(shard_balance_test, without_the_setting_nothing_moves)
+{
+    map = shard_map(takeover_timing{});
+    advance(3000ms, {a, b, c});
+    distribute();
+    EXPECT_FALSE(hands_over(a));
+}
+
 } // namespace dandeliontack
--- a/src/libnode/tack_node.cpp
+++ b/src/libnode/tack_node.cpp
@@ -44,6 +44,9 @@
 // latency.
 constexpr auto claim_retry_delay = 1500ms;
 constexpr int claim_retry_appends = 5;
+// Pause between changes of the shards that this node owns and a handover that
+// balances the load, in which a claim is announced and its takeover settles.
+constexpr auto balance_interval = 2000ms;
 // How long a read of the operator's topic waits for new records. A dead
 // connection is detected within this and the call's own timeout.
 constexpr auto operator_read_wait = 800ms;
@@ -83,6 +86,14 @@
             settings.bounds.config_ms * share));
 }
 
+takeover_timing takeover_timing_of(const tack_node_settings& settings)
+{
+    takeover_timing timing;
+    timing.balance_after = std::chrono::round<std::chrono::milliseconds>(
+        std::chrono::duration<double, std::milli>(settings.bounds.balance_ms));
+    return timing;
+}
+
 // The pools that a configuration names.
 std::set<std::string> pools_of(const queue_table& table)
 {
@@ -100,7 +111,7 @@
     : context_(context),
       store_(context),
       advice_(context),
-      shards_(takeover_timing{}),
+      shards_(takeover_timing_of(context.settings)),
       router_(context, shards_),
       front_(context, router_),
       relay_(relay_terms_of(std::chrono::round<std::chrono::milliseconds>(
@@ -565,6 +576,7 @@
         const auto claimable = shards_.shards_to_claim(
             wanted, {announcement(), held, store_.append_latency_estimate()},
             read_clocks().steady);
+        balance_shards(wanted);
         for (const auto shard : claimable)
         {
             const auto failed = failed_claims_.find(shard);
@@ -590,6 +602,34 @@
     }
 }
 
+void tack_node::balance_shards(const std::set<shard_id>& wanted)
+{
+    const auto now = read_clocks().steady;
+    const auto& owned = router_.owners();
+    const bool is_settled =
+        claiming_.empty() && now - owned_changed_ >= balance_interval &&
+        std::ranges::none_of(owned, [](const auto& item) {
+            const auto* engine = item.second->engine();
+            return item.second->is_lost() || !engine || engine->is_settling();
+        });
+    if (owned.empty() || !is_settled ||
+        !shards_.should_hand_over(wanted, {announcement(), {}, {}}, now))
+        return;
+    const auto& owner =
+        std::ranges::min_element(owned, {}, [](const auto& item) {
+            return item.second->engine()->active();
+        })->second;
+    owned_changed_ = now;
+    context_.log.write(
+        "node", "shard_handed_over",
+        log_line()
+            .add("shard", owner->shard())
+            .add("submissions", std::uint64_t{owner->engine()->active()})
+            .add("owned", std::uint64_t{owned.size()})
+            .add("reason", "another node has much less load"));
+    spawn(context_, "hand-over", hand_over(owner));
+}
+
 std::set<shard_id> tack_node::held_shards() const
 {
     auto held = claiming_;
@@ -636,6 +676,7 @@
     if (taken && !leaving_)
     {
         router_.add_owner(owner);
+        owned_changed_ = read_clocks().steady;
         owner->set_queues(*front_.table());
         router_.tell_nodes(shard, owner->record());
         if (!std::exchange(following_hosts_, true))
--- a/src/libnode/tack_node_settings.cpp
+++ b/src/libnode/tack_node_settings.cpp
@@ -98,7 +98,11 @@
             .member = &s::grace_seconds,
             .most = max_seconds},
         row{.key = "lease_ms", .member = &s::lease_ms, .most = max_ms},
-        row{.key = "config_ms", .member = &s::config_ms, .most = max_ms}};
+        row{.key = "config_ms", .member = &s::config_ms, .most = max_ms},
+        row{.key = "balance_ms",
+            .member = &s::balance_ms,
+            .least = 0,
+            .most = max_ms}};
     return table;
 }
 
