Limits of accounts across machines: allotments from the fleet duty

Cause: the owners of shards start an account's tasks without knowing of each other, so an account could run any multiple of its limit. Change: the holder of the fleet duty divides each limit among owners (allotment_keeper). Its calls ride on the demands call that it makes anyway: rows of allotments down, rows of what is allotted, used and held back up. An owner starts a task, or all of a gang, only within its allotment (account_budget), and takes rows only for its own epoch and in order. Raises are counted before they are sent, decreases once confirmed; what a predecessor may still run counts until the takeover has settled; a new holder raises nothing until every owner has answered it. Without limited accounts nothing is kept or sent.

--- a/src/include/dandeliontack/fleet_duty.hpp
+++ b/src/include/dandeliontack/fleet_duty.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <dandeliontack/allotment_keeper.hpp>
 #include <dandeliontack/append_queue.hpp>
 #include <dandeliontack/departure_watch.hpp>
 #include <dandeliontack/fleet_balance.hpp>
@@ -155,6 +156,8 @@
     /// By cell; empty until the layout is known.
     std::vector<fleet_balance> balances_;
     std::shared_ptr<const queue_table> table_;
+    /// Divides the limits of accounts; null while no account has one.
+    std::unique_ptr<allotment_keeper> keeper_;
     /// Machines that are being moved, with their target pools.
     std::map<std::string, std::string> moving_;
     /// Times before which this node sends no orders for machines to which a
--- a/src/include/dandeliontack/pool_engine.hpp
+++ b/src/include/dandeliontack/pool_engine.hpp
@@ -97,6 +97,10 @@
     bool is_settling() const;
     /// The demand and the hosts of each pool of the shard.
     std::vector<pool_demand> demands(moment now) const;
+    /// The answer to the call.
+    allotment_report report_allotments(const allotment_call& call) const;
+    /// What accounts use and may use in this shard.
+    const account_budget& budget() const;
     std::size_t active() const;
     bool has_submissions_of(const std::string& pool) const;
     std::size_t waiting_tasks() const;
@@ -130,6 +134,7 @@
     void on(const pool_event::evacuation_requested& e);
     void on(const pool_event::lending_requested& e);
     void on(const pool_event::accounts_changed& e);
+    void on(const pool_event::allotments_called& e);
     void on(const pool_event::tick& e);
 
     void open_occurrences(submission_state& s);
@@ -194,6 +199,11 @@
     bool has_expired(const std::string& host) const;
     void update_takeover();
     void release_inherited();
+    /// Whether every run that a previous owner started is known with its
+    /// account.
+    bool knows_all_accounts() const;
+    /// Logs when an account begins and ends to be held back.
+    void log_held_accounts();
     void set_closed(host_state& h, bool closed);
     /// Whether every step that this one depends on is done.
     static bool is_ready(
@@ -245,6 +255,9 @@
     /// Null in a deployment without client accounts.
     std::shared_ptr<const account_table> accounts_;
     std::uint64_t accounts_version_ = 0;
+    account_budget budget_;
+    /// Accounts that are held back by their limit, with the last time.
+    std::map<std::string, boot_time> held_accounts_;
     std::map<std::uint64_t, submission_state> active_;
     std::map<std::uint64_t, finished> finished_;
     std::map<std::string, host_state> hosts_;
--- a/src/include/dandeliontack/pool_events.hpp
+++ b/src/include/dandeliontack/pool_events.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <dandeliontack/account_allotment.hpp>
 #include <dandeliontack/boot_clock.hpp>
 #include <dandeliontack/client_account.hpp>
 #include <dandeliontack/host_lease.hpp>
@@ -197,6 +198,11 @@
     /// The version of the configuration.
     std::uint64_t version = 0;
 };
+/// The keeper of the accounts' limits has sent this owner its parts.
+struct allotments_called
+{
+    allotment_call call;
+};
 struct tick
 {
 };
@@ -210,7 +216,7 @@
     pool_event::advice_answered, pool_event::batch_stored,
     pool_event::records_refused, pool_event::evacuation_requested,
     pool_event::lending_requested, pool_event::accounts_changed,
-    pool_event::tick>;
+    pool_event::allotments_called, pool_event::tick>;
 
 /// What a submission spent its time on, summed over its steps.
 struct submission_delays
--- a/src/include/dandeliontack/pool_state.hpp
+++ b/src/include/dandeliontack/pool_state.hpp
@@ -191,6 +191,12 @@
     bool long_running = false;
     std::chrono::milliseconds objective{0};
     std::int64_t load = 0;
+    /// The account that it counts for, and what it counts there; a best-effort
+    /// task counts with its cores.
+    account_budget::position account = 0;
+    resources charge;
+    /// Known from the host's list: a previous owner has started it.
+    bool inherited = false;
 };
 
 /// Failure history of a host, used to suspend it.
--- a/src/include/dandeliontack/shard_owner.hpp
+++ b/src/include/dandeliontack/shard_owner.hpp
@@ -129,6 +129,8 @@
     void drop_refused_records();
     /// Updates this owner's share of the tasks in the node's memory.
     void count_tasks();
+    /// Sets the metrics of accounts that are limited.
+    void report_accounts();
     bool has_memory_for(const submission_spec& spec);
     void apply(const pool_event_body& event);
     void run_effects(pool_effects effects);
--- a/src/include/dandeliontack/stored_records.hpp
+++ b/src/include/dandeliontack/stored_records.hpp
@@ -118,6 +118,10 @@
 std::string encode(const wave_record& record);
 std::string encode(const std::vector<pool_demand>& demands);
 std::string encode(const lent_hosts& wanted);
+/// Appended to encoded `lent_hosts` and demands, which earlier versions then
+/// decode as before.
+std::string encode(const allotment_call& call);
+std::string encode(const allotment_report& report);
 std::string encode(const fleet_layout& layout);
 
 /// Each returns `std::nullopt` if the bytes are not a valid record.
@@ -132,6 +136,10 @@
 std::optional<wave_record> decode_wave_record(std::string_view bytes);
 std::optional<std::vector<pool_demand>> decode_demands(std::string_view bytes);
 std::optional<lent_hosts> decode_lent_hosts(std::string_view bytes);
+/// Returns no value if there is none beside the lent hosts.
+std::optional<allotment_call> decode_allotment_call(std::string_view bytes);
+/// Returns no value if there is none beside the demands.
+std::optional<allotment_report> decode_allotment_report(std::string_view bytes);
 std::optional<fleet_layout> decode_layout(std::string_view bytes);
 
 /// The record to store for a part of a submission's current state, without the
--- a/src/libnode/fleet_duty.cpp
+++ b/src/libnode/fleet_duty.cpp
@@ -425,6 +425,9 @@
                     co_await advance_wave(name);
             co_await balance();
         }
+        // The limits of accounts follow their demand without the platform.
+        else if (keeper_ && !balances_.empty())
+            co_await collect_demands();
         co_await pause_for(context_.executor, round_interval);
     }
 }
@@ -567,6 +570,13 @@
 void fleet_duty::set_table(std::shared_ptr<const queue_table> table)
 {
     table_ = std::move(table);
+    if (!table_)
+        return;
+    if (!keeper_ && table_->accounts &&
+        std::ranges::any_of(table_->accounts->accounts(), is_limited))
+        keeper_ = std::make_unique<allotment_keeper>(claim_.epoch());
+    if (keeper_)
+        keeper_->set_accounts(table_->accounts, table_->version);
 }
 
 // Stored only as the first record of its topic, so that two holders can't
@@ -682,15 +692,25 @@
     for (const auto shard : router_.shards().shards_with_queues())
         if (cell_of_shard(shard) < balances_.size())
             shards.emplace(shard, cell_of_shard(shard));
+    std::map<shard_id, allotment_call> allotments;
+    if (keeper_ && has_valid_claim())
+    {
+        std::set<shard_id> ids;
+        std::ranges::copy(
+            shards | std::views::keys, std::inserter(ids, ids.end()));
+        allotments = keeper_->next_calls(ids);
+    }
     std::vector<shard_call> calls;
     calls.reserve(shards.size());
     for (const auto& [shard, cell] : shards)
+    {
+        auto text = encode(balances_[cell].lent());
+        if (const auto found = allotments.find(shard);
+            found != allotments.end())
+            text += encode(found->second);
         calls.push_back(
-            {shard_call::verb::demands,
-             shard,
-             0,
-             encode(balances_[cell].lent()),
-             {}});
+            {shard_call::verb::demands, shard, 0, std::move(text), {}});
+    }
     const auto answers = co_await router_.ask_all(
         std::move(calls), owner_call_timeout, retry_pause);
     auto answer = answers.begin();
@@ -699,6 +719,11 @@
         const auto demands = answer->outcome == shard_outcome::done
                                  ? decode_demands(answer->value)
                                  : std::nullopt;
+        const auto report = keeper_ && demands
+                                ? decode_allotment_report(answer->value)
+                                : std::nullopt;
+        if (report)
+            keeper_->apply(shard, *report);
         ++answer;
         if (demands && !demands->empty() && demands->front().answered.epoch > 0)
             answers_[shard] = demands->front().answered;
--- a/src/libnode/shard_owner.cpp
+++ b/src/libnode/shard_owner.cpp
@@ -246,6 +246,8 @@
     if (std::exchange(lost_, true))
         return;
     count_tasks();
+    if (engine_)
+        report_accounts();
     serving_ = false;
     claim_.abandon();
     context_.log.write(
@@ -1017,6 +1019,28 @@
     co_return shard_answer{shard_outcome::done, {}};
 }
 
+void shard_owner::report_accounts()
+{
+    const auto set = [this](
+                         const std::string& account, std::string_view state,
+                         std::int64_t cpu_milli) {
+        context_.metrics
+            .get_gauge(
+                "tack_account_cpu_milli{account=\"" + account + "\",shard=\"" +
+                std::to_string(shard_) + "\",state=\"" + std::string(state) +
+                "\"}")
+            .set(cpu_milli);
+    };
+    for (const auto& account : engine_->budget().accounts())
+    {
+        if (account.limit == resources{})
+            continue;
+        set(account.name, "running", lost_ ? 0 : account.used.cpu_milli);
+        set(account.name, "allotted", lost_ ? 0 : account.allotted.cpu_milli);
+        set(account.name, "held", lost_ ? 0 : account.wanted.cpu_milli);
+    }
+}
+
 asio::awaitable<shard_answer> shard_owner::demands(std::string lent)
 {
     const auto self = shared_from_this();
@@ -1025,8 +1049,14 @@
     if (const auto wanted = decode_lent_hosts(lent))
         for (const auto& [pool, hosts] : *wanted)
             apply(pool_event::lending_requested{pool, hosts});
-    co_return shard_answer{
-        shard_outcome::done, encode(engine_->demands(read_clocks()))};
+    auto answer = encode(engine_->demands(read_clocks()));
+    if (const auto call = decode_allotment_call(lent))
+    {
+        apply(pool_event::allotments_called{*call});
+        answer += encode(engine_->report_allotments(*call));
+        report_accounts();
+    }
+    co_return shard_answer{shard_outcome::done, std::move(answer)};
 }
 
 } // namespace dandeliontack
--- a/src/libnode/stored_records.cpp
+++ b/src/libnode/stored_records.cpp
@@ -154,6 +154,26 @@
     return &occurrence.steps[task.step].tasks[task.index];
 }
 
+// Nodes of the same deployment send no values outside this range.
+constexpr std::int64_t max_room = std::int64_t{1} << 50U;
+
+resources room_of(const stored::Room& room)
+{
+    const auto bounded = [](std::int64_t value) {
+        return std::clamp(value, -max_room, max_room);
+    };
+    return {
+        bounded(room.cpu_milli()), bounded(room.memory_mb()),
+        bounded(room.accelerators())};
+}
+
+void put(const resources& room, stored::Room& out)
+{
+    out.set_cpu_milli(room.cpu_milli);
+    out.set_memory_mb(room.memory_mb);
+    out.set_accelerators(room.accelerators);
+}
+
 } // namespace
 
 std::string encode(const submission_record& record)
@@ -498,6 +518,80 @@
     return wanted;
 }
 
+std::string encode(const allotment_call& call)
+{
+    stored::Lendings out;
+    auto& all = *out.mutable_allotments();
+    all.set_duty_epoch(call.duty_epoch);
+    all.set_sequence(call.sequence);
+    all.set_owner_epoch(call.owner_epoch);
+    all.set_version(call.version);
+    all.set_full(call.full);
+    for (const auto& item : call.rows)
+    {
+        auto& row = *all.add_rows();
+        row.set_account(item.account);
+        put(item.allotted, *row.mutable_allotted());
+    }
+    return out.SerializeAsString();
+}
+
+std::optional<allotment_call> decode_allotment_call(std::string_view bytes)
+{
+    const auto in = parse<stored::Lendings>(bytes);
+    if (!in || !in->has_allotments())
+        return std::nullopt;
+    const auto& all = in->allotments();
+    allotment_call call{all.duty_epoch(), all.sequence(), all.owner_epoch(),
+                        all.version(),    all.full(),     {}};
+    for (const auto& row : all.rows())
+        call.rows.push_back({row.account(), room_of(row.allotted())});
+    return call;
+}
+
+std::string encode(const allotment_report& report)
+{
+    stored::Demands out;
+    auto& all = *out.mutable_allotments();
+    all.set_owner_epoch(report.owner_epoch);
+    all.set_duty_epoch(report.duty_epoch);
+    all.set_sequence(report.sequence);
+    all.set_version(report.version);
+    all.set_settled(report.settled);
+    all.set_full(report.full);
+    for (const auto& item : report.rows)
+    {
+        auto& row = *all.add_rows();
+        row.set_account(item.account);
+        put(item.allotted, *row.mutable_allotted());
+        put(item.used, *row.mutable_used());
+        put(item.wanted, *row.mutable_wanted());
+        put(item.unit, *row.mutable_unit());
+    }
+    return out.SerializeAsString();
+}
+
+std::optional<allotment_report> decode_allotment_report(std::string_view bytes)
+{
+    const auto in = parse<stored::Demands>(bytes);
+    if (!in || !in->has_allotments())
+        return std::nullopt;
+    const auto& all = in->allotments();
+    allotment_report report{
+        all.owner_epoch(),
+        all.duty_epoch(),
+        all.sequence(),
+        all.version(),
+        all.settled(),
+        all.full(),
+        {}};
+    for (const auto& row : all.rows())
+        report.rows.push_back(
+            {row.account(), room_of(row.allotted()), room_of(row.used()),
+             room_of(row.wanted()), room_of(row.unit())});
+    return report;
+}
+
 std::string encode(const fleet_layout& layout)
 {
     stored::Layout out;
--- a/src/libnode/stored_records_test.cpp
+++ b/src/libnode/stored_records_test.cpp
@@ -123,4 +123,29 @@
     EXPECT_FALSE(decode_announcement(encode(announcement)));
 }
 
+// Load pattern: nodes of two versions during an update.
+TEST(stored_records, allotments_travel_beside_demands_and_loans)
+{
+    const allotment_call call{7, 9, 3, 12, true, {{"acme", {4000, 512, 1}}}};
+    const lent_hosts lent{{"pool", 2}};
+    const auto asked = encode(lent) + encode(call);
+    EXPECT_EQ(decode_allotment_call(asked), call);
+    EXPECT_EQ(decode_lent_hosts(asked), lent);
+    EXPECT_EQ(decode_allotment_call(encode(lent)), std::nullopt);
+    const allotment_report report{
+        3,
+        7,
+        9,
+        12,
+        true,
+        false,
+        {{"acme", {4000, 512, 1}, {100, 0, 0}, {200, 5, 0}, {50, 1, 0}}}};
+    std::vector<pool_demand> demands(1);
+    demands[0].pool = "pool";
+    const auto answered = encode(demands) + encode(report);
+    EXPECT_EQ(decode_allotment_report(answered), report);
+    EXPECT_EQ(decode_demands(answered), demands);
+    EXPECT_EQ(decode_allotment_report(encode(demands)), std::nullopt);
+}
+
 } // namespace dandeliontack
--- a/src/libsched/pool_engine.cpp
+++ b/src/libsched/pool_engine.cpp
@@ -77,6 +77,10 @@
 // must reach the host before the ticket expires.
 constexpr int ticket_margin = 10;
 
+// An account that was not held back for this time counts as released in the
+// log.
+constexpr auto held_log_pause = 1000ms;
+
 // The batch of a record that the store will never hold.
 constexpr auto never_stored = std::numeric_limits<std::uint64_t>::max();
 // Bounds of what a submission keeps open at a time; further occurrences open as
@@ -762,6 +766,60 @@
         return;
     accounts_ = e.accounts;
     accounts_version_ = e.version;
+    budget_.set_accounts(e.accounts, e.version);
+}
+
+void pool_engine::on(const pool_event::allotments_called& e)
+{
+    budget_.apply(e.call, epoch_);
+}
+
+allotment_report
+pool_engine::report_allotments(const allotment_call& call) const
+{
+    return budget_.report(call, epoch_);
+}
+
+const account_budget& pool_engine::budget() const
+{
+    return budget_;
+}
+
+// A run of a submission that has finished under a previous owner is of an
+// account that is not known any more. It is being stopped.
+bool pool_engine::knows_all_accounts() const
+{
+    return !settling_ && std::ranges::none_of(hosts_, [this](const auto& item) {
+        return std::ranges::any_of(item.second.runs, [this](const auto& held) {
+            const auto& [task, run] = held;
+            return run.inherited && run.account == 0 &&
+                   !active_.contains(task.submission);
+        });
+    });
+}
+
+void pool_engine::log_held_accounts()
+{
+    const auto log = [this](std::string_view name, std::string reason) {
+        effects_.emplace_back(
+            pool_effect::decision{name, {}, {}, 0, {}, std::move(reason)});
+    };
+    for (const auto& account : budget_.accounts())
+    {
+        if (account.wanted == resources{})
+            continue;
+        if (!held_accounts_.contains(account.name))
+            log("account_held",
+                "account " + account.name + " has no room in its limit");
+        held_accounts_[account.name] = now_.steady;
+    }
+    std::erase_if(held_accounts_, [&](const auto& item) {
+        if (now_.steady - item.second < held_log_pause)
+            return false;
+        log("account_released",
+            "account " + item.first + " has room in its limit again");
+        return true;
+    });
 }
 
 void pool_engine::on(const pool_event::tick& /*e*/)
@@ -801,7 +859,11 @@
     update_takeover();
     if (now_.steady - tasks_checked_ >= task_check_interval)
         check_tasks();
+    if (!budget_.is_settled() && knows_all_accounts())
+        budget_.settle();
+    budget_.begin_planning();
     pool_planner(*this).plan();
+    log_held_accounts();
 }
 
 // The host restarted under the same id: all earlier runs have ended, and its
@@ -1092,7 +1154,17 @@
     if (auto* t = find_task(task))
         ++t->holders;
     h.used = h.used + run.need;
-    return h.runs.emplace(task, run).first;
+    const auto held = h.runs.emplace(task, run).first;
+    if (const auto* s = state_of(task.submission);
+        s && !s->record.account.empty())
+    {
+        held->second.account = budget_.find_or_add(s->record.account);
+        if (const auto* step = spec_of(task))
+            held->second.charge = step->need;
+        budget_.add(
+            held->second.account, held->second.charge, held->second.inherited);
+    }
+    return held;
 }
 
 // Reserves capacity on the host for a run that it reports.
@@ -1102,6 +1174,7 @@
     host_run run;
     run.run = row.run;
     run.ordered = now_.steady;
+    run.inherited = true;
     if (step)
     {
         run.need = reserved_resources(*step);
@@ -1275,6 +1348,8 @@
 {
     const auto held = h.runs.find(task);
     h.used = h.used - held->second.need;
+    budget_.remove(
+        held->second.account, held->second.charge, held->second.inherited);
     h.runs.erase(held);
     if (auto* t = find_task(task); t && t->holders > 0)
         --t->holders;
--- a/src/libsched/pool_planner.cpp
+++ b/src/libsched/pool_planner.cpp
@@ -41,6 +41,18 @@
 
 } // namespace
 
+namespace
+{
+
+resources times(const resources& need, std::int64_t count)
+{
+    return {
+        need.cpu_milli * count, need.memory_mb * count,
+        need.accelerators * count};
+}
+
+} // namespace
+
 resources reserved_resources(const step_spec& step)
 {
     auto need = step.need;
@@ -340,6 +352,8 @@
     auto rack = spec.rack;
     if (rack.empty() && spec.same_rack)
         rack = rack_in_use(c);
+    const auto account =
+        engine_.budget_.find_or_add(c.submission->record.account);
     for (std::uint32_t i = 0; i < step.tasks.size(); ++i)
     {
         auto& t = step.tasks[i];
@@ -352,6 +366,14 @@
                 request_advice(c);
             return;
         }
+        if (!engine_.budget_.has_room(account, spec.need))
+        {
+            const auto waiting = std::count_if(
+                step.tasks.begin() + i, step.tasks.end(),
+                [&](const task_state& other) { return may_start(other); });
+            engine_.budget_.hold(account, times(spec.need, waiting), spec.need);
+            return;
+        }
         if (rack.empty() && spec.same_rack)
             rack = h->entry.rack;
         start(
@@ -400,6 +422,14 @@
         h->used = h->used - reserved_resources(spec);
     if (chosen_hosts.size() < step.tasks.size())
         return;
+    const auto account =
+        engine_.budget_.find_or_add(c.submission->record.account);
+    const auto need = times(spec.need, spec.count);
+    if (!engine_.budget_.has_room(account, need))
+    {
+        engine_.budget_.hold(account, need, need);
+        return;
+    }
     for (std::uint32_t i = 0; i < step.tasks.size(); ++i)
     {
         step.tasks[i].checkpoint = checkpoint;
