--- a/src/libnode/shard_owner.cpp
+++ b/src/libnode/shard_owner.cpp
@@ -155,6 +155,9 @@
     }
     engine_->begin(read_clocks());
     serving_ = true;
+    // Before the first task starts.
+    if (accounts_)
+        apply(pool_event::accounts_changed{accounts_, accounts_version_});
     start_coroutine("changes", store_changes());
     start_coroutine("queues", list_queues());
     start_coroutine("plans", run_planning());
@@ -243,6 +246,8 @@
     if (std::exchange(lost_, true))
         return;
     count_tasks();
+    if (engine_)
+        report_accounts();
     serving_ = false;
     claim_.abandon();
     context_.log.write(
@@ -261,6 +266,12 @@
 {
     admission_.apply(table, shard_, context_.settings.store.partitions);
     queues_signal_.notify();
+    if (!table.accounts && !accounts_)
+        return;
+    accounts_ = table.accounts;
+    accounts_version_ = table.version;
+    if (serving_ && !lost_)
+        apply(pool_event::accounts_changed{accounts_, accounts_version_});
 }
 
 asio::awaitable<void> shard_owner::list_queues()
@@ -1008,6 +1019,28 @@
     co_return shard_answer{shard_outcome::done, {}};
 }
 
+void shard_owner::report_accounts()
+{
+    const auto set = [this](
+                         const std::string& account, std::string_view state,
+                         std::int64_t cpu_milli) {
+        context_.metrics
+            .get_gauge(
+                "tack_account_cpu_milli{account=\"" + account + "\",shard=\"" +
+                std::to_string(shard_) + "\",state=\"" + std::string(state) +
+                "\"}")
+            .set(cpu_milli);
+    };
+    for (const auto& account : engine_->budget().accounts())
+    {
+        if (account.limit == resources{})
+            continue;
+        set(account.name, "running", lost_ ? 0 : account.used.cpu_milli);
+        set(account.name, "allotted", lost_ ? 0 : account.allotted.cpu_milli);
+        set(account.name, "held", lost_ ? 0 : account.wanted.cpu_milli);
+    }
+}
+
 asio::awaitable<shard_answer> shard_owner::demands(std::string lent)
 {
     const auto self = shared_from_this();
@@ -1016,8 +1049,14 @@
     if (const auto wanted = decode_lent_hosts(lent))
         for (const auto& [pool, hosts] : *wanted)
             apply(pool_event::lending_requested{pool, hosts});
-    co_return shard_answer{
-        shard_outcome::done, encode(engine_->demands(read_clocks()))};
+    auto answer = encode(engine_->demands(read_clocks()));
+    if (const auto call = decode_allotment_call(lent))
+    {
+        apply(pool_event::allotments_called{*call});
+        answer += encode(engine_->report_allotments(*call));
+        report_accounts();
+    }
+    co_return shard_answer{shard_outcome::done, std::move(answer)};
 }
 
 } // namespace dandeliontack
