Allotments: rows found by name, not one by one

Cause: with a thousand accounts, a full answer compared each account with each row. Change: sets of the names.

--- a/src/libsched/account_allotment.cpp
+++ b/src/libsched/account_allotment.cpp
@@ -1,6 +1,8 @@
 #include <dandeliontack/account_allotment.hpp>
 
 #include <algorithm>
+#include <set>
+#include <string_view>
 #include <tuple>
 #include <utility>
 
@@ -140,17 +142,16 @@
 {
     allotment_report out{owner_epoch, duty_epoch_, sequence_, version_,
                          settled_,    call.full,   {}};
+    std::set<std::string_view> called;
+    for (const auto& row : call.rows)
+        called.insert(row.account);
     for (const auto& use : accounts_)
     {
         const bool is_active =
             use.used != resources{} || use.wanted != resources{};
         const bool has_allotment = call.full && use.allotted != resources{};
-        const bool is_called =
-            std::ranges::find(
-                call.rows, use.name, &allotment_call::row::account) !=
-            call.rows.end();
         if ((use.limit != resources{} && (is_active || has_allotment)) ||
-            is_called)
+            called.contains(use.name))
             out.rows.push_back(
                 {use.name, use.allotted, counted(use), use.wanted, use.unit});
     }
--- a/src/libsched/allotment_keeper.cpp
+++ b/src/libsched/allotment_keeper.cpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <iterator>
 #include <ranges>
+#include <string_view>
 #include <utility>
 
 namespace dandeliontack
@@ -330,13 +331,15 @@
     shard.reachable = true;
     if (report.full)
         shard.known_version = report.version;
+    std::map<std::string_view, const allotment_report::row*> rows;
+    for (const auto& row : report.rows)
+        rows.emplace(row.account, &row);
     // An account without a row neither runs nor waits.
     for (auto& [account, p] : shard.parts)
     {
-        const auto row = std::ranges::find(
-            report.rows, account, &allotment_report::row::account);
-        if (row == report.rows.end() || row->wanted == resources{} ||
-            row->used.cpu_milli > p.used.cpu_milli)
+        const auto row = rows.find(account);
+        if (row == rows.end() || row->second->wanted == resources{} ||
+            row->second->used.cpu_milli > p.used.cpu_milli)
             p.waiting = 0;
         else
             ++p.waiting;
