Engine: the accounts of a configuration as an event

Cause: what an account may use and its share of a full pool are decided in the engine, which knew no accounts. Change: pool_event::accounts_changed with the table and its version, kept as pool_engine::accounts_. An owner has it before its first task starts: the node gives the table before the takeover too. Nothing is sent without accounts.

--- a/src/include/dandeliontack/pool_engine.hpp
+++ b/src/include/dandeliontack/pool_engine.hpp
@@ -5,6 +5,7 @@
 #include <dandeliontack/pool_state.hpp>
 
 #include <functional>
+#include <memory>
 
 namespace dandeliontack
 {
@@ -128,6 +129,7 @@
     void on(const pool_event::records_refused& e);
     void on(const pool_event::evacuation_requested& e);
     void on(const pool_event::lending_requested& e);
+    void on(const pool_event::accounts_changed& e);
     void on(const pool_event::tick& e);
 
     void open_occurrences(submission_state& s);
@@ -240,6 +242,9 @@
         const std::string& host, std::string reason = {});
 
     pool_terms terms_;
+    /// Null in a deployment without client accounts.
+    std::shared_ptr<const account_table> accounts_;
+    std::uint64_t accounts_version_ = 0;
     std::map<std::uint64_t, submission_state> active_;
     std::map<std::uint64_t, finished> finished_;
     std::map<std::string, host_state> hosts_;
--- a/src/include/dandeliontack/pool_events.hpp
+++ b/src/include/dandeliontack/pool_events.hpp
@@ -1,12 +1,14 @@
 #pragma once
 
 #include <dandeliontack/boot_clock.hpp>
+#include <dandeliontack/client_account.hpp>
 #include <dandeliontack/host_lease.hpp>
 #include <dandeliontack/submission.hpp>
 
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <variant>
@@ -188,6 +190,13 @@
     std::string pool;
     std::uint32_t hosts = 0;
 };
+/// The client accounts of a newer configuration; null if it has none.
+struct accounts_changed
+{
+    std::shared_ptr<const account_table> accounts;
+    /// The version of the configuration.
+    std::uint64_t version = 0;
+};
 struct tick
 {
 };
@@ -200,7 +209,8 @@
     pool_event::start_answered, pool_event::stop_answered,
     pool_event::advice_answered, pool_event::batch_stored,
     pool_event::records_refused, pool_event::evacuation_requested,
-    pool_event::lending_requested, pool_event::tick>;
+    pool_event::lending_requested, pool_event::accounts_changed,
+    pool_event::tick>;
 
 /// What a submission spent its time on, summed over its steps.
 struct submission_delays
--- a/src/include/dandeliontack/shard_owner.hpp
+++ b/src/include/dandeliontack/shard_owner.hpp
@@ -49,7 +49,8 @@
     owner_record record() const;
 
     /// Applies a newer configuration: lists the queues that it sends to this
-    /// shard, and closes those that it sends elsewhere.
+    /// shard, closes those that it sends elsewhere, and gives the accounts to
+    /// the engine. Called before `take_over` too.
     void set_queues(const queue_table& table);
 
     /// Replaces the list of the shard's hosts that are alive.
@@ -155,6 +156,9 @@
     answer_times order_times_;
     std::unique_ptr<pool_engine> engine_;
     queue_admission admission_;
+    /// Null in a deployment without client accounts.
+    std::shared_ptr<const account_table> accounts_;
+    std::uint64_t accounts_version_ = 0;
     /// Keys of stored records that are to be deleted with the next batch.
     std::vector<std::string> orphans_;
     std::uint64_t counted_tasks_ = 0;
--- a/src/libnode/shard_owner.cpp
+++ b/src/libnode/shard_owner.cpp
@@ -155,6 +155,9 @@
     }
     engine_->begin(read_clocks());
     serving_ = true;
+    // Before the first task starts.
+    if (accounts_)
+        apply(pool_event::accounts_changed{accounts_, accounts_version_});
     start_coroutine("changes", store_changes());
     start_coroutine("queues", list_queues());
     start_coroutine("plans", run_planning());
@@ -261,6 +264,12 @@
 {
     admission_.apply(table, shard_, context_.settings.store.partitions);
     queues_signal_.notify();
+    if (!table.accounts && !accounts_)
+        return;
+    accounts_ = table.accounts;
+    accounts_version_ = table.version;
+    if (serving_ && !lost_)
+        apply(pool_event::accounts_changed{accounts_, accounts_version_});
 }
 
 asio::awaitable<void> shard_owner::list_queues()
--- a/src/libnode/tack_node.cpp
+++ b/src/libnode/tack_node.cpp
@@ -628,6 +628,7 @@
 {
     const auto owner = std::make_shared<shard_owner>(
         context_, store_, advice_, shard, shards_.queues_of(shard));
+    owner->set_queues(*front_.table());
     const auto last = last_epoch(shard);
     // An owner may act only for a limited time after its last announcement.
     announce_now_.notify();
--- a/src/libsched/pool_engine.cpp
+++ b/src/libsched/pool_engine.cpp
@@ -756,6 +756,14 @@
     }
 }
 
+void pool_engine::on(const pool_event::accounts_changed& e)
+{
+    if (e.version < accounts_version_)
+        return;
+    accounts_ = e.accounts;
+    accounts_version_ = e.version;
+}
+
 void pool_engine::on(const pool_event::tick& /*e*/)
 {
     for (auto& [id, h] : hosts_)
