--- a/src/include/dandeliontack/pool_engine.hpp
+++ b/src/include/dandeliontack/pool_engine.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <dandeliontack/account_shares.hpp>
 #include <dandeliontack/arrival_rate.hpp>
 #include <dandeliontack/pool_demand.hpp>
 #include <dandeliontack/pool_state.hpp>
+#include <dandeliontack/submission_refusal.hpp>
 
 #include <functional>
 #include <memory>
@@ -72,6 +74,13 @@
     pool_changes take_changes();
     bool has_changes() const;
 
+    /// Why a submission that is not known yet is not to be accepted: the work
+    /// that goes before it by its account's share shows that it can't be done
+    /// within three times its objective. No value without client accounts, and
+    /// for what has no objective.
+    std::optional<submission_refusal>
+    refusal_of(const submission_record& record, moment now);
+
     std::optional<submission_view> find(std::uint64_t submission) const;
     const submission_state* state_of(std::uint64_t submission) const;
     std::optional<submission_phase> finished_phase(std::uint64_t id) const;
@@ -132,6 +141,19 @@
     void on(const pool_event::accounts_changed& e);
     void on(const pool_event::tick& e);
 
+    double weight_of(const std::string& account) const;
+    /// Whether shares apply to the submission.
+    bool has_shares(const submission_record& record) const;
+    /// Marks a submission that exceeds what its account is entitled to.
+    void mark_excess(submission_state& s);
+    void mark_all_excess();
+    /// The work left of the submission's occurrences that can still be of use,
+    /// in milliseconds of a host.
+    double
+    remaining_work(const submission_state& s, const resources& host) const;
+    share_backlog backlog_before(const submission_record& record) const;
+    /// The hosts of the pool that serve other than long-running tasks.
+    double capacity_of(const std::string& pool) const;
     void open_occurrences(submission_state& s);
     void open_occurrence(submission_state& s, std::uint32_t k);
     /// Opens the occurrence of a task that a host has a run of. The previous
@@ -245,6 +267,11 @@
     /// Null in a deployment without client accounts.
     std::shared_ptr<const account_table> accounts_;
     std::uint64_t accounts_version_ = 0;
+    /// Of deployments with client accounts, by pool.
+    std::map<std::string, account_entitlement> entitlements_;
+    std::map<std::string, fair_order> fair_orders_;
+    std::map<std::string, room_growth> room_;
+    std::map<std::string, return_schedule> returns_;
     std::map<std::uint64_t, submission_state> active_;
     std::map<std::uint64_t, finished> finished_;
     std::map<std::string, host_state> hosts_;
--- a/src/include/dandeliontack/pool_state.hpp
+++ b/src/include/dandeliontack/pool_state.hpp
@@ -160,6 +160,8 @@
     std::uint64_t cancelled_in = 0;
     /// Sum of cores times estimate over all tasks, in core milliseconds.
     double work = 0;
+    /// Its account sent it beyond what it is entitled to.
+    bool is_excess = false;
 };
 
 /// Visits the tasks of a part in order.
--- a/src/include/dandeliontack/shard_owner.hpp
+++ b/src/include/dandeliontack/shard_owner.hpp
@@ -135,6 +135,8 @@
     void log_decision(const pool_effect::decision& decision);
     void log_finished(const pool_effect::finished& end);
     void log_submission(const submission_record& record);
+    void log_refusal(
+        const submission_record& record, const submission_refusal& refusal);
     void request_planning();
     void mark_lost(std::string_view reason);
     /// Whether orders may be sent now: the shard is not lost and its claim was
--- a/src/include/dandeliontack/shard_service.hpp
+++ b/src/include/dandeliontack/shard_service.hpp
@@ -2,6 +2,7 @@
 
 #include <dandeliontack/host_departure.hpp>
 #include <dandeliontack/submission.hpp>
+#include <dandeliontack/submission_refusal.hpp>
 
 #include <boost/asio/awaitable.hpp>
 
@@ -34,6 +35,8 @@
     shard_outcome outcome = shard_outcome::unknown;
     /// For `done`: the result, if the call has one.
     std::string value;
+    /// For `rejected`.
+    submission_refusal refusal{};
 };
 
 /// The operations of a shard's owner, for callers and the fleet duty.
--- a/src/libnode/caller_front.cpp
+++ b/src/libnode/caller_front.cpp
@@ -53,6 +53,23 @@
     return response;
 }
 
+http_response
+share_refused(const submission_refusal& refusal, const std::string& pool)
+{
+    const bool is_excess = refusal.cause == refusal_cause::beyond_share;
+    auto response = error_response(
+        http::status::too_many_requests, outcome::not_run,
+        is_excess ? "share exceeded" : "pool full",
+        is_excess
+            ? "the account sends more than it is entitled to, and pool " +
+                  pool + " has no room for that in time"
+            : "pool " + pool + " can't complete the submission in time");
+    const auto seconds =
+        std::chrono::ceil<std::chrono::seconds>(refusal.retry_after);
+    response.set(http::field::retry_after, std::to_string(seconds.count()));
+    return response;
+}
+
 std::string malformed_id_detail(std::string_view id)
 {
     return "submission id \"" + std::string(id) +
@@ -220,6 +237,9 @@
 http_response caller_front::owner_error_response(
     const shard_answer& answer, const request_scope& scope)
 {
+    if (answer.outcome == shard_outcome::rejected &&
+        answer.refusal.cause != refusal_cause::unavailable)
+        return share_refused(answer.refusal, scope.queue.terms.pool);
     if (answer.outcome == shard_outcome::rejected)
         return retry_later(
             "no owner",
--- a/src/libnode/shard_owner.cpp
+++ b/src/libnode/shard_owner.cpp
@@ -449,10 +449,45 @@
             if (flag)
                 steps += std::string(",") + name;
     }
-    line.add("steps", steps).add("shard", shard_).add("epoch", epoch());
+    line.add("steps", steps);
+    if (!record.account.empty())
+    {
+        const auto* s = engine_->state_of(record.id);
+        const std::string_view share =
+            s && s->is_excess ? "excess" : "entitled";
+        line.add("account", record.account).add("share", share);
+        context_.metrics
+            .get_counter(
+                "tack_account_submissions_total{account=\"" + record.account +
+                "\",share=\"" + std::string(share) + "\"}")
+            .add();
+    }
+    line.add("shard", shard_).add("epoch", epoch());
     context_.log.write("pool", "submission_taken", line);
 }
 
+void shard_owner::log_refusal(
+    const submission_record& record, const submission_refusal& refusal)
+{
+    const auto cause = to_string(refusal.cause);
+    context_.log.write(
+        "owner", "submission_refused",
+        log_line()
+            .add("submission", submission_name(record.id))
+            .add("route", record.terms.route)
+            .add("pool", record.terms.pool)
+            .add("account", record.account)
+            .add("reason", cause)
+            .add("retry_after_ms", refusal.retry_after.count())
+            .add("shard", shard_)
+            .add("epoch", epoch()));
+    context_.metrics
+        .get_counter(
+            "tack_account_refused_total{account=\"" + record.account +
+            "\",cause=\"" + std::string(cause) + "\"}")
+        .add();
+}
+
 std::vector<keyed_record>
 shard_owner::encode_changes(const pool_changes& changes)
 {
@@ -915,11 +950,16 @@
                 .add("limit", max_tasks_of(context_.settings)));
         co_return shard_answer{shard_outcome::rejected, {}};
     }
+    if (const auto refusal = engine_->refusal_of(record, read_clocks()))
+    {
+        log_refusal(record, *refusal);
+        co_return shard_answer{shard_outcome::rejected, {}, *refusal};
+    }
     if (!engine_->find(id))
     {
         record.accepted = read_clocks().wall;
+        apply(pool_event::submitted{record});
         log_submission(record);
-        apply(pool_event::submitted{std::move(record)});
     }
     const auto view = engine_->find(id);
     const auto outcome =
--- a/src/libnode/shard_router.cpp
+++ b/src/libnode/shard_router.cpp
@@ -122,6 +122,9 @@
         std::ranges::find(outcomes, response.result(), &outcome_row::status);
     if (row == outcomes.end())
         return {shard_outcome::unknown, {}};
+    if (row->outcome == shard_outcome::rejected)
+        return {
+            row->outcome, {}, decode_submission_refusal(response.body())};
     return {row->outcome, response.body()};
 }
 
@@ -431,6 +434,8 @@
     }
     const auto* row =
         std::ranges::find(outcomes, answer.outcome, &outcome_row::outcome);
+    if (answer.outcome == shard_outcome::rejected)
+        answer.value = encode(answer.refusal);
     co_return make_response(
         row->status, "application/octet-stream", std::move(answer.value));
 }
--- a/src/libsched/completion_forecast.cpp
+++ b/src/libsched/completion_forecast.cpp
@@ -69,6 +69,16 @@
     return out;
 }
 
+needed_time time_needed(const submission_state& s, double estimate_factor)
+{
+    using std::chrono::duration_cast;
+    using std::chrono::milliseconds;
+    return {
+        duration_cast<milliseconds>(chain_of(s, estimate_factor)),
+        duration_cast<milliseconds>(
+            late_limit_factor * objective_of(s, estimate_factor))};
+}
+
 submission_delays
 delays_of(const submission_state& s, double estimate_factor, boot_time now)
 {
--- a/src/libsched/completion_forecast.hpp
+++ b/src/libsched/completion_forecast.hpp
@@ -32,6 +32,17 @@
     const submission_state& s, const occurrence_state& o,
     double estimate_factor, boot_time now);
 
+/// What a submission needs from its arrival, as estimated.
+struct needed_time
+{
+    /// The length of its longest chain of steps.
+    std::chrono::milliseconds chain{0};
+    /// After which it has no value.
+    std::chrono::milliseconds late_limit{0};
+};
+
+needed_time time_needed(const submission_state& s, double estimate_factor);
+
 /// What the submission's first occurrence has spent its time on until `now`.
 submission_delays
 delays_of(const submission_state& s, double estimate_factor, boot_time now);
--- a/src/libsched/pool_engine.cpp
+++ b/src/libsched/pool_engine.cpp
@@ -106,19 +106,6 @@
     return sum;
 }
 
-// The largest of a task's shares of a host's cores, memory and accelerators.
-double share_of(const resources& need, const resources& host)
-{
-    const auto ratio = [](std::int64_t part, std::int64_t of) {
-        return of > 0 ? static_cast<double>(part) / static_cast<double>(of)
-                      : 0.0;
-    };
-    return std::max(
-        {ratio(need.cpu_milli, host.cpu_milli),
-         ratio(need.memory_mb, host.memory_mb),
-         ratio(need.accelerators, host.accelerators)});
-}
-
 bool has_attempt_limit(const step_spec& step)
 {
     return !step.long_running;
@@ -367,6 +354,7 @@
     s.arrived = now_.steady;
     s.work = work_of(s.record.spec);
     s.accepted_in = next_batch_;
+    mark_excess(s);
     count_arrival(s.record);
     changes_.accepted.push_back(e.record.id);
 }
@@ -760,8 +748,11 @@
 {
     if (e.version < accounts_version_)
         return;
+    const bool is_first = !accounts_;
     accounts_ = e.accounts;
     accounts_version_ = e.version;
+    if (is_first && accounts_)
+        mark_all_excess();
 }
 
 void pool_engine::on(const pool_event::tick& /*e*/)
--- a/src/libsched/pool_planner.cpp
+++ b/src/libsched/pool_planner.cpp
@@ -3,8 +3,10 @@
 #include "completion_forecast.hpp"
 
 #include <algorithm>
+#include <deque>
 #include <limits>
 #include <ranges>
+#include <set>
 
 namespace dandeliontack
 {
@@ -18,8 +20,12 @@
 constexpr int rank_long_running = 0;
 constexpr int rank_started = 1;
 constexpr int rank_in_time = 2;
-constexpr int rank_late = 3;
-constexpr int rank_overdue = 4;
+// In time, of accounts that have sent more than they are entitled to.
+constexpr int rank_excess_started = 3;
+constexpr int rank_excess_in_time = 4;
+constexpr int rank_late = 5;
+constexpr int rank_excess_late = 6;
+constexpr int rank_overdue = 7;
 // The part of a submission's value that does not depend on its work, relative
 // to the value of a submission of average work in its queue.
 constexpr double fixed_value_share = 0.3;
@@ -41,6 +47,18 @@
 
 } // namespace
 
+double share_of(const resources& need, const resources& host)
+{
+    const auto ratio = [](std::int64_t part, std::int64_t of) {
+        return of > 0 ? static_cast<double>(part) / static_cast<double>(of)
+                      : 0.0;
+    };
+    return std::max(
+        {ratio(need.cpu_milli, host.cpu_milli),
+         ratio(need.memory_mb, host.memory_mb),
+         ratio(need.accelerators, host.accelerators)});
+}
+
 resources reserved_resources(const step_spec& step)
 {
     auto need = step.need;
@@ -62,15 +80,68 @@
     std::ranges::sort(candidates, {}, [](const candidate& c) {
         return std::tuple(c.rank, c.priority, c.order_key);
     });
+    if (engine_.accounts_)
+    {
+        place_by_shares(candidates);
+        note_room(candidates);
+        return;
+    }
+    for (const auto& c : candidates)
+        place(c);
+}
+
+void pool_planner::place(const candidate& c)
+{
+    if (c.submission->record.spec.steps[c.step].gang)
+        place_gang(c);
+    else
+        place_tasks(c);
+}
+
+// Among candidates of one pool, rank and priority, the account with the lowest
+// start tag is next; its own candidates keep their order.
+void pool_planner::place_by_shares(const std::vector<candidate>& candidates)
+{
+    using band = std::pair<int, std::uint32_t>;
+    using queue = std::deque<const candidate*>;
+    std::map<std::string, std::map<band, std::map<std::string, queue>>> waiting;
     for (const auto& c : candidates)
     {
-        if (c.submission->record.spec.steps[c.step].gang)
-            place_gang(c);
-        else
-            place_tasks(c);
+        const auto& record = c.submission->record;
+        waiting[record.terms.pool][{c.rank, c.priority}][record.account]
+            .push_back(&c);
+    }
+    for (auto& [pool, bands] : waiting)
+    {
+        const auto& order = engine_.fair_orders_[pool];
+        for (auto& [key, accounts] : bands)
+            while (!accounts.empty())
+            {
+                const auto next = std::ranges::min_element(
+                    accounts, {},
+                    [&](const auto& item) { return order.start_tag(item.first); });
+                place(*next->second.front());
+                next->second.pop_front();
+                if (next->second.empty())
+                    accounts.erase(next);
+            }
     }
 }
 
+void pool_planner::note_room(const std::vector<candidate>& candidates)
+{
+    std::set<std::string> full;
+    for (const auto& c : candidates)
+        if (c.rank != rank_long_running && c.rank != rank_overdue &&
+            std::ranges::any_of(
+                c.submission->occurrences.at(c.occurrence).steps[c.step].tasks,
+                [&](const task_state& t) { return may_start(t); }))
+            full.insert(c.submission->record.terms.pool);
+    for (const auto& pool : std::views::keys(hosts_))
+        engine_.room_[pool].note(
+            engine_.capacity_of(pool), full.contains(pool), now_.steady);
+}
+
 void pool_planner::collect_hosts()
 {
     for (auto& [id, h] : engine_.hosts_)
@@ -146,17 +217,28 @@
             return t.phase != task_phase::waiting;
         });
     });
-    if (view.state == timeliness::in_time)
-        c.rank = started ? rank_started : rank_in_time;
-    else
-        c.rank = view.state == timeliness::late ? rank_late : rank_overdue;
+    switch (view.state)
+    {
+    case timeliness::in_time:
+        if (s.is_excess)
+            c.rank = started ? rank_excess_started : rank_excess_in_time;
+        else
+            c.rank = started ? rank_started : rank_in_time;
+        break;
+    case timeliness::late:
+        c.rank = s.is_excess ? rank_excess_late : rank_late;
+        break;
+    case timeliness::overdue:
+        c.rank = rank_overdue;
+        break;
+    }
     const double mean = std::max(mean_work_[terms.route], 1.0);
     const double work = std::max(s.work, 1.0);
     const double value =
         fixed_value_share + (1 - fixed_value_share) * work / mean;
     // In time: the highest value per unit of work first. Late: the oldest
     // first.
-    c.order_key = c.rank <= rank_in_time ? -value / work : -age;
+    c.order_key = c.rank < rank_late ? -value / work : -age;
     return c;
 }
 
@@ -433,6 +515,12 @@
     held.long_running = spec.long_running;
     held.objective = spec.latency_objective;
     engine_.add_run(h, task, held);
+    const auto& record = c.submission->record;
+    if (engine_.has_shares(record) && !spec.long_running)
+        engine_.fair_orders_[record.terms.pool].charge(
+            record.account, engine_.weight_of(record.account),
+            share_of(held.need, h.entry.capacity) *
+                static_cast<double>(spec.estimate.count()));
     auto& left = starts_left_[&h];
     left -= std::min<std::size_t>(left, 1);
     const auto advice = step.advice.find(h.entry.id);
--- a/src/libsched/pool_planner.hpp
+++ b/src/libsched/pool_planner.hpp
@@ -38,6 +38,10 @@
     candidate make_candidate(
         submission_state& s, std::uint32_t occurrence, std::uint32_t step);
     bool may_start(const task_state& t) const;
+    void place(const candidate& c);
+    void place_by_shares(const std::vector<candidate>& candidates);
+    /// Notes which pools have too little room for the candidates.
+    void note_room(const std::vector<candidate>& candidates);
     void place_tasks(const candidate& c);
     void place_gang(const candidate& c);
     host_state* best_host(
@@ -82,6 +86,8 @@
     std::map<std::string, double> mean_work_;
 };
 
+/// The largest of a task's shares of a host's cores, memory and accelerators.
+double share_of(const resources& need, const resources& host);
 /// The resources that a task reserves on its host. A best-effort task reserves
 /// memory and accelerators, but no cores.
 resources reserved_resources(const step_spec& step);
