--- a/src/include/dandeliontack/account_shares.hpp
+++ b/src/include/dandeliontack/account_shares.hpp
@@ -50,29 +50,26 @@
     std::map<std::string, double, std::less<>> finish_tags_;
 };
 
-/// The work in a pool that is served before a new submission, in host
-/// milliseconds, and what serves it.
+/// The work in a pool that is served before a new submission beyond its
+/// account's entitlement, in host milliseconds, and what serves it.
 struct share_backlog
 {
-    /// Work within entitlements, and beyond them.
+    /// Work within the entitlements of accounts.
     double entitled = 0;
+    /// Work beyond them, and the account's own part of it.
     double excess = 0;
-    /// The account's own part of each.
-    double own_entitled = 0;
     double own_excess = 0;
-    /// Weights of the accounts with work in each, with the account's own.
-    double entitled_weights = 0;
+    /// Weights of the accounts with such work, with the account's own.
     double excess_weights = 0;
     double weight = 1;
     /// Hosts that can serve it in time.
     double hosts = 0;
 };
 
-/// A lower bound of the time until all work is served that goes before a new
-/// submission of the account: by its share, or sooner if all work is done
-/// before. Work within the entitlements goes first.
-std::chrono::milliseconds
-wait_before(const share_backlog& backlog, bool is_excess);
+/// A lower bound of the time until the work is served that goes before such a
+/// submission: all entitled work, and the account's own excess by its share, or
+/// all excess if that takes less.
+std::chrono::milliseconds wait_before(const share_backlog& backlog);
 
 /// The hosts of a pool that is full, and how fast their number grows.
 /// Load pattern: a pool that rests with few hosts gets a burst; machines join
--- a/src/include/dandeliontack/pool_engine.hpp
+++ b/src/include/dandeliontack/pool_engine.hpp
@@ -151,7 +151,18 @@
     /// in milliseconds of a host.
     double
     remaining_work(const submission_state& s, const resources& host) const;
-    share_backlog backlog_before(const submission_record& record) const;
+    /// Work of a pool that can still be of use, in milliseconds of a host.
+    struct pool_backlog
+    {
+        boot_time measured;
+        double entitled = 0;
+        /// By account.
+        std::map<std::string, double> excess;
+    };
+    void measure_backlog(const std::string& pool, pool_backlog& out);
+    static void
+    add_backlog(pool_backlog& out, const submission_state& s, double work);
+    share_backlog backlog_before(const submission_record& record);
     /// The hosts of the pool that serve other than long-running tasks.
     double capacity_of(const std::string& pool) const;
     void open_occurrences(submission_state& s);
@@ -271,6 +282,7 @@
     std::map<std::string, account_entitlement> entitlements_;
     std::map<std::string, fair_order> fair_orders_;
     std::map<std::string, room_growth> room_;
+    std::map<std::string, pool_backlog> backlogs_;
     std::map<std::string, return_schedule> returns_;
     std::map<std::uint64_t, submission_state> active_;
     std::map<std::uint64_t, finished> finished_;
--- a/src/include/dandeliontack/shard_owner.hpp
+++ b/src/include/dandeliontack/shard_owner.hpp
@@ -23,6 +23,10 @@
 namespace dandeliontack
 {
 
+/// How long events are collected before a planning pass, with so many
+/// submissions in the shard.
+std::chrono::milliseconds planning_pause(std::size_t submissions);
+
 /// A node's ownership of one shard, from the claim until it is lost. Persists
 /// the scheduling engine's state in the store, sends the engine's orders to
 /// hosts, and answers requests for the shard. Must be held by a shared pointer,
--- a/src/include/dandeliontack/submission_refusal.hpp
+++ b/src/include/dandeliontack/submission_refusal.hpp
@@ -16,10 +16,7 @@
     unavailable,
     /// The account has sent more than it is entitled to, and the pool has no
     /// room for that in time.
-    beyond_share,
-    /// Work that the accounts are entitled to fills the pool for longer than
-    /// the submission is of use.
-    pool_full
+    beyond_share
 };
 
 std::string_view to_string(refusal_cause cause);
--- a/src/libnode/caller_front.cpp
+++ b/src/libnode/caller_front.cpp
@@ -56,14 +56,10 @@
 http_response
 share_refused(const submission_refusal& refusal, const std::string& pool)
 {
-    const bool is_excess = refusal.cause == refusal_cause::beyond_share;
     auto response = error_response(
-        http::status::too_many_requests, outcome::not_run,
-        is_excess ? "share exceeded" : "pool full",
-        is_excess
-            ? "the account sends more than it is entitled to, and pool " +
-                  pool + " has no room for that in time"
-            : "pool " + pool + " can't complete the submission in time");
+        http::status::too_many_requests, outcome::not_run, "share exceeded",
+        "the account has sent more than it is entitled to, and pool " + pool +
+            " has no room for that in time");
     const auto seconds =
         std::chrono::ceil<std::chrono::seconds>(refusal.retry_after);
     response.set(http::field::retry_after, std::to_string(seconds.count()));
--- a/src/libnode/shard_owner.cpp
+++ b/src/libnode/shard_owner.cpp
@@ -27,6 +27,9 @@
 // Events within this period are handled by one planning pass.
 constexpr auto plan_delay = 8ms;
 constexpr auto plan_interval = 200ms;
+// Further pause before a pass for each submission that it has to go through, so
+// that a backlog leaves the owner time for its calls.
+constexpr auto plan_delay_per_submission = 20us;
 // Timeout of an order to a host, and the number of attempts to start a task
 // before the start is withdrawn.
 constexpr auto order_timeout = 800ms;
@@ -57,6 +60,17 @@
 
 } // namespace
 
+// Load pattern: thousands of submissions wait. With passes as often as in calm,
+// an owner on half a core would do nothing else, and its callers, the fleet
+// duty among them, would get no answer.
+std::chrono::milliseconds planning_pause(std::size_t submissions)
+{
+    return std::min<std::chrono::milliseconds>(
+        plan_delay + std::chrono::duration_cast<std::chrono::milliseconds>(
+                         plan_delay_per_submission * submissions),
+        plan_interval);
+}
+
 std::string_view to_string(shard_outcome outcome)
 {
     constexpr std::array<std::string_view, 5> names{
@@ -583,7 +597,8 @@
         if (!planning_requested_)
             co_await planning_signal_.wait(plan_interval);
         else
-            co_await pause_for(context_.executor, plan_delay);
+            co_await pause_for(
+                context_.executor, planning_pause(engine_->active()));
         if (lost_)
             co_return;
         planning_requested_ = false;
--- a/src/libnode/shard_router.cpp
+++ b/src/libnode/shard_router.cpp
@@ -123,8 +123,7 @@
     if (row == outcomes.end())
         return {shard_outcome::unknown, {}};
     if (row->outcome == shard_outcome::rejected)
-        return {
-            row->outcome, {}, decode_submission_refusal(response.body())};
+        return {row->outcome, {}, decode_submission_refusal(response.body())};
     return {row->outcome, response.body()};
 }
 
--- a/src/libsched/account_shares.cpp
+++ b/src/libsched/account_shares.cpp
@@ -24,14 +24,6 @@
         std::min(exact_milliseconds(milliseconds), exact_milliseconds(24h)));
 }
 
-// How long the work takes that goes before the account's next submission in
-// its share, or all of it if that is less.
-double
-served_after(double all, double own, double weight, double weights, double hosts)
-{
-    return std::min(all, own * weights / weight) / hosts;
-}
-
 } // namespace
 
 bool account_entitlement::take(
@@ -41,8 +33,7 @@
     const double most = std::max(per_second, 1.0);
     auto found = buckets_.find(account);
     if (found == buckets_.end())
-        found =
-            buckets_.emplace(std::string(account), bucket{most, at}).first;
+        found = buckets_.emplace(std::string(account), bucket{most, at}).first;
     auto& b = found->second;
     const auto age = std::max(exact_seconds(at - b.filled), exact_seconds(0));
     b.tokens = std::min(most, b.tokens + age.count() * per_second);
@@ -56,9 +47,8 @@
 double fair_order::start_tag(std::string_view account) const
 {
     const auto found = finish_tags_.find(account);
-    return found == finish_tags_.end()
-               ? virtual_time_
-               : std::max(virtual_time_, found->second);
+    return found == finish_tags_.end() ? virtual_time_
+                                       : std::max(virtual_time_, found->second);
 }
 
 void fair_order::charge(std::string_view account, double weight, double work)
@@ -68,20 +58,15 @@
     finish_tags_.insert_or_assign(std::string(account), start + work / weight);
 }
 
-std::chrono::milliseconds
-wait_before(const share_backlog& backlog, bool is_excess)
+std::chrono::milliseconds wait_before(const share_backlog& backlog)
 {
     if (backlog.hosts <= 0)
         return whole(exact_milliseconds(24h).count());
-    if (!is_excess)
-        return whole(served_after(
-            backlog.entitled, backlog.own_entitled, backlog.weight,
-            backlog.entitled_weights, backlog.hosts));
+    const double by_share =
+        backlog.own_excess * backlog.excess_weights / backlog.weight;
     return whole(
-        backlog.entitled / backlog.hosts +
-        served_after(
-            backlog.excess, backlog.own_excess, backlog.weight,
-            backlog.excess_weights, backlog.hosts));
+        (backlog.entitled + std::min(backlog.excess, by_share)) /
+        backlog.hosts);
 }
 
 void room_growth::note(double hosts, bool is_full, boot_time now)
@@ -96,8 +81,8 @@
     }
 }
 
-std::optional<double> room_growth::expected(
-    boot_time now, std::chrono::milliseconds horizon) const
+std::optional<double>
+room_growth::expected(boot_time now, std::chrono::milliseconds horizon) const
 {
     if (!full_since_ || now - *full_since_ < demand_horizon)
         return std::nullopt;
--- a/src/libsched/pool_admission.cpp
+++ b/src/libsched/pool_admission.cpp
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <ranges>
-#include <set>
 
 namespace dandeliontack
 {
@@ -13,11 +12,13 @@
 
 using namespace std::chrono_literals;
 
+// How long a measured backlog is used; accepted work is added meanwhile.
+constexpr auto backlog_interval = 100ms;
+
 bool is_bounded(const submission_record& record)
 {
     return record.spec.repetitions == 0 &&
-           std::ranges::none_of(
-               record.spec.steps, &step_spec::long_running);
+           std::ranges::none_of(record.spec.steps, &step_spec::long_running);
 }
 
 } // namespace
@@ -92,32 +93,44 @@
     return sum;
 }
 
-share_backlog pool_engine::backlog_before(const submission_record& record) const
+void pool_engine::measure_backlog(const std::string& pool, pool_backlog& out)
+{
+    out.measured = now_.steady;
+    out.entitled = 0;
+    out.excess.clear();
+    const auto host = typical_host(pool);
+    for (const auto& [id, s] : active_)
+        if (s.record.terms.pool == pool && s.cancelled_in == 0 &&
+            is_bounded(s.record))
+            add_backlog(out, s, remaining_work(s, host));
+}
+
+void pool_engine::add_backlog(
+    pool_backlog& out, const submission_state& s, double work)
 {
+    if (!s.is_excess)
+        out.entitled += work;
+    else if (work > 0)
+        out.excess[s.record.account] += work;
+}
+
+share_backlog pool_engine::backlog_before(const submission_record& record)
+{
+    auto& known = backlogs_[record.terms.pool];
+    if (now_.steady - known.measured >= backlog_interval)
+        measure_backlog(record.terms.pool, known);
     share_backlog out;
+    out.entitled = known.entitled;
     out.weight = weight_of(record.account);
-    const auto host = typical_host(record.terms.pool);
-    std::set<std::string_view> with_entitled{record.account};
-    std::set<std::string_view> with_excess{record.account};
-    for (const auto& [id, s] : active_)
+    out.excess_weights = out.weight;
+    for (const auto& [account, work] : known.excess)
     {
-        const auto& other = s.record;
-        if (other.terms.pool != record.terms.pool || s.cancelled_in != 0 ||
-            other.terms.priority > record.terms.priority || !is_bounded(other))
-            continue;
-        const double work = remaining_work(s, host);
-        if (work <= 0)
-            continue;
-        const bool is_own = other.account == record.account;
-        (s.is_excess ? out.excess : out.entitled) += work;
-        if (is_own)
-            (s.is_excess ? out.own_excess : out.own_entitled) += work;
-        (s.is_excess ? with_excess : with_entitled).insert(other.account);
+        out.excess += work;
+        if (account == record.account)
+            out.own_excess = work;
+        else
+            out.excess_weights += weight_of(account);
     }
-    for (const auto account : with_entitled)
-        out.entitled_weights += weight_of(std::string(account));
-    for (const auto account : with_excess)
-        out.excess_weights += weight_of(std::string(account));
     return out;
 }
 
@@ -147,7 +160,10 @@
         return std::nullopt;
     const auto& pool = record.terms.pool;
     const auto room = room_.find(pool);
-    if (room == room_.end())
+    const auto weight = weight_of(record.account);
+    auto entitlement = entitlements_[pool];
+    if (room == room_.end() ||
+        entitlement.take(record.account, weight, now.wall))
         return std::nullopt;
     submission_state s;
     s.record = record;
@@ -157,20 +173,14 @@
         return std::nullopt;
     auto backlog = backlog_before(record);
     backlog.hosts = *hosts;
-    auto entitlement = entitlements_[pool];
-    const bool is_excess = !entitlement.take(
-        record.account, backlog.weight, now.wall);
-    const auto end = wait_before(backlog, is_excess) + needs.chain;
+    const auto end = wait_before(backlog) + needs.chain;
     if (end <= needs.late_limit)
         return std::nullopt;
-    const auto host = typical_host(pool);
-    const double share =
-        backlog.weight /
-        (is_excess ? backlog.excess_weights : backlog.entitled_weights);
+    const double share = weight / backlog.excess_weights;
     const std::chrono::milliseconds spacing(static_cast<std::int64_t>(
-        remaining_work(s, host) / std::max(backlog.hosts * share, 0.1)));
+        remaining_work(s, typical_host(pool)) / (backlog.hosts * share)));
     return submission_refusal{
-        is_excess ? refusal_cause::beyond_share : refusal_cause::pool_full,
+        refusal_cause::beyond_share,
         returns_[pool].next(
             record.account, now.steady, end - needs.late_limit, spacing)};
 }
--- a/src/libsched/pool_engine.cpp
+++ b/src/libsched/pool_engine.cpp
@@ -355,6 +355,10 @@
     s.work = work_of(s.record.spec);
     s.accepted_in = next_batch_;
     mark_excess(s);
+    if (has_shares(s.record))
+        add_backlog(
+            backlogs_[s.record.terms.pool], s,
+            remaining_work(s, typical_host(s.record.terms.pool)));
     count_arrival(s.record);
     changes_.accepted.push_back(e.record.id);
 }
--- a/src/libsched/pool_planner.cpp
+++ b/src/libsched/pool_planner.cpp
@@ -3,10 +3,9 @@
 #include "completion_forecast.hpp"
 
 #include <algorithm>
-#include <deque>
 #include <limits>
+#include <queue>
 #include <ranges>
-#include <set>
 
 namespace dandeliontack
 {
@@ -83,7 +82,7 @@
     if (engine_.accounts_)
     {
         place_by_shares(candidates);
-        note_room(candidates);
+        note_room();
         return;
     }
     for (const auto& c : candidates)
@@ -102,44 +101,65 @@
 // start tag is next; its own candidates keep their order.
 void pool_planner::place_by_shares(const std::vector<candidate>& candidates)
 {
-    using band = std::pair<int, std::uint32_t>;
-    using queue = std::deque<const candidate*>;
-    std::map<std::string, std::map<band, std::map<std::string, queue>>> waiting;
+    const auto has_same_band = [](const candidate& a, const candidate& b) {
+        return a.rank == b.rank && a.priority == b.priority;
+    };
+    for (auto begin = candidates.begin(); begin != candidates.end();)
+    {
+        const auto end =
+            std::find_if(begin, candidates.end(), [&](const candidate& c) {
+                return !has_same_band(*begin, c);
+            });
+        place_band({begin, end});
+        begin = end;
+    }
+}
+
+void pool_planner::place_band(std::span<const candidate> candidates)
+{
+    // Of an account in a pool.
+    struct queue
+    {
+        const std::string* account = nullptr;
+        const fair_order* order = nullptr;
+        std::vector<const candidate*> waiting;
+        std::size_t next = 0;
+    };
+    std::map<std::pair<std::string_view, std::string_view>, queue> queues;
     for (const auto& c : candidates)
     {
         const auto& record = c.submission->record;
-        waiting[record.terms.pool][{c.rank, c.priority}][record.account]
-            .push_back(&c);
+        auto& q = queues[{record.terms.pool, record.account}];
+        if (q.waiting.empty())
+        {
+            q.account = &record.account;
+            q.order = &engine_.fair_orders_[record.terms.pool];
+        }
+        q.waiting.push_back(&c);
     }
-    for (auto& [pool, bands] : waiting)
+    using entry = std::pair<double, queue*>;
+    const auto is_later = [](const entry& a, const entry& b) {
+        return a.first > b.first;
+    };
+    std::priority_queue<entry, std::vector<entry>, decltype(is_later)> ready(
+        is_later);
+    for (auto& [key, q] : queues)
+        ready.emplace(q.order->start_tag(*q.account), &q);
+    while (!ready.empty())
     {
-        const auto& order = engine_.fair_orders_[pool];
-        for (auto& [key, accounts] : bands)
-            while (!accounts.empty())
-            {
-                const auto next = std::ranges::min_element(
-                    accounts, {},
-                    [&](const auto& item) { return order.start_tag(item.first); });
-                place(*next->second.front());
-                next->second.pop_front();
-                if (next->second.empty())
-                    accounts.erase(next);
-            }
+        auto* q = ready.top().second;
+        ready.pop();
+        place(*q->waiting[q->next]);
+        if (++q->next < q->waiting.size())
+            ready.emplace(q->order->start_tag(*q->account), q);
     }
 }
 
-void pool_planner::note_room(const std::vector<candidate>& candidates)
+void pool_planner::note_room()
 {
-    std::set<std::string> full;
-    for (const auto& c : candidates)
-        if (c.rank != rank_long_running && c.rank != rank_overdue &&
-            std::ranges::any_of(
-                c.submission->occurrences.at(c.occurrence).steps[c.step].tasks,
-                [&](const task_state& t) { return may_start(t); }))
-            full.insert(c.submission->record.terms.pool);
     for (const auto& pool : std::views::keys(hosts_))
         engine_.room_[pool].note(
-            engine_.capacity_of(pool), full.contains(pool), now_.steady);
+            engine_.capacity_of(pool), full_.contains(pool), now_.steady);
 }
 
 void pool_planner::collect_hosts()
@@ -415,9 +435,39 @@
     engine_.effects_.emplace_back(std::move(ask));
 }
 
+void pool_planner::note_full(const candidate& c)
+{
+    if (c.rank != rank_long_running && c.rank != rank_overdue)
+        full_.insert(c.submission->record.terms.pool);
+}
+
+// Room only shrinks within a pass, so a task that needs as much as one that
+// found none finds none either.
+void pool_planner::note_no_room(const candidate& c, const step_spec& spec)
+{
+    if (spec.label.empty() && spec.most_per_host == 0 && !spec.long_running)
+        no_room_[c.submission->record.terms.pool].push_back(
+            reserved_resources(spec));
+}
+
+bool pool_planner::is_out_of_room(
+    const candidate& c, const step_spec& spec) const
+{
+    const auto found = no_room_.find(c.submission->record.terms.pool);
+    return found != no_room_.end() && !spec.long_running &&
+           std::ranges::any_of(found->second, [&](const resources& need) {
+               return fits(need, reserved_resources(spec));
+           });
+}
+
 void pool_planner::place_tasks(const candidate& c)
 {
     const auto& spec = c.submission->record.spec.steps[c.step];
+    if (is_out_of_room(c, spec))
+    {
+        note_full(c);
+        return;
+    }
     auto& step = c.submission->occurrences.at(c.occurrence).steps[c.step];
     auto rack = spec.rack;
     if (rack.empty() && spec.same_rack)
@@ -430,8 +480,11 @@
         auto* h = best_host(c, spec, t, rack);
         if (!h)
         {
+            note_full(c);
             if (c.submission->record.terms.advice)
                 request_advice(c);
+            else
+                note_no_room(c, spec);
             return;
         }
         if (rack.empty() && spec.same_rack)
@@ -481,7 +534,10 @@
     for (auto* h : chosen_hosts)
         h->used = h->used - reserved_resources(spec);
     if (chosen_hosts.size() < step.tasks.size())
+    {
+        note_full(c);
         return;
+    }
     for (std::uint32_t i = 0; i < step.tasks.size(); ++i)
     {
         step.tasks[i].checkpoint = checkpoint;
--- a/src/libsched/pool_planner.hpp
+++ b/src/libsched/pool_planner.hpp
@@ -3,6 +3,8 @@
 #include <dandeliontack/pool_engine.hpp>
 
 #include <map>
+#include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -40,10 +42,16 @@
     bool may_start(const task_state& t) const;
     void place(const candidate& c);
     void place_by_shares(const std::vector<candidate>& candidates);
-    /// Notes which pools have too little room for the candidates.
-    void note_room(const std::vector<candidate>& candidates);
+    /// Places candidates of the same rank and priority.
+    void place_band(std::span<const candidate> candidates);
+    /// Notes that a candidate which can still be of use found no room.
+    void note_full(const candidate& c);
+    void note_room();
     void place_tasks(const candidate& c);
     void place_gang(const candidate& c);
+    /// Notes that no host has room for a task of the step.
+    void note_no_room(const candidate& c, const step_spec& spec);
+    bool is_out_of_room(const candidate& c, const step_spec& spec) const;
     host_state* best_host(
         const candidate& c, const step_spec& spec, const task_state& t,
         const std::string& rack);
@@ -81,6 +89,11 @@
     std::map<const host_state*, std::size_t> starts_left_;
     /// Eligible hosts by pool.
     std::map<std::string, std::vector<host_state*>> hosts_;
+    /// Pools in which tasks that can still be of use wait for room.
+    std::set<std::string> full_;
+    /// What tasks needed that found no room in this pass, by pool; each is
+    /// smaller than those before it in some part.
+    std::map<std::string, std::vector<resources>> no_room_;
     /// Moving average of the work of a submission, in core milliseconds, by
     /// queue.
     std::map<std::string, double> mean_work_;
--- a/src/libsched/submission_refusal.cpp
+++ b/src/libsched/submission_refusal.cpp
@@ -10,8 +10,8 @@
 namespace
 {
 
-constexpr std::array<std::string_view, 3> cause_names{
-    "unavailable", "beyond-share", "pool-full"};
+constexpr std::array<std::string_view, 2> cause_names{
+    "unavailable", "beyond-share"};
 
 } // namespace
 
