--- a/src/include/dandeliontack/account_shares.hpp
+++ b/src/include/dandeliontack/account_shares.hpp
@@ -62,8 +62,8 @@
     /// Weights of the accounts with such work, with the account's own.
     double excess_weights = 0;
     double weight = 1;
-    /// Hosts that can serve it in time.
-    double hosts = 0;
+    /// Hosts that can serve it in time; at least one.
+    double hosts = 1;
 };
 
 /// A lower bound of the time until the work is served that goes before such a
--- a/src/libnode/shard_router.cpp
+++ b/src/libnode/shard_router.cpp
@@ -331,7 +331,13 @@
         {
         case shard_outcome::done:
         case shard_outcome::not_found:
+            co_return answer;
         case shard_outcome::rejected:
+            // The owner may still accept an earlier attempt that it has not
+            // read yet.
+            if (may_have_run &&
+                answer.refusal.cause != refusal_cause::unavailable)
+                answer = shard_answer{shard_outcome::unknown, {}};
             co_return answer;
         case shard_outcome::unknown:
             may_have_run = true;
--- a/src/libsched/account_shares.cpp
+++ b/src/libsched/account_shares.cpp
@@ -60,8 +60,6 @@
 
 std::chrono::milliseconds wait_before(const share_backlog& backlog)
 {
-    if (backlog.hosts <= 0)
-        return whole(exact_milliseconds(24h).count());
     const double by_share =
         backlog.own_excess * backlog.excess_weights / backlog.weight;
     return whole(
--- a/src/libsched/pool_admission.cpp
+++ b/src/libsched/pool_admission.cpp
@@ -172,7 +172,8 @@
     if (!hosts)
         return std::nullopt;
     auto backlog = backlog_before(record);
-    backlog.hosts = *hosts;
+    // A pool with work gets a host.
+    backlog.hosts = std::max(*hosts, 1.0);
     const auto end = wait_before(backlog) + needs.chain;
     if (end <= needs.late_limit)
         return std::nullopt;
--- a/src/libsched/pool_planner.cpp
+++ b/src/libsched/pool_planner.cpp
@@ -572,7 +572,7 @@
     held.objective = spec.latency_objective;
     engine_.add_run(h, task, held);
     const auto& record = c.submission->record;
-    if (engine_.has_shares(record) && !spec.long_running)
+    if (engine_.accounts_ && !spec.long_running)
         engine_.fair_orders_[record.terms.pool].charge(
             record.account, engine_.weight_of(record.account),
             share_of(held.need, h.entry.capacity) *
