--- a/src/include/dandeliontack/shard_owner.hpp
+++ b/src/include/dandeliontack/shard_owner.hpp
@@ -23,6 +23,10 @@
 namespace dandeliontack
 {
 
+/// How long events are collected before a planning pass, with so many
+/// submissions in the shard.
+std::chrono::milliseconds planning_pause(std::size_t submissions);
+
 /// A node's ownership of one shard, from the claim until it is lost. Persists
 /// the scheduling engine's state in the store, sends the engine's orders to
 /// hosts, and answers requests for the shard. Must be held by a shared pointer,
@@ -137,6 +141,8 @@
     void log_decision(const pool_effect::decision& decision);
     void log_finished(const pool_effect::finished& end);
     void log_submission(const submission_record& record);
+    void log_refusal(
+        const submission_record& record, const submission_refusal& refusal);
     void request_planning();
     void mark_lost(std::string_view reason);
     /// Whether orders may be sent now: the shard is not lost and its claim was
--- a/src/libnode/shard_owner.cpp
+++ b/src/libnode/shard_owner.cpp
@@ -27,6 +27,9 @@
 // Events within this period are handled by one planning pass.
 constexpr auto plan_delay = 8ms;
 constexpr auto plan_interval = 200ms;
+// Further pause before a pass for each submission that it has to go through, so
+// that a backlog leaves the owner time for its calls.
+constexpr auto plan_delay_per_submission = 20us;
 // Timeout of an order to a host, and the number of attempts to start a task
 // before the start is withdrawn.
 constexpr auto order_timeout = 800ms;
@@ -57,6 +60,17 @@
 
 } // namespace
 
+// Load pattern: thousands of submissions wait. With passes as often as in calm,
+// an owner on half a core would do nothing else, and its callers, the fleet
+// duty among them, would get no answer.
+std::chrono::milliseconds planning_pause(std::size_t submissions)
+{
+    return std::min<std::chrono::milliseconds>(
+        plan_delay + std::chrono::duration_cast<std::chrono::milliseconds>(
+                         plan_delay_per_submission * submissions),
+        plan_interval);
+}
+
 std::string_view to_string(shard_outcome outcome)
 {
     constexpr std::array<std::string_view, 5> names{
@@ -451,10 +465,45 @@
             if (flag)
                 steps += std::string(",") + name;
     }
-    line.add("steps", steps).add("shard", shard_).add("epoch", epoch());
+    line.add("steps", steps);
+    if (!record.account.empty())
+    {
+        const auto* s = engine_->state_of(record.id);
+        const std::string_view share =
+            s && s->is_excess ? "excess" : "entitled";
+        line.add("account", record.account).add("share", share);
+        context_.metrics
+            .get_counter(
+                "tack_account_submissions_total{account=\"" + record.account +
+                "\",share=\"" + std::string(share) + "\"}")
+            .add();
+    }
+    line.add("shard", shard_).add("epoch", epoch());
     context_.log.write("pool", "submission_taken", line);
 }
 
+void shard_owner::log_refusal(
+    const submission_record& record, const submission_refusal& refusal)
+{
+    const auto cause = to_string(refusal.cause);
+    context_.log.write(
+        "owner", "submission_refused",
+        log_line()
+            .add("submission", submission_name(record.id))
+            .add("route", record.terms.route)
+            .add("pool", record.terms.pool)
+            .add("account", record.account)
+            .add("reason", cause)
+            .add("retry_after_ms", refusal.retry_after.count())
+            .add("shard", shard_)
+            .add("epoch", epoch()));
+    context_.metrics
+        .get_counter(
+            "tack_account_refused_total{account=\"" + record.account +
+            "\",cause=\"" + std::string(cause) + "\"}")
+        .add();
+}
+
 std::vector<keyed_record>
 shard_owner::encode_changes(const pool_changes& changes)
 {
@@ -550,7 +599,8 @@
         if (!planning_requested_)
             co_await planning_signal_.wait(plan_interval);
         else
-            co_await pause_for(context_.executor, plan_delay);
+            co_await pause_for(
+                context_.executor, planning_pause(engine_->active()));
         if (lost_)
             co_return;
         planning_requested_ = false;
@@ -917,11 +967,16 @@
                 .add("limit", max_tasks_of(context_.settings)));
         co_return shard_answer{shard_outcome::rejected, {}};
     }
+    if (const auto refusal = engine_->refusal_of(record, read_clocks()))
+    {
+        log_refusal(record, *refusal);
+        co_return shard_answer{shard_outcome::rejected, {}, *refusal};
+    }
     if (!engine_->find(id))
     {
         record.accepted = read_clocks().wall;
+        apply(pool_event::submitted{record});
         log_submission(record);
-        apply(pool_event::submitted{std::move(record)});
     }
     const auto view = engine_->find(id);
     const auto outcome =
--- a/src/libnode/shard_router.cpp
+++ b/src/libnode/shard_router.cpp
@@ -122,6 +122,8 @@
         std::ranges::find(outcomes, response.result(), &outcome_row::status);
     if (row == outcomes.end())
         return {shard_outcome::unknown, {}};
+    if (row->outcome == shard_outcome::rejected)
+        return {row->outcome, {}, decode_submission_refusal(response.body())};
     return {row->outcome, response.body()};
 }
 
@@ -329,7 +331,13 @@
         {
         case shard_outcome::done:
         case shard_outcome::not_found:
+            co_return answer;
         case shard_outcome::rejected:
+            // The owner may still accept an earlier attempt that it has not
+            // read yet.
+            if (may_have_run &&
+                answer.refusal.cause != refusal_cause::unavailable)
+                answer = shard_answer{shard_outcome::unknown, {}};
             co_return answer;
         case shard_outcome::unknown:
             may_have_run = true;
@@ -431,6 +439,8 @@
     }
     const auto* row =
         std::ranges::find(outcomes, answer.outcome, &outcome_row::outcome);
+    if (answer.outcome == shard_outcome::rejected)
+        answer.value = encode(answer.refusal);
     co_return make_response(
         row->status, "application/octet-stream", std::move(answer.value));
 }
--- a/src/libsched/pool_planner.cpp
+++ b/src/libsched/pool_planner.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <queue>
 #include <ranges>
 
 namespace dandeliontack
@@ -18,8 +19,12 @@
 constexpr int rank_long_running = 0;
 constexpr int rank_started = 1;
 constexpr int rank_in_time = 2;
-constexpr int rank_late = 3;
-constexpr int rank_overdue = 4;
+// In time, of accounts that have sent more than they are entitled to.
+constexpr int rank_excess_started = 3;
+constexpr int rank_excess_in_time = 4;
+constexpr int rank_late = 5;
+constexpr int rank_excess_late = 6;
+constexpr int rank_overdue = 7;
 // The part of a submission's value that does not depend on its work, relative
 // to the value of a submission of average work in its queue.
 constexpr double fixed_value_share = 0.3;
@@ -39,11 +44,6 @@
 constexpr double cost_interference = 5;
 constexpr double cost_first_long_running = 2;
 
-} // namespace
-
-namespace
-{
-
 resources times(const resources& need, std::int64_t count)
 {
     return {
@@ -53,6 +53,18 @@
 
 } // namespace
 
+double share_of(const resources& need, const resources& host)
+{
+    const auto ratio = [](std::int64_t part, std::int64_t of) {
+        return of > 0 ? static_cast<double>(part) / static_cast<double>(of)
+                      : 0.0;
+    };
+    return std::max(
+        {ratio(need.cpu_milli, host.cpu_milli),
+         ratio(need.memory_mb, host.memory_mb),
+         ratio(need.accelerators, host.accelerators)});
+}
+
 resources reserved_resources(const step_spec& step)
 {
     auto need = step.need;
@@ -74,15 +86,89 @@
     std::ranges::sort(candidates, {}, [](const candidate& c) {
         return std::tuple(c.rank, c.priority, c.order_key);
     });
+    if (engine_.accounts_)
+    {
+        place_by_shares(candidates);
+        note_room();
+        return;
+    }
     for (const auto& c : candidates)
+        place(c);
+}
+
+void pool_planner::place(const candidate& c)
+{
+    if (c.submission->record.spec.steps[c.step].gang)
+        place_gang(c);
+    else
+        place_tasks(c);
+}
+
+// Among candidates of one pool, rank and priority, the account with the lowest
+// start tag is next; its own candidates keep their order.
+void pool_planner::place_by_shares(const std::vector<candidate>& candidates)
+{
+    const auto has_same_band = [](const candidate& a, const candidate& b) {
+        return a.rank == b.rank && a.priority == b.priority;
+    };
+    for (auto begin = candidates.begin(); begin != candidates.end();)
     {
-        if (c.submission->record.spec.steps[c.step].gang)
-            place_gang(c);
-        else
-            place_tasks(c);
+        const auto end =
+            std::find_if(begin, candidates.end(), [&](const candidate& c) {
+                return !has_same_band(*begin, c);
+            });
+        place_band({begin, end});
+        begin = end;
     }
 }
 
+void pool_planner::place_band(std::span<const candidate> candidates)
+{
+    // Of an account in a pool.
+    struct queue
+    {
+        const std::string* account = nullptr;
+        const fair_order* order = nullptr;
+        std::vector<const candidate*> waiting;
+        std::size_t next = 0;
+    };
+    std::map<std::pair<std::string_view, std::string_view>, queue> queues;
+    for (const auto& c : candidates)
+    {
+        const auto& record = c.submission->record;
+        auto& q = queues[{record.terms.pool, record.account}];
+        if (q.waiting.empty())
+        {
+            q.account = &record.account;
+            q.order = &engine_.fair_orders_[record.terms.pool];
+        }
+        q.waiting.push_back(&c);
+    }
+    using entry = std::pair<double, queue*>;
+    const auto is_later = [](const entry& a, const entry& b) {
+        return a.first > b.first;
+    };
+    std::priority_queue<entry, std::vector<entry>, decltype(is_later)> ready(
+        is_later);
+    for (auto& [key, q] : queues)
+        ready.emplace(q.order->start_tag(*q.account), &q);
+    while (!ready.empty())
+    {
+        auto* q = ready.top().second;
+        ready.pop();
+        place(*q->waiting[q->next]);
+        if (++q->next < q->waiting.size())
+            ready.emplace(q->order->start_tag(*q->account), q);
+    }
+}
+
+void pool_planner::note_room()
+{
+    for (const auto& pool : std::views::keys(hosts_))
+        engine_.room_[pool].note(
+            engine_.capacity_of(pool), full_.contains(pool), now_.steady);
+}
+
 void pool_planner::collect_hosts()
 {
     for (auto& [id, h] : engine_.hosts_)
@@ -158,17 +244,28 @@
             return t.phase != task_phase::waiting;
         });
     });
-    if (view.state == timeliness::in_time)
-        c.rank = started ? rank_started : rank_in_time;
-    else
-        c.rank = view.state == timeliness::late ? rank_late : rank_overdue;
+    switch (view.state)
+    {
+    case timeliness::in_time:
+        if (s.is_excess)
+            c.rank = started ? rank_excess_started : rank_excess_in_time;
+        else
+            c.rank = started ? rank_started : rank_in_time;
+        break;
+    case timeliness::late:
+        c.rank = s.is_excess ? rank_excess_late : rank_late;
+        break;
+    case timeliness::overdue:
+        c.rank = rank_overdue;
+        break;
+    }
     const double mean = std::max(mean_work_[terms.route], 1.0);
     const double work = std::max(s.work, 1.0);
     const double value =
         fixed_value_share + (1 - fixed_value_share) * work / mean;
     // In time: the highest value per unit of work first. Late: the oldest
     // first.
-    c.order_key = c.rank <= rank_in_time ? -value / work : -age;
+    c.order_key = c.rank < rank_late ? -value / work : -age;
     return c;
 }
 
@@ -247,6 +344,8 @@
 
 void pool_planner::note_unfit(const std::string& pool, const resources& need)
 {
+    if (unfit_[pool].contains(need))
+        return;
     const bool has_room =
         std::ranges::any_of(hosts_[pool], [&](const host_state* h) {
             return starts_left_.at(h) > 0 &&
@@ -359,6 +458,12 @@
     engine_.effects_.emplace_back(std::move(ask));
 }
 
+void pool_planner::note_full(const candidate& c)
+{
+    if (c.rank != rank_long_running && c.rank != rank_overdue)
+        full_.insert(c.submission->record.terms.pool);
+}
+
 void pool_planner::place_tasks(const candidate& c)
 {
     const auto& spec = c.submission->record.spec.steps[c.step];
@@ -378,6 +483,7 @@
         {
             note_unfit(
                 c.submission->record.terms.pool, reserved_resources(spec));
+            note_full(c);
             if (c.submission->record.terms.advice)
                 request_advice(c);
             return;
@@ -437,7 +543,10 @@
     for (auto* h : chosen_hosts)
         h->used = h->used - reserved_resources(spec);
     if (chosen_hosts.size() < step.tasks.size())
+    {
+        note_full(c);
         return;
+    }
     const auto account =
         engine_.budget_.find_or_add(c.submission->record.account);
     const auto need = times(spec.need, spec.count);
@@ -479,6 +588,12 @@
     held.long_running = spec.long_running;
     held.objective = spec.latency_objective;
     engine_.add_run(h, task, held);
+    const auto& record = c.submission->record;
+    if (engine_.accounts_ && !spec.long_running)
+        engine_.fair_orders_[record.terms.pool].charge(
+            record.account, engine_.weight_of(record.account),
+            share_of(held.need, h.entry.capacity) *
+                static_cast<double>(spec.estimate.count()));
     auto& left = starts_left_[&h];
     left -= std::min<std::size_t>(left, 1);
     const auto advice = step.advice.find(h.entry.id);
--- a/src/libsched/pool_planner.hpp
+++ b/src/libsched/pool_planner.hpp
@@ -4,6 +4,8 @@
 #include <dandeliontack/pool_engine.hpp>
 
 #include <map>
+#include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -39,6 +41,13 @@
     candidate make_candidate(
         submission_state& s, std::uint32_t occurrence, std::uint32_t step);
     bool may_start(const task_state& t) const;
+    void place(const candidate& c);
+    void place_by_shares(const std::vector<candidate>& candidates);
+    /// Places candidates of the same rank and priority.
+    void place_band(std::span<const candidate> candidates);
+    /// Notes that a candidate which can still be of use found no room.
+    void note_full(const candidate& c);
+    void note_room();
     void place_tasks(const candidate& c);
     void place_gang(const candidate& c);
     host_state* best_host(
@@ -80,6 +89,8 @@
     std::map<const host_state*, std::size_t> starts_left_;
     /// Eligible hosts by pool.
     std::map<std::string, std::vector<host_state*>> hosts_;
+    /// Pools in which tasks that can still be of use wait for room.
+    std::set<std::string> full_;
     /// Moving average of the work of a submission, in core milliseconds, by
     /// queue.
     std::map<std::string, double> mean_work_;
@@ -87,6 +98,8 @@
     std::map<std::string, unfit_needs> unfit_;
 };
 
+/// The largest of a task's shares of a host's cores, memory and accelerators.
+double share_of(const resources& need, const resources& host);
 /// The resources that a task reserves on its host. A best-effort task reserves
 /// memory and accelerators, but no cores.
 resources reserved_resources(const step_spec& step);
