--- a/src/libsched/pool_admission.cpp
+++ b/src/libsched/pool_admission.cpp
@@ -46,6 +46,7 @@
 void pool_engine::mark_all_excess()
 {
     std::vector<submission_state*> order;
+    order.reserve(active_.size());
     for (auto& [id, s] : active_)
         order.push_back(&s);
     std::ranges::sort(order, {}, [](const submission_state* s) {
