Servers and clients of HTTP hold a bounded number of bytes

Cause: header and body limits bound what is parsed, while the buffer that a message is parsed from had no bound, and no bound held over all connections together.

The buffer of a connection takes a header and the line of a chunk, or that line and the trailers; what doesn't fit is refused with 400 or 431. buffer_budget bounds the bytes of all connections of a server, and of a pool's responses: new connections give way first, then the incomplete messages that held most bytes for longest (503, not run); complete requests never do. Refusals are counted by cause and logged once a second and cause.

--- /dev/null
+++ b/src/include/dandeliontack/buffer_budget.hpp
@@ -0,0 +1,112 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <memory>
+
+namespace dandeliontack
+{
+
+class buffer_share;
+
+/// Bounds the bytes that all connections of a server or client hold together
+/// for messages that senders outside of our control may make large or slow.
+/// Where the bytes run short it gives way in this order: new connections, then
+/// the incomplete messages that have held most bytes for longest, measured by
+/// the product of both. Complete requests keep their bytes. For one thread.
+class buffer_budget
+{
+public:
+    using time_point = std::chrono::steady_clock::time_point;
+
+    explicit buffer_budget(std::uint64_t limit_bytes) : limit_(limit_bytes) {}
+    buffer_budget(const buffer_budget&) = delete;
+    buffer_budget& operator=(const buffer_budget&) = delete;
+
+    /// Whether a new connection may be opened. Where it may not, incomplete
+    /// messages make room for later ones.
+    bool admits_connection(time_point now);
+
+    void set_limit(std::uint64_t limit_bytes)
+    {
+        limit_ = limit_bytes;
+    }
+    std::uint64_t limit() const
+    {
+        return limit_;
+    }
+    std::uint64_t held() const
+    {
+        return held_;
+    }
+
+private:
+    friend class buffer_share;
+
+    void shed(time_point now);
+
+    std::uint64_t limit_;
+    std::uint64_t held_ = 0;
+    // Of shares that have given up and are not released yet.
+    std::uint64_t leaving_ = 0;
+    std::list<buffer_share*> shares_;
+};
+
+/// What one connection holds of a budget.
+class buffer_share
+{
+public:
+    using time_point = buffer_budget::time_point;
+
+    /// `give_up` is called when the connection's incomplete message has to
+    /// give way; it must not use the budget.
+    buffer_share(
+        std::shared_ptr<buffer_budget> budget, std::function<void()> give_up);
+    ~buffer_share();
+    buffer_share(const buffer_share&) = delete;
+    buffer_share& operator=(const buffer_share&) = delete;
+
+    /// A message begins to arrive.
+    void begin(time_point now);
+    /// How many bytes the connection is about to hold. May make this or other
+    /// shares give up. Returns whether these bytes are free by now.
+    bool hold(std::uint64_t bytes, time_point now);
+    /// Whether shares that had to give up for others have released enough.
+    bool has_room() const;
+    /// The message is complete: it no longer gives way.
+    void complete();
+    /// Nothing is held any more.
+    void release();
+
+    /// Whether the message that began last had to give way. Its bytes are free
+    /// once it is released.
+    bool has_given_up() const
+    {
+        return state_ == state::given_up;
+    }
+
+private:
+    friend class buffer_budget;
+
+    enum class state
+    {
+        idle,
+        incomplete,
+        complete,
+        given_up
+    };
+
+    void set_bytes(std::uint64_t bytes);
+    void give_up();
+
+    std::shared_ptr<buffer_budget> budget_;
+    std::function<void()> end_message_;
+    std::list<buffer_share*>::iterator place_;
+    std::uint64_t bytes_ = 0;
+    time_point since_;
+    state state_ = state::idle;
+};
+
+} // namespace dandeliontack
--- a/src/include/dandeliontack/entry_settings.hpp
+++ b/src/include/dandeliontack/entry_settings.hpp
@@ -23,6 +23,7 @@
     endpoint listen;
     std::uint64_t header_bytes = 8 * 1024;
     std::uint64_t body_bytes = 1024 * 1024;
+    std::uint64_t buffered_bytes = 64 * 1024 * 1024;
     std::uint64_t connections = 4096;
     std::chrono::milliseconds idle = std::chrono::seconds(60);
     std::chrono::milliseconds transfer = std::chrono::seconds(10);
--- a/src/include/dandeliontack/http_connection.hpp
+++ b/src/include/dandeliontack/http_connection.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <dandeliontack/buffer_budget.hpp>
 #include <dandeliontack/endpoint.hpp>
 #include <dandeliontack/http.hpp>
 
@@ -37,10 +38,12 @@
 class http_connection
 {
 public:
-    /// `body_limit` bounds the body of a response, in bytes.
+    /// `body_limit` bounds the body of a response, in bytes. The budget, if
+    /// there is one, bounds those of all connections that share it.
     http_connection(
         boost::asio::any_io_executor executor, endpoint peer,
-        std::uint64_t body_limit = 16 * 1024 * 1024);
+        std::uint64_t body_limit = 16 * 1024 * 1024,
+        std::shared_ptr<buffer_budget> budget = nullptr);
     ~http_connection();
     http_connection(http_connection&&) noexcept;
     http_connection& operator=(http_connection&&) noexcept;
--- a/src/include/dandeliontack/http_pool.hpp
+++ b/src/include/dandeliontack/http_pool.hpp
@@ -42,6 +42,11 @@
     {
         std::size_t idle_per_peer = 8;
         std::chrono::milliseconds longest_idle{10'000};
+        /// The largest body of a response.
+        std::uint64_t response_bytes = 16 * 1024 * 1024;
+        /// What the responses that are being read may hold together, in bytes;
+        /// see `buffer_budget`.
+        std::uint64_t buffered_bytes = 256 * 1024 * 1024;
     };
 
     http_pool(boost::asio::any_io_executor executor, limits bounds);
@@ -64,6 +69,8 @@
     std::uint64_t opened() const;
     /// Connections that are open and carry nothing.
     std::size_t idle() const;
+    /// Bytes of responses that are being read.
+    std::uint64_t buffered_bytes() const;
 
 private:
     struct idle_connection
@@ -82,6 +89,7 @@
 
     boost::asio::any_io_executor executor_;
     limits limits_;
+    std::shared_ptr<buffer_budget> budget_;
     time_point closed_old_{};
     std::map<endpoint, std::deque<idle_connection>> idle_;
     std::uint64_t opened_ = 0;
--- a/src/include/dandeliontack/http_server.hpp
+++ b/src/include/dandeliontack/http_server.hpp
@@ -2,6 +2,7 @@
 
 #include <dandeliontack/endpoint.hpp>
 #include <dandeliontack/http.hpp>
+#include <dandeliontack/http_refusal.hpp>
 #include <dandeliontack/metrics.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -12,11 +13,12 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace dandeliontack
 {
 
-/// Bounds on what one connection may cost.
+/// Bounds on what one connection, and all of them together, may cost.
 struct http_limits
 {
     std::uint32_t header_bytes = 8 * 1024;
@@ -26,15 +28,32 @@
     std::chrono::milliseconds idle = std::chrono::seconds(60);
     /// How long reading one request, or writing one response, may take.
     std::chrono::milliseconds transfer = std::chrono::seconds(10);
+    /// What all connections may hold together of requests and responses, in
+    /// bytes, beside a fixed cost of each; see `buffer_budget`.
+    std::uint64_t buffered_bytes = 64 * 1024 * 1024;
+    /// Labels the server's metrics if it isn't empty.
+    std::string server;
+
+    /// The name of a metric with the server's label.
+    std::string metric_of(const std::string& name) const
+    {
+        return server.empty() ? name : name + "{server=\"" + server + "\"}";
+    }
 };
 
 /// A HTTP/1.1 server on one executor. Requests that can't be parsed or
 /// exceed a limit are refused with a problem document and counted as
-/// `tack_http_rejected_total`. Where the handler throws, the connection is
-/// closed without an answer.
+/// `tack_http_rejected_total`, and all refusals as
+/// `tack_http_refused_total{cause=...}`. Where the handler throws, the
+/// connection is closed without an answer.
 class http_server
 {
 public:
+    /// Called at most once a second for each cause, with the number of
+    /// refusals since the last call.
+    using refusal_observer =
+        std::function<void(http_refusal cause, std::uint64_t count)>;
+
     using handler =
         std::function<boost::asio::awaitable<http_response>(http_request)>;
 
@@ -46,6 +65,9 @@
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
 
+    /// Takes the place of the log lines about refusals.
+    void set_refusal_observer(refusal_observer observer);
+
     /// Binds, listens and begins to accept. Returns the endpoint with its
     /// real port. Throws `boost::system::system_error` if binding fails.
     endpoint listen(const endpoint& where);
@@ -58,6 +80,9 @@
     /// connections. Returns when none is left or `patience` has passed.
     boost::asio::awaitable<void> drain(std::chrono::milliseconds patience);
 
+    /// The name of its limits.
+    const std::string& name() const;
+
     /// Connections that are open now.
     std::size_t connections() const;
 
--- a/src/libnode/tack_node.cpp
+++ b/src/libnode/tack_node.cpp
@@ -60,15 +60,48 @@
 constexpr auto stop_margin = 700ms;
 constexpr std::size_t reserved_descriptors = 1000;
 
+// As many connections as the descriptors and a quarter of the memory allow.
+std::size_t max_caller_connections(const node_limits_settings& limits)
+{
+    constexpr std::uint64_t bytes_per_mb = 1024 * 1024;
+    constexpr std::uint64_t bytes_per_connection = 12 * 1024;
+    const auto by_descriptors = limits.descriptors > 2 * reserved_descriptors
+                                    ? limits.descriptors - reserved_descriptors
+                                    : limits.descriptors / 2;
+    const auto by_memory =
+        limits.memory_mb * bytes_per_mb / 4 / bytes_per_connection;
+    return std::min(by_descriptors, by_memory);
+}
+
 http_limits caller_limits(const tack_node_settings& settings)
 {
-    constexpr std::uint32_t header_bytes = 16 * 1024;
-    constexpr std::uint64_t body_bytes = 256 * 1024;
-    const auto descriptors = settings.limits.descriptors;
-    const auto connections = descriptors > 2 * reserved_descriptors
-                                 ? descriptors - reserved_descriptors
-                                 : descriptors / 2;
-    return {header_bytes, body_bytes, connections, 60s, 10s};
+    http_limits limits;
+    limits.header_bytes = 16 * 1024;
+    limits.body_bytes = 256 * 1024;
+    limits.connections = max_caller_connections(settings.limits);
+    limits.idle = 60s;
+    limits.transfer = 10s;
+    limits.buffered_bytes = buffered_bytes_of(settings);
+    limits.server = "callers";
+    return limits;
+}
+
+http_limits peer_limits(const tack_node_settings& settings)
+{
+    http_limits limits;
+    limits.buffered_bytes = buffered_bytes_of(settings);
+    limits.server = "peers";
+    return limits;
+}
+
+// For pages that are asked for without a body.
+http_limits page_limits(std::string server)
+{
+    http_limits limits;
+    limits.body_bytes = 4 * 1024;
+    limits.buffered_bytes = 2 * 1024 * 1024;
+    limits.server = std::move(server);
+    return limits;
 }
 
 // Pause between reads of the operator's topic. A new configuration must be in
@@ -138,7 +171,7 @@
               return front_.handle(std::move(request));
           }),
       readiness_(
-          context.executor, {}, context.metrics,
+          context.executor, page_limits("readiness"), context.metrics,
           [this](http_request) -> asio::awaitable<http_response> {
               co_return make_response(
                   is_ready() ? http::status::ok
@@ -146,18 +179,28 @@
                   "text/plain", is_ready() ? "ready\n" : "not ready\n");
           }),
       peers_(
-          context.executor, {}, context.metrics,
+          context.executor, peer_limits(context.settings), context.metrics,
           [this](http_request request) {
               return router_.serve(std::move(request));
           }),
       metrics_(
-          context.executor, {}, context.metrics,
+          context.executor, page_limits("metrics"), context.metrics,
           admin_pages(context.metrics, [this] { return is_ready(); }, {})),
       announce_now_(context.executor)
 {
     router_.set_announcement_store([this](std::string record) {
         return store_announcement(std::move(record));
     });
+    for (auto* server : {&callers_, &readiness_, &peers_, &metrics_})
+        server->set_refusal_observer(
+            [this, server](http_refusal cause, std::uint64_t count) {
+                context_.log.write(
+                    "node", "requests_refused",
+                    log_line()
+                        .add("server", server->name())
+                        .add("cause", to_string(cause))
+                        .add("count", count));
+            });
     router_.set_configuration_source(
         [this](std::uint64_t version) { return relay_.newer_than(version); });
 }
@@ -389,10 +432,13 @@
 asio::awaitable<void> tack_node::write_log_regularly()
 {
     auto& dropped = context_.metrics.get_gauge("tack_log_lines_dropped");
+    auto& responses = context_.metrics.get_gauge("tack_response_held_bytes");
     while (true)
     {
         context_.log.flush();
         dropped.set(static_cast<std::int64_t>(context_.log.dropped()));
+        responses.set(
+            static_cast<std::int64_t>(context_.connections.buffered_bytes()));
         co_await pause_for(context_.executor, log_interval);
     }
 }
--- a/src/libnode/tack_node_settings.cpp
+++ b/src/libnode/tack_node_settings.cpp
@@ -11,6 +11,7 @@
 
 // The longest record of a part of a submission fits (`tasks_per_part`).
 constexpr double min_record_bytes = 128.0 * 1024;
+constexpr std::uint64_t bytes_per_mb = 1024 * 1024;
 constexpr double max_ms = 3'600'000;
 constexpr double max_seconds = 86'400;
 constexpr double max_bytes = 1024.0 * 1024 * 1024;
@@ -119,7 +120,11 @@
         row{.key = "memory_mb",
             .member = &s::memory_mb,
             .least = 16,
-            .most = 1'000'000}};
+            .most = 1'000'000},
+        row{.key = "buffer_share",
+            .member = &s::buffer_share,
+            .least = 0.01,
+            .most = 0.25}};
     return table;
 }
 
@@ -185,11 +190,17 @@
 std::uint64_t max_tasks_of(const tack_node_settings& settings)
 {
     // Half of the memory is left to everything else.
-    constexpr std::uint64_t bytes_per_mb = 1024 * 1024;
     constexpr std::uint64_t bytes_per_task = 512;
     return settings.limits.memory_mb * bytes_per_mb / 2 / bytes_per_task;
 }
 
+std::uint64_t buffered_bytes_of(const tack_node_settings& settings)
+{
+    return static_cast<std::uint64_t>(
+        static_cast<double>(settings.limits.memory_mb * bytes_per_mb) *
+        settings.limits.buffer_share);
+}
+
 pool_terms pool_terms_of(const tack_node_settings& settings)
 {
     // Finished submissions are kept for longer than callers may ask for them.
--- a/src/libutil/http_connection.cpp
+++ b/src/libutil/http_connection.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/http.hpp>
 
 #include <array>
+#include <limits>
 #include <utility>
 
 namespace dandeliontack
@@ -21,6 +22,14 @@
 
 constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
 constexpr unsigned first_final_status = 200;
+constexpr std::uint32_t header_bytes = 8 * 1024;
+// Holds the head of a response, or the trailers of the same size behind the
+// line of the last chunk.
+constexpr std::size_t buffer_bytes = 12 * 1024;
+// Of the buffer, what a connection may keep between its requests.
+constexpr std::size_t kept_bytes = 4 * 1024;
+
+using response_parser = http::response_parser<http::string_body>;
 
 exchange_error
 failed(outcome result, std::string_view step, beast::error_code ec)
@@ -32,14 +41,24 @@
 
 struct http_connection::core
 {
-    core(asio::any_io_executor executor, endpoint address, std::uint64_t limit)
+    core(
+        asio::any_io_executor executor, endpoint address, std::uint64_t limit,
+        std::shared_ptr<buffer_budget> budget)
         : stream(std::move(executor)),
+          buffer(buffer_bytes),
+          share(
+              budget ? std::move(budget)
+                     : std::make_shared<buffer_budget>(no_limit),
+              [this] { stream.cancel(); }),
           peer(std::move(address)),
           body_limit(limit)
     {}
 
+    static constexpr auto no_limit = std::numeric_limits<std::uint64_t>::max();
+
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
+    buffer_share share;
     endpoint peer;
     std::uint64_t body_limit;
     std::string peer_name;
@@ -48,6 +67,7 @@
     bool quiet();
     asio::awaitable<beast::error_code> connect();
     asio::awaitable<exchange_result> read_response(bool head);
+    asio::awaitable<beast::error_code> read_body(response_parser& parser);
 };
 
 // Whether nothing has arrived on an idle connection. Bytes that nobody asked
@@ -80,10 +100,11 @@
 // be told from a truncated one, and an interim response was not asked for.
 asio::awaitable<exchange_result> http_connection::core::read_response(bool head)
 {
-    http::response_parser<http::string_body> parser;
+    response_parser parser;
+    parser.header_limit(header_bytes);
     parser.body_limit(body_limit);
     parser.skip(head);
-    auto [header_ec, header_bytes] =
+    auto [header_ec, read_bytes] =
         co_await http::async_read_header(stream, buffer, parser, no_throw);
     if (header_ec)
         co_return failed(outcome::unknown, "read", header_ec);
@@ -95,18 +116,39 @@
             outcome::unknown, "read: response without a length"};
     if (!parser.is_done())
     {
-        auto [ec, bytes] =
-            co_await http::async_read(stream, buffer, parser, no_throw);
+        const auto ec = co_await read_body(parser);
+        if (share.has_given_up())
+            co_return exchange_error{
+                outcome::unknown, "read: no room for the response"};
         if (ec)
             co_return failed(outcome::unknown, "read", ec);
     }
     co_return parser.release();
 }
 
+asio::awaitable<beast::error_code>
+http_connection::core::read_body(response_parser& parser)
+{
+    parser.eager(true);
+    beast::error_code failure;
+    while (!failure && !parser.is_done())
+    {
+        auto [ec, bytes] =
+            co_await http::async_read_some(stream, buffer, parser, no_throw);
+        failure = ec;
+        share.hold(
+            parser.get().body().size(), std::chrono::steady_clock::now());
+        if (share.has_given_up())
+            failure = asio::error::operation_aborted;
+    }
+    co_return failure;
+}
+
 http_connection::http_connection(
-    asio::any_io_executor executor, endpoint peer, std::uint64_t body_limit)
+    asio::any_io_executor executor, endpoint peer, std::uint64_t body_limit,
+    std::shared_ptr<buffer_budget> budget)
     : core_(std::make_unique<core>(
-          std::move(executor), std::move(peer), body_limit))
+          std::move(executor), std::move(peer), body_limit, std::move(budget)))
 {}
 
 http_connection::~http_connection() = default;
@@ -172,8 +214,12 @@
             written == 0 ? outcome::not_run : outcome::unknown, "write",
             write_ec);
     }
+    c.share.begin(std::chrono::steady_clock::now());
     auto result =
         co_await c.read_response(request.method() == http::verb::head);
+    c.share.release();
+    if (c.buffer.capacity() > kept_bytes)
+        c.buffer.shrink_to_fit();
     c.stream.expires_never();
     const auto* response = std::get_if<http_response>(&result);
     if (!response || !response->keep_alive() || c.buffer.size() != 0)
--- a/src/libutil/http_pool.cpp
+++ b/src/libutil/http_pool.cpp
@@ -12,7 +12,9 @@
 namespace asio = boost::asio;
 
 http_pool::http_pool(asio::any_io_executor executor, limits bounds)
-    : executor_(std::move(executor)), limits_(bounds)
+    : executor_(std::move(executor)),
+      limits_(bounds),
+      budget_(std::make_shared<buffer_budget>(bounds.buffered_bytes))
 {}
 
 // Hosts come and go at new addresses: what is kept for a peer must not stay
@@ -40,7 +42,7 @@
     if (idle.empty())
     {
         ++opened_;
-        return {executor_, peer};
+        return {executor_, peer, limits_.response_bytes, budget_};
     }
     auto connection = std::move(idle.back().connection);
     idle.pop_back();
@@ -105,6 +107,11 @@
     co_return result;
 }
 
+std::uint64_t http_pool::buffered_bytes() const
+{
+    return budget_->held();
+}
+
 void http_pool::forget(const endpoint& peer)
 {
     idle_.erase(peer);
--- a/src/libutil/http_server.cpp
+++ b/src/libutil/http_server.cpp
@@ -1,3 +1,4 @@
+#include <dandeliontack/buffer_budget.hpp>
 #include <dandeliontack/http_head.hpp>
 #include <dandeliontack/http_header_scan.hpp>
 #include <dandeliontack/http_server.hpp>
@@ -8,6 +9,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <array>
 #include <list>
 #include <optional>
@@ -30,19 +32,43 @@
 constexpr std::size_t read_bytes = 4096;
 // What is read and dropped after a refusal, so that the sender sees it.
 constexpr std::size_t discarded_bytes = 256 * 1024;
+// How often a request lets others run that must give up their memory for it.
+constexpr unsigned most_turns = 100;
 constexpr std::string_view continue_line = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr auto discard_limit = std::chrono::seconds(1);
 
+// The longest line that begins a chunk, when the trailers behind it are of the
+// largest permitted size, and the end of the chunk before it.
+constexpr std::size_t chunk_line_bytes = 4096 + 2;
+// What the allocator and the parser use for each field beside its text.
+constexpr std::uint64_t field_overhead_bytes = 80;
+
 using request_parser = http::request_parser<http::string_body>;
 
 // A connection and whether a request on it is in progress.
 struct session
 {
+    session(tcp::socket socket, std::shared_ptr<buffer_budget> budget)
+        : stream(std::move(socket)),
+          share(std::move(budget), [this] { stream.cancel(); })
+    {}
+
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
+    buffer_share share;
     bool busy = false;
 };
 
+// Why a request was not read. Without a cause, the connection has ended.
+struct read_failure
+{
+    std::optional<http_refusal> cause;
+    std::string detail;
+};
+
+// Nothing, if the request was read.
+using read_result = std::optional<read_failure>;
+
 std::string_view view_of(const beast::flat_buffer& buffer)
 {
     const auto data = buffer.data();
@@ -76,27 +102,67 @@
             request.count(http::field::transfer_encoding) == 1);
 }
 
-http_response refusal_for(beast::error_code ec)
+read_failure failure_of(beast::error_code ec)
 {
     if (ec == http::error::header_limit)
-        return make_problem(
-            http::status::request_header_fields_too_large, outcome::not_run,
-            "header too large", "the request's header exceeds the limit");
+        return {http_refusal::header_too_large, {}};
     if (ec == http::error::body_limit)
-        return make_problem(
-            http::status::payload_too_large, outcome::not_run, "body too large",
-            "the request's body exceeds the limit");
-    return make_problem(
-        http::status::bad_request, outcome::not_run, "malformed request",
-        ec.message());
+        return {http_refusal::body_too_large, {}};
+    if (ec == beast::error::timeout)
+        return {http_refusal::too_slow, {}};
+    const bool is_of_http =
+        ec.category() == make_error_code(http::error::bad_method).category();
+    if (!is_of_http || ec == http::error::end_of_stream ||
+        ec == http::error::partial_message)
+        return {};
+    return {http_refusal::malformed, ec.message()};
+}
+
+// Which part of a chunked body doesn't fit the buffer that begins with it. The
+// trailers are behind the line of the last chunk.
+http_refusal overflow_of(std::string_view buffered)
+{
+    constexpr std::string_view line_end = "\r\n";
+    if (buffered.starts_with(line_end))
+        buffered.remove_prefix(line_end.size());
+    return buffered.find(line_end) == std::string_view::npos
+               ? http_refusal::chunk_line_too_long
+               : http_refusal::trailers_too_large;
+}
+
+// An upper bound of what a header's fields use once it is parsed.
+std::uint64_t parsed_bytes(std::string_view buffered)
+{
+    const auto lines = std::ranges::count(buffered, '\n');
+    return buffered.size() +
+           static_cast<std::uint64_t>(lines) * field_overhead_bytes;
 }
 
-bool is_protocol_error(beast::error_code ec)
+// Of a body without a known length, a text keeps twice its size at most.
+std::uint64_t growing_bytes(const std::string& body)
 {
-    return ec.category() ==
-               make_error_code(http::error::bad_method).category() &&
-           ec != http::error::end_of_stream &&
-           ec != http::error::partial_message;
+    return std::min<std::uint64_t>(body.capacity(), 2 * body.size());
+}
+
+std::uint64_t bytes_of(const http_request& request)
+{
+    std::uint64_t bytes = request.body().size();
+    for (const auto& field : request)
+        bytes += field.name_string().size() + field.value().size() +
+                 field_overhead_bytes;
+    return bytes;
+}
+
+void drop(beast::flat_buffer& buffer)
+{
+    buffer.clear();
+    buffer.shrink_to_fit();
+}
+
+// The first bytes of each connection are bounded by the number of connections.
+std::uint64_t bytes_of(const beast::flat_buffer& buffer)
+{
+    return buffer.capacity() - std::min(buffer.capacity(), read_bytes);
 }
 
 } // namespace
@@ -110,15 +176,19 @@
           limits(bounds),
           metrics(registry),
           handle(std::move(handler_function)),
-          acceptor(executor)
+          acceptor(executor),
+          budget(std::make_shared<buffer_budget>(bounds.buffered_bytes)),
+          held_bytes(
+              metrics.get_gauge(bounds.metric_of("tack_http_held_bytes")))
     {}
 
     asio::awaitable<void> accept_loop();
     asio::awaitable<void> serve(std::shared_ptr<session> s);
     asio::awaitable<bool> serve_one(session& s);
-    asio::awaitable<beast::error_code> read_header(session& s);
-    asio::awaitable<beast::error_code>
+    asio::awaitable<read_result> read_header(session& s);
+    asio::awaitable<read_result>
     read_message(session& s, request_parser& parser);
+    asio::awaitable<read_result> read_body(session& s, request_parser& parser);
     asio::awaitable<bool> first_bytes(session& s);
     asio::awaitable<void> finish(session& s);
     void start(tcp::socket socket);
@@ -126,13 +196,20 @@
     asio::awaitable<std::optional<http_response>> answer(http_request request);
     asio::awaitable<bool>
     write_response(session& s, http_response response, bool keep_alive);
-    asio::awaitable<bool> reject(session& s, beast::error_code ec);
+    asio::awaitable<bool> reject(session& s, const read_failure& failure);
+    asio::awaitable<void> wait_for_room(session& s);
+    bool reserve(session& s, std::uint64_t bytes);
+    void count(http_refusal cause);
 
     asio::any_io_executor executor;
     http_limits limits;
     metric_registry& metrics;
     handler handle;
     tcp::acceptor acceptor;
+    std::shared_ptr<buffer_budget> budget;
+    gauge& held_bytes;
+    refusal_log_limit log_limit;
+    refusal_observer observer;
     std::list<std::shared_ptr<session>> sessions;
     part_log out{"http.server"};
     bool draining = false;
@@ -141,15 +218,19 @@
 
 void http_server::core::start(tcp::socket socket)
 {
-    if (sessions.size() >= limits.connections)
+    const bool has_room =
+        budget->admits_connection(std::chrono::steady_clock::now());
+    if (!has_room || sessions.size() >= limits.connections)
     {
         metrics.get_counter("tack_http_connections_refused_total").add();
+        count(
+            has_room ? http_refusal::too_many_connections
+                     : http_refusal::no_room_for_connection);
         return;
     }
     beast::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
-    auto s = std::make_shared<session>(
-        session{beast::tcp_stream(std::move(socket)), {}, false});
+    auto s = std::make_shared<session>(std::move(socket), budget);
     asio::co_spawn(executor, serve(std::move(s)), asio::detached);
 }
 
@@ -193,6 +274,8 @@
     bool open = true;
     while (open)
         open = co_await serve_one(*s);
+    s->share.release();
+    held_bytes.set(static_cast<std::int64_t>(budget->held()));
     co_await finish(*s);
     s->stream.close();
     sessions.erase(place);
@@ -206,7 +289,7 @@
     s.stream.socket().shutdown(tcp::socket::shutdown_send, ec);
     s.stream.expires_after(discard_limit);
     std::size_t left = discarded_bytes;
-    s.buffer.clear();
+    drop(s.buffer);
     while (!ec && left > 0)
     {
         auto [read_ec, bytes] = co_await s.stream.async_read_some(
@@ -238,23 +321,29 @@
 
 // Reads until the header is complete, and checks the shapes that the parser
 // would accept though others read them differently.
-asio::awaitable<beast::error_code> http_server::core::read_header(session& s)
+asio::awaitable<read_result> http_server::core::read_header(session& s)
 {
     auto found = scan_header(view_of(s.buffer));
     while (found == header_scan::incomplete)
     {
         if (s.buffer.size() >= limits.header_bytes)
-            co_return http::error::header_limit;
+            co_return read_failure{http_refusal::header_too_large, {}};
         const auto room = std::min<std::size_t>(
             read_bytes, limits.header_bytes - s.buffer.size());
         auto [ec, bytes] =
             co_await s.stream.async_read_some(s.buffer.prepare(room), no_throw);
         if (ec)
-            co_return ec;
+            co_return failure_of(ec);
         s.buffer.commit(bytes);
+        if (!reserve(s, bytes_of(s.buffer)))
+            co_await wait_for_room(s);
+        if (s.share.has_given_up())
+            co_return read_failure{};
         found = scan_header(view_of(s.buffer));
     }
-    co_return error_of(found);
+    if (const auto ec = error_of(found))
+        co_return failure_of(ec);
+    co_return std::nullopt;
 }
 
 // Serves one request and says whether the connection can carry another.
@@ -264,21 +353,42 @@
     if (!arrived)
         co_return false;
     s.busy = true;
-    request_parser parser;
-    parser.header_limit(limits.header_bytes);
-    parser.body_limit(limits.body_bytes);
-    s.stream.expires_after(limits.transfer);
-    if (const auto ec = co_await read_message(s, parser))
-        co_return co_await reject(s, ec);
-    auto request = parser.release();
+    s.share.begin(std::chrono::steady_clock::now());
+    read_result failure;
+    std::optional<http_request> read;
+    {
+        request_parser parser;
+        parser.header_limit(limits.header_bytes);
+        parser.body_limit(limits.body_bytes);
+        s.buffer.max_size(limits.header_bytes + chunk_line_bytes);
+        s.stream.expires_after(limits.transfer);
+        failure = co_await read_message(s, parser);
+        if (!failure)
+            read = parser.release();
+    }
+    if (failure)
+    {
+        if (s.share.has_given_up())
+            failure->cause = http_refusal::no_room;
+        co_return co_await reject(s, *failure);
+    }
+    auto request = std::move(*read);
+    read.reset();
+    s.share.complete();
+    if (s.buffer.capacity() > read_bytes)
+        s.buffer.shrink_to_fit();
+    reserve(s, bytes_of(s.buffer) + bytes_of(request));
     const bool keep_alive = request.keep_alive();
     s.stream.expires_never();
     auto response = co_await answer(std::move(request));
     if (!response)
         co_return false;
+    reserve(s, bytes_of(s.buffer) + response->body().size());
     const bool written = co_await write_response(
         s, std::move(*response), keep_alive && !closing);
     s.busy = false;
+    s.share.release();
+    held_bytes.set(static_cast<std::int64_t>(budget->held()));
     co_return written&& keep_alive && !closing;
 }
 
@@ -311,39 +421,104 @@
 }
 
 asio::awaitable<bool>
-http_server::core::reject(session& s, beast::error_code ec)
+http_server::core::reject(session& s, const read_failure& failure)
 {
-    if (!is_protocol_error(ec))
+    if (!failure.cause)
+        co_return false;
+    count(*failure.cause);
+    auto response = answer_to(*failure.cause, failure.detail);
+    if (!response)
         co_return false;
     metrics.get_counter("tack_http_rejected_total").add();
-    auto response = refusal_for(ec);
-    co_await write_response(s, std::move(response), false);
+    s.share.release();
+    drop(s.buffer);
+    co_await write_response(s, std::move(*response), false);
     co_return false;
 }
 
-asio::awaitable<beast::error_code>
+asio::awaitable<read_result>
 http_server::core::read_message(session& s, request_parser& parser)
 {
-    if (const auto ec = co_await read_header(s))
-        co_return ec;
+    auto failure = co_await read_header(s);
+    if (failure)
+        co_return failure;
+    if (!reserve(s, bytes_of(s.buffer) + parsed_bytes(view_of(s.buffer))))
+        co_await wait_for_room(s);
+    if (s.share.has_given_up())
+        co_return read_failure{};
     auto [header_ec, header_bytes] =
         co_await http::async_read_header(s.stream, s.buffer, parser, no_throw);
     if (header_ec)
-        co_return header_ec;
+        co_return failure_of(header_ec);
     if (!has_known_framing(parser.get()))
-        co_return http::error::bad_transfer_encoding;
+        co_return failure_of(http::error::bad_transfer_encoding);
     if (parser.is_done())
-        co_return beast::error_code();
+        co_return std::nullopt;
     if (beast::iequals(parser.get()[http::field::expect], "100-continue"))
     {
         auto [continue_ec, written] = co_await asio::async_write(
             s.stream, asio::buffer(continue_line), no_throw);
         if (continue_ec)
-            co_return continue_ec;
+            co_return failure_of(continue_ec);
     }
-    auto [ec, bytes] =
-        co_await http::async_read(s.stream, s.buffer, parser, no_throw);
-    co_return ec;
+    failure = co_await read_body(s, parser);
+    co_return failure;
+}
+
+asio::awaitable<read_result>
+http_server::core::read_body(session& s, request_parser& parser)
+{
+    parser.eager(true);
+    const auto header_bytes = bytes_of(parser.get());
+    const auto& body = parser.get().body();
+    while (!parser.is_done())
+    {
+        if (!reserve(
+                s, header_bytes + bytes_of(s.buffer) + growing_bytes(body)))
+            co_await wait_for_room(s);
+        if (s.share.has_given_up())
+            co_return read_failure{};
+        auto [ec, bytes] = co_await http::async_read_some(
+            s.stream, s.buffer, parser, no_throw);
+        if (ec == http::error::buffer_overflow)
+            co_return read_failure{overflow_of(view_of(s.buffer)), {}};
+        if (ec)
+            co_return failure_of(ec);
+    }
+    co_return std::nullopt;
+}
+
+// Whether the bytes are free. If not, `wait_for_room` goes first.
+bool http_server::core::reserve(session& s, std::uint64_t bytes)
+{
+    const bool is_free = s.share.hold(bytes, std::chrono::steady_clock::now());
+    held_bytes.set(static_cast<std::int64_t>(budget->held()));
+    return is_free;
+}
+
+// Lets the requests that gave up end.
+asio::awaitable<void> http_server::core::wait_for_room(session& s)
+{
+    for (unsigned i = 0; i < most_turns && !s.share.has_room(); ++i)
+        co_await asio::post(executor, asio::use_awaitable);
+}
+
+void http_server::core::count(http_refusal cause)
+{
+    const auto label = limits.server.empty()
+                           ? std::string()
+                           : ",server=\"" + limits.server + "\"";
+    metrics
+        .get_counter(
+            "tack_http_refused_total{cause=\"" + std::string(to_string(cause)) +
+            "\"" + label + "}")
+        .add();
+    const auto refusals =
+        log_limit.count(cause, std::chrono::steady_clock::now());
+    if (refusals && observer)
+        observer(cause, *refusals);
+    else if (refusals)
+        out.warn("Refused ", *refusals, " by cause: ", to_string(cause), ".");
 }
 
 http_server::http_server(
@@ -394,6 +569,16 @@
     }
 }
 
+void http_server::set_refusal_observer(refusal_observer observer)
+{
+    core_->observer = std::move(observer);
+}
+
+const std::string& http_server::name() const
+{
+    return core_->limits.server;
+}
+
 std::size_t http_server::connections() const
 {
     return core_->sessions.size();
--- a/src/tack-entry/main.cpp
+++ b/src/tack-entry/main.cpp
@@ -25,9 +25,15 @@
 
 http_limits limits_of(const callers_settings& callers)
 {
-    return {
-        static_cast<std::uint32_t>(callers.header_bytes), callers.body_bytes,
-        callers.connections, callers.idle, callers.transfer};
+    http_limits limits;
+    limits.header_bytes = static_cast<std::uint32_t>(callers.header_bytes);
+    limits.body_bytes = callers.body_bytes;
+    limits.connections = callers.connections;
+    limits.idle = callers.idle;
+    limits.transfer = callers.transfer;
+    limits.buffered_bytes = callers.buffered_bytes;
+    limits.server = "callers";
+    return limits;
 }
 
 http_server::handler make_entry_api(const entry_service& service)
--- a/src/tack-node/main.cpp
+++ b/src/tack-node/main.cpp
@@ -73,7 +73,9 @@
     metric_registry metrics;
     asio::io_context context(1);
     event_log log(settings.node.name, STDOUT_FILENO, {});
-    http_pool connections(context.get_executor(), {});
+    http_pool::limits connection_limits;
+    connection_limits.buffered_bytes = buffered_bytes_of(settings);
+    http_pool connections(context.get_executor(), connection_limits);
     node_context shared{
         context.get_executor(), settings, log, metrics, connections,
         make_incarnation(),     {}};
