Bodies are read in steps that the budget sees

Cause: http::async_read_some completes only once the parser has all it asks for, so that a body in chunks of one byte was read in a single call, and its growth reached the budget of its server, or of a pool's responses, at the end.

--- a/src/libutil/http_connection.cpp
+++ b/src/libutil/http_connection.cpp
@@ -1,3 +1,4 @@
+#include <dandeliontack/http_body_parse.hpp>
 #include <dandeliontack/http_connection.hpp>
 #include <dandeliontack/http_head.hpp>
 
@@ -5,6 +6,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <array>
 #include <limits>
 #include <utility>
@@ -130,18 +132,25 @@
 http_connection::core::read_body(response_parser& parser)
 {
     parser.eager(true);
-    beast::error_code failure;
-    while (!failure && !parser.is_done())
+    while (true)
     {
-        auto [ec, bytes] =
-            co_await http::async_read_some(stream, buffer, parser, no_throw);
-        failure = ec;
+        auto failure = parse_buffered(buffer, parser);
+        if (failure || parser.is_done())
+            co_return failure;
         share.hold(
             parser.get().body().size(), std::chrono::steady_clock::now());
         if (share.has_given_up())
-            failure = asio::error::operation_aborted;
+            co_return asio::error::operation_aborted;
+        const auto room =
+            std::min(kept_bytes, buffer.max_size() - buffer.size());
+        if (room == 0)
+            co_return http::error::buffer_overflow;
+        auto [ec, bytes] =
+            co_await stream.async_read_some(buffer.prepare(room), no_throw);
+        if (ec)
+            co_return ec;
+        buffer.commit(bytes);
     }
-    co_return failure;
 }
 
 http_connection::http_connection(
--- a/src/libutil/http_server.cpp
+++ b/src/libutil/http_server.cpp
@@ -1,4 +1,5 @@
 #include <dandeliontack/buffer_budget.hpp>
+#include <dandeliontack/http_body_parse.hpp>
 #include <dandeliontack/http_head.hpp>
 #include <dandeliontack/http_header_scan.hpp>
 #include <dandeliontack/http_server.hpp>
@@ -471,21 +472,28 @@
     parser.eager(true);
     const auto header_bytes = bytes_of(parser.get());
     const auto& body = parser.get().body();
-    while (!parser.is_done())
+    while (true)
     {
+        const auto ec = parse_buffered(s.buffer, parser);
+        if (ec)
+            co_return failure_of(ec);
+        if (parser.is_done())
+            co_return std::nullopt;
         if (!reserve(
                 s, header_bytes + bytes_of(s.buffer) + growing_bytes(body)))
             co_await wait_for_room(s);
         if (s.share.has_given_up())
             co_return read_failure{};
-        auto [ec, bytes] = co_await http::async_read_some(
-            s.stream, s.buffer, parser, no_throw);
-        if (ec == http::error::buffer_overflow)
+        const auto room =
+            std::min(read_bytes, s.buffer.max_size() - s.buffer.size());
+        if (room == 0)
             co_return read_failure{overflow_of(view_of(s.buffer)), {}};
-        if (ec)
-            co_return failure_of(ec);
+        auto [read_ec, bytes] =
+            co_await s.stream.async_read_some(s.buffer.prepare(room), no_throw);
+        if (read_ec)
+            co_return failure_of(read_ec);
+        s.buffer.commit(bytes);
     }
-    co_return std::nullopt;
 }
 
 // Whether the bytes are free. If not, `wait_for_room` goes first.
