--- a/src/libutil/http_limits_test.cpp
+++ b/src/libutil/http_limits_test.cpp
@@ -183,8 +183,7 @@
 }
 
 // Whatever comes is answered or ended, and the server serves on.
-RC_GTEST_FIXTURE_PROP(
-    http_limits_test, changed_bytes_end_nothing_else, ())
+RC_GTEST_FIXTURE_PROP(http_limits_test, changed_bytes_end_nothing_else, ())
 {
     auto request = fill_header(
                        "POST / HTTP/1.1\r\nconnection: close\r\n"
