Slow hosts told apart by the pace of their own tasks (off by default)

Cause: a host that runs everything several times slower, with good health and no failure, gets tasks like any other. Change: with scheduling.avoid_slow_hosts, the engine compares the progress of each task, and the time of each that ended, with the quantiles learned of its route. A host on which tasks of two submissions are slow, and none has run at the usual pace for 0.8 s, gets no new tasks for 2 to 8 s, then one at a time; its tasks are stopped where the rest there takes longer than the whole task elsewhere in nine of ten cases, and another host has room. Submissions that are slow on other hosts as well count for nothing, and at most a quarter of a pool's hosts are slow. Without the setting nothing is measured.

--- a/src/include/dandeliontack/pool_engine.hpp
+++ b/src/include/dandeliontack/pool_engine.hpp
@@ -3,6 +3,7 @@
 #include <dandeliontack/arrival_rate.hpp>
 #include <dandeliontack/pool_demand.hpp>
 #include <dandeliontack/pool_state.hpp>
+#include <dandeliontack/run_times.hpp>
 
 #include <functional>
 
@@ -22,6 +23,8 @@
     std::chrono::milliseconds finished_retention{180'000};
     /// A longer checkpoint of a task is not used: it could not be stored.
     std::size_t max_checkpoint = 64 * 1024;
+    /// Whether hosts that slow their tasks down get no new ones.
+    bool watch_pace = false;
 };
 
 /// The status of a submission as reported to a caller.
@@ -182,6 +185,25 @@
         host_state& h, const task_ref& task,
         const std::set<std::string>& failed_on);
     void discount_failures(host_state& h, std::uint64_t submission);
+    /// Whether the progress of the step's tasks speaks for their host.
+    static bool shows_pace(const step_spec& step);
+    /// The pace beyond which a task of the route is slow; none until enough of
+    /// its run times are known.
+    std::optional<double> slow_pace(const std::string& route) const;
+    void measure_pace(
+        host_state& h, const running_row& row, host_run& run,
+        host_time reported);
+    void note_run_time(
+        host_state& h, const submission_state& s, const task_ref& task,
+        std::chrono::milliseconds run_time);
+    /// Whether other tasks of the step are as slow on other hosts.
+    bool is_slow_elsewhere(
+        const host_state& h, const task_ref& task, double pace) const;
+    void note_pace(
+        host_state& h, const submission_state& s, const task_ref& task,
+        double pace);
+    /// Stops the runs on a slow host that would end sooner elsewhere.
+    void leave_slow_host(host_state& h);
     void begin_incarnation(host_state& h, std::chrono::milliseconds born);
     void expire_host(host_state& h);
     void check_runs(host_state& h);
@@ -257,6 +279,7 @@
     std::size_t pending_advice_ = 0;
     /// Learned ratio of run time to estimate, by route.
     std::map<std::string, double> estimate_factor_;
+    run_times run_times_;
     /// Hosts that a previous owner used and that have not listed all ends to
     /// this one: hosts that may run any task, and closed hosts with the
     /// recorded list of tasks that may run there.
--- a/src/include/dandeliontack/pool_state.hpp
+++ b/src/include/dandeliontack/pool_state.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <dandeliontack/host_pace.hpp>
 #include <dandeliontack/number_ranges.hpp>
 #include <dandeliontack/pool_events.hpp>
 
@@ -186,6 +187,11 @@
     /// Number of consecutive reports that did not list the run.
     std::uint32_t missed_reports = 0;
     std::uint32_t percent = 100;
+    /// Where the current interval of its pace began, on the host's clock, and
+    /// the pace of the one before as a ratio to the estimate; 0 before that.
+    std::optional<host_time> pace_since;
+    std::uint32_t pace_percent = 0;
+    double pace = 0;
     bool serves = false;
     bool best_effort = false;
     bool long_running = false;
@@ -246,6 +252,7 @@
     /// Ends that are not acknowledged yet, in the host's order.
     std::deque<unacknowledged_end> unacknowledged_ends;
     host_health health;
+    host_pace pace;
     boot_time blocked_until;
     boot_time evacuate_until;
     /// It gets no new tasks before this time, so that it becomes idle and can
--- a/src/include/dandeliontack/tack_node_settings.hpp
+++ b/src/include/dandeliontack/tack_node_settings.hpp
@@ -70,6 +70,13 @@
     double config_ms = 2000;
 };
 
+/// Section `[scheduling]`: what the scheduler does beyond the order of tasks.
+struct node_scheduling_settings
+{
+    /// Hosts that slow their tasks down get no new ones.
+    bool avoid_slow_hosts = false;
+};
+
 /// Section `[limits]`: the machine's resources for the process.
 struct node_limits_settings
 {
@@ -88,6 +95,7 @@
     node_machines_settings machines;
     node_advice_settings advice;
     node_bounds_settings bounds;
+    node_scheduling_settings scheduling;
     node_limits_settings limits;
 };
 
--- a/src/libnode/tack_node_settings.cpp
+++ b/src/libnode/tack_node_settings.cpp
@@ -102,6 +102,14 @@
     return table;
 }
 
+std::span<const field<node_scheduling_settings>> scheduling_fields()
+{
+    using s = node_scheduling_settings;
+    static const std::array table{field<node_scheduling_settings>{
+        .key = "avoid_slow_hosts", .member = &s::avoid_slow_hosts}};
+    return table;
+}
+
 std::span<const field<node_limits_settings>> limits_fields()
 {
     using row = field<node_limits_settings>;
@@ -135,6 +143,9 @@
         read_member<&root_settings::machines, machines_fields>},
     reader{"advice", false, read_member<&root_settings::advice, advice_fields>},
     reader{"bounds", false, read_member<&root_settings::bounds, bounds_fields>},
+    reader{
+        "scheduling", false,
+        read_member<&root_settings::scheduling, scheduling_fields>},
     reader{
         "limits", false, read_member<&root_settings::limits, limits_fields>}};
 
@@ -198,6 +209,7 @@
     const auto& bounds = settings.bounds;
     terms.max_lease = milliseconds_of(bounds.hold_max_ms);
     terms.leases.lease = std::min(terms.leases.lease, terms.max_lease);
+    terms.watch_pace = settings.scheduling.avoid_slow_hosts;
     terms.stop_bound = milliseconds_of(bounds.stop_ms);
     // So that the state of one task fits a record with room to spare.
     terms.max_checkpoint = settings.store.record_bytes / 4;
--- a/src/libsched/pool_engine.cpp
+++ b/src/libsched/pool_engine.cpp
@@ -768,6 +768,7 @@
         if (h.evacuate_until > now_.steady || h.entry.draining)
             evacuate(h);
         pace_fillers(h);
+        leave_slow_host(h);
     }
     std::erase_if(hosts_, [&](auto& item) {
         auto& [id, h] = item;
@@ -816,6 +817,7 @@
     h.ack_cursor = 0;
     h.unacknowledged_ends.clear();
     h.health = {};
+    h.pace = {};
     h.fill_percent = full_percent;
     h.recorded_in = next_batch_;
     changes_.used_hosts.push_back(h.entry.id);
@@ -984,6 +986,7 @@
             factor = std::clamp(
                 factor + estimate_smoothing * (ratio - factor),
                 min_estimate_factor, max_estimate_factor);
+            note_run_time(h, s, row.task, now_.steady - t.started);
         }
         break;
     case run_outcome::failed:
@@ -1162,6 +1165,7 @@
     auto& run = held->second;
     run.confirmed = true;
     run.missed_reports = 0;
+    measure_pace(h, row, run, reported);
     if (!run.listed || run.percent != row.percent)
         run.progressed = reported;
     run.listed = reported;
@@ -1555,8 +1559,8 @@
     return h.listed && h.described && !h.entry.draining && h.contacted &&
            h.recorded_in == 0 && !h.closed && h.evacuate_until <= now &&
            h.lent_until <= now && h.blocked_until <= now &&
-           h.health.avoid_until <= now && !is_silent(h, now) &&
-           !h.lease.has_ended(now);
+           h.health.avoid_until <= now && !h.pace.is_avoided(now) &&
+           !is_silent(h, now) && !h.lease.has_ended(now);
 }
 
 bool pool_engine::has_room_for(
--- a/src/libsched/pool_planner.cpp
+++ b/src/libsched/pool_planner.cpp
@@ -164,9 +164,10 @@
     const host_state& h, const candidate& c, const step_spec& spec) const
 {
     const task_ref step{c.submission->record.id, c.occurrence, c.step, 0};
-    // A host that was suspended before gets one run at a time.
+    // A host that was suspended or slow before gets one run at a time.
     return starts_left_.at(&h) > 0 && engine_.has_room_for(h, step, spec) &&
-           (h.health.suspensions == 0 || h.runs.empty() || spec.long_running);
+           ((h.health.suspensions == 0 && !h.pace.is_suspect()) ||
+            h.runs.empty() || spec.long_running);
 }
 
 bool pool_planner::can_place(
@@ -184,7 +185,7 @@
         cost += cost_previous_failure;
     if (!rack.empty() && h.entry.rack != rack)
         cost += cost_other_rack;
-    if (h.health.suspensions > 0)
+    if (h.health.suspensions > 0 || h.pace.is_suspect())
         cost += cost_on_probation;
     if (spec.best_effort || spec.long_running)
         cost += cost_interference *
