--- a/src/include/dandeliontack/run_times.hpp
+++ b/src/include/dandeliontack/run_times.hpp
@@ -12,7 +12,10 @@
 /// How long the tasks of a route run, relative to their estimates.
 struct run_time_ratios
 {
+    double p10 = 1.0;
+    double p25 = 1.0;
     double median = 1.0;
+    double p75 = 1.0;
     /// Nine in ten tasks run no longer.
     double p90 = 1.0;
     /// 97 in a hundred tasks run no longer.
@@ -21,14 +24,19 @@
     std::size_t runs = 0;
 
     bool operator==(const run_time_ratios&) const = default;
+
+    /// The chance that the ratio is above `ratio`, between the quantiles by
+    /// linear interpolation.
+    double chance_above(double ratio) const;
 };
 
-/// Learns the quantiles of the run times of each route from the runs that
-/// ended as done. Load pattern: most tasks end near their estimate, a few take
-/// many times as long, and the estimates of a route are wrong in one direction.
-/// Until runs are measured, the estimate is the prior: it weighs as much as
-/// `prior_runs` runs. Memory is bounded by `max_routes`; of more routes, those
-/// that ended no task for the longest are forgotten.
+/// Learns the quantiles of the run times of each route, of tasks or of whole
+/// steps, from those that ended as done. Load pattern: most tasks end near
+/// their estimate, a few take many times as long, and the estimates of a route
+/// are wrong in one direction. Until runs are measured, the estimate is the
+/// prior: it weighs as much as `prior_runs` runs. Memory is bounded by
+/// `max_routes`; of more routes, those that ended no task for the longest are
+/// forgotten.
 class run_times
 {
 public:
--- a/src/libsched/run_times.cpp
+++ b/src/libsched/run_times.cpp
@@ -19,7 +19,7 @@
 using quantile_estimator =
     acc::accumulator_set<double, acc::stats<acc::tag::extended_p_square>>;
 
-constexpr std::array<double, 3> probabilities{0.5, 0.9, 0.97};
+constexpr std::array<double, 6> probabilities{0.1, 0.25, 0.5, 0.75, 0.9, 0.97};
 
 quantile_estimator make_estimator()
 {
@@ -29,6 +29,26 @@
 
 } // namespace
 
+double run_time_ratios::chance_above(double ratio) const
+{
+    const std::array<double, 6> quantiles{p10, p25, median, p75, p90, p97};
+    double below = 0;
+    double ratio_below = 0;
+    for (std::size_t i = 0; i < quantiles.size(); ++i)
+    {
+        if (ratio < quantiles[i])
+            return 1 - below -
+                   (probabilities[i] - below) *
+                       std::max(ratio - ratio_below, 0.0) /
+                       (quantiles[i] - ratio_below);
+        below = probabilities[i];
+        ratio_below = quantiles[i];
+    }
+    // Beyond the last quantile, the chance falls with the square.
+    const double beyond = p97 / ratio;
+    return (1 - below) * beyond * beyond;
+}
+
 struct run_times::history
 {
     quantile_estimator quantiles = make_estimator();
@@ -74,7 +94,8 @@
     if (found == routes_.end())
         return {};
     const auto values = acc::extended_p_square(found->second->quantiles);
-    return {values[0], values[1], values[2], found->second->runs};
+    return {values[0], values[1], values[2],          values[3],
+            values[4], values[5], found->second->runs};
 }
 
 std::size_t run_times::routes() const
