--- a/src/include/dandeliontack/pool_engine.hpp
+++ b/src/include/dandeliontack/pool_engine.hpp
@@ -25,9 +25,6 @@
     std::size_t max_checkpoint = 64 * 1024;
     /// Whether hosts that slow their tasks down get no new ones.
     bool watch_pace = false;
-    /// Whether forecasts use the learned quantiles of run times instead of
-    /// their mean.
-    bool learn_quantiles = false;
 };
 
 /// The status of a submission as reported to a caller.
@@ -42,8 +39,6 @@
     std::uint64_t shown_after = 0;
 };
 
-struct completion_forecast;
-
 /// Scheduler state machine of one shard of pools: applies events to the state
 /// of submissions, tasks and hosts, and returns the required actions as
 /// effects. It does no I/O and reads no clock. Not thread-safe.
@@ -226,11 +221,6 @@
         std::uint32_t step);
     /// The learned ratio of run time to estimate for the submission's route.
     double estimate_factor(const submission_state& s) const;
-    completion_forecast forecast(
-        const submission_state& s, const occurrence_state& o,
-        boot_time now) const;
-    /// Learns from the steps of an occurrence that is done.
-    void note_step_times(const submission_state& s, const occurrence_state& o);
     /// Pairs of a submission id and an occurrence number.
     using occurrence_set = std::set<std::pair<std::uint64_t, std::uint32_t>>;
     static bool count_running(
@@ -290,8 +280,6 @@
     /// Learned ratio of run time to estimate, by route.
     std::map<std::string, double> estimate_factor_;
     run_times run_times_;
-    /// Of whole steps, which last as long as their longest task.
-    run_times step_times_;
     /// Hosts that a previous owner used and that have not listed all ends to
     /// this one: hosts that may run any task, and closed hosts with the
     /// recorded list of tasks that may run there.
--- a/src/include/dandeliontack/run_times.hpp
+++ b/src/include/dandeliontack/run_times.hpp
@@ -24,10 +24,6 @@
     std::size_t runs = 0;
 
     bool operator==(const run_time_ratios&) const = default;
-
-    /// The chance that the ratio is above `ratio`, between the quantiles by
-    /// linear interpolation.
-    double chance_above(double ratio) const;
 };
 
 /// Learns the quantiles of the run times of each route, of tasks or of whole
--- a/src/include/dandeliontack/tack_node_settings.hpp
+++ b/src/include/dandeliontack/tack_node_settings.hpp
@@ -75,8 +75,6 @@
 {
     /// Hosts that slow their tasks down get no new ones.
     bool avoid_slow_hosts = false;
-    /// Forecasts of completions use the quantiles of the run times seen.
-    bool learn_run_times = false;
 };
 
 /// Section `[limits]`: the machine's resources for the process.
--- a/src/libnode/tack_node_settings.cpp
+++ b/src/libnode/tack_node_settings.cpp
@@ -105,10 +105,8 @@
 std::span<const field<node_scheduling_settings>> scheduling_fields()
 {
     using s = node_scheduling_settings;
-    using row = field<node_scheduling_settings>;
-    static const std::array table{
-        row{.key = "avoid_slow_hosts", .member = &s::avoid_slow_hosts},
-        row{.key = "learn_run_times", .member = &s::learn_run_times}};
+    static const std::array table{field<node_scheduling_settings>{
+        .key = "avoid_slow_hosts", .member = &s::avoid_slow_hosts}};
     return table;
 }
 
@@ -211,7 +209,6 @@
     const auto& bounds = settings.bounds;
     terms.max_lease = milliseconds_of(bounds.hold_max_ms);
     terms.leases.lease = std::min(terms.leases.lease, terms.max_lease);
-    terms.learn_quantiles = settings.scheduling.learn_run_times;
     terms.watch_pace = settings.scheduling.avoid_slow_hosts;
     terms.stop_bound = milliseconds_of(bounds.stop_ms);
     // So that the state of one task fits a record with room to spare.
--- a/src/libsched/completion_forecast.cpp
+++ b/src/libsched/completion_forecast.cpp
@@ -15,9 +15,6 @@
 // value.
 constexpr double late_limit_factor = 3.0;
 
-// A submission that is less likely to complete in time counts as late.
-constexpr double min_chance = 0.1;
-
 using exact_milliseconds = std::chrono::duration<double, std::milli>;
 
 // The expected length of the longest chain of steps.
@@ -72,34 +69,6 @@
     return out;
 }
 
-completion_forecast forecast_completion(
-    const submission_state& s, const occurrence_state& o,
-    const run_time_ratios& ratios, boot_time now)
-{
-    const auto& terms = s.record.terms;
-    const double chain =
-        static_cast<double>(critical_path(s.record.spec, nullptr).count());
-    const double remaining =
-        static_cast<double>(critical_path(s.record.spec, &o).count());
-    completion_forecast out;
-    out.age = now - o.due;
-    const auto chance_within = [&](double objectives) {
-        const double over =
-            static_cast<double>(out.age.count()) -
-            objectives * static_cast<double>(terms.target.count());
-        if (over <= 0)
-            return 1.0;
-        const double gain = objectives * terms.stretch * chain - remaining;
-        return gain <= 0 ? 0.0 : ratios.chance_above(over / gain);
-    };
-    out.chance = chance_within(1);
-    if (out.chance < min_chance)
-        out.state = chance_within(late_limit_factor) < min_chance
-                        ? timeliness::overdue
-                        : timeliness::late;
-    return out;
-}
-
 submission_delays
 delays_of(const submission_state& s, double estimate_factor, boot_time now)
 {
--- a/src/libsched/completion_forecast.hpp
+++ b/src/libsched/completion_forecast.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <dandeliontack/pool_state.hpp>
-#include <dandeliontack/run_times.hpp>
 
 #include <chrono>
 
@@ -25,8 +24,6 @@
     timeliness state = timeliness::in_time;
     /// The time since it was due.
     std::chrono::milliseconds age{0};
-    /// The chance that it completes in time if the rest runs at once.
-    double chance = 1.0;
 };
 
 /// Forecasts the completion of an occurrence. `estimate_factor` is the learned
@@ -35,13 +32,6 @@
     const submission_state& s, const occurrence_state& o,
     double estimate_factor, boot_time now);
 
-/// The same with run times that are known by their quantiles. The ratio to the
-/// estimate is taken to be one for all steps; a long submission has a longer
-/// objective as well. It counts as in time while one in ten would be.
-completion_forecast forecast_completion(
-    const submission_state& s, const occurrence_state& o,
-    const run_time_ratios& ratios, boot_time now);
-
 /// What the submission's first occurrence has spent its time on until `now`.
 submission_delays
 delays_of(const submission_state& s, double estimate_factor, boot_time now);
--- a/src/libsched/host_pace_test.cpp
+++ b/src/libsched/host_pace_test.cpp
@@ -150,6 +150,7 @@
     // Nothing is started elsewhere before the host lists the ends.
     EXPECT_TRUE(d.effects_of<pool_effect::start>(d.tick()).empty());
     std::vector<ended_row> ended;
+    ended.reserve(runs.size());
     for (const auto& run : runs)
         ended.push_back(
             {++d.ends[run.host], run.task, run.run, run_outcome::stopped, {}});
--- a/src/libsched/pool_engine.cpp
+++ b/src/libsched/pool_engine.cpp
@@ -1383,7 +1383,6 @@
             ++at;
             continue;
         }
-        note_step_times(s, occurrence);
         s.occurrences_done.insert(k);
         if (s.occurrences_done.size() >= total)
             return true;
@@ -1943,34 +1942,6 @@
     return found == estimate_factor_.end() ? 1.0 : found->second;
 }
 
-completion_forecast pool_engine::forecast(
-    const submission_state& s, const occurrence_state& o, boot_time now) const
-{
-    return terms_.learn_quantiles
-               ? forecast_completion(
-                     s, o, step_times_.ratios(s.record.terms.route), now)
-               : forecast_completion(s, o, estimate_factor(s), now);
-}
-
-void pool_engine::note_step_times(
-    const submission_state& s, const occurrence_state& o)
-{
-    if (!terms_.learn_quantiles)
-        return;
-    for (std::size_t i = 0; i < o.steps.size(); ++i)
-    {
-        const auto& step = o.steps[i];
-        const auto& spec = s.record.spec.steps[i];
-        // What a takeover or a lost host adds says nothing of the route.
-        if (!spec.long_running && step.restarts == 0 &&
-            step.times.placed != boot_time{} &&
-            step.times.ended > step.times.placed)
-            step_times_.add(
-                s.record.terms.route, step.times.ended - step.times.placed,
-                spec.estimate);
-    }
-}
-
 // Adds the capacity used by the host's runs to the demand. Returns whether any
 // of them is long-running.
 bool pool_engine::count_running(
@@ -2001,7 +1972,8 @@
     for (const auto& [k, occurrence] : s.occurrences)
     {
         const bool is_late =
-            forecast(s, occurrence, now).state != timeliness::in_time;
+            forecast_completion(s, occurrence, estimate_factor(s), now).state !=
+            timeliness::in_time;
         if (is_late)
             late.emplace(s.record.id, k);
         for (std::uint32_t i = 0; i < occurrence.steps.size(); ++i)
--- a/src/libsched/pool_planner.cpp
+++ b/src/libsched/pool_planner.cpp
@@ -138,7 +138,8 @@
     }
     const auto& terms = s.record.terms;
     const auto& o = s.occurrences.at(occurrence);
-    const auto view = engine_.forecast(s, o, now_.steady);
+    const auto view =
+        forecast_completion(s, o, engine_.estimate_factor(s), now_.steady);
     const double age = static_cast<double>(view.age.count());
     const bool started = std::ranges::any_of(o.steps, [](const auto& item) {
         return std::ranges::any_of(item.tasks, [](const task_state& t) {
@@ -153,9 +154,9 @@
     const double work = std::max(s.work, 1.0);
     const double value =
         fixed_value_share + (1 - fixed_value_share) * work / mean;
-    // In time: the highest expected value per unit of work first. Late: the
-    // oldest first.
-    c.order_key = c.rank <= rank_in_time ? -view.chance * value / work : -age;
+    // In time: the highest value per unit of work first. Late: the oldest
+    // first.
+    c.order_key = c.rank <= rank_in_time ? -value / work : -age;
     return c;
 }
 
--- a/src/libsched/run_times.cpp
+++ b/src/libsched/run_times.cpp
@@ -29,26 +29,6 @@
 
 } // namespace
 
-double run_time_ratios::chance_above(double ratio) const
-{
-    const std::array<double, 6> quantiles{p10, p25, median, p75, p90, p97};
-    double below = 0;
-    double ratio_below = 0;
-    for (std::size_t i = 0; i < quantiles.size(); ++i)
-    {
-        if (ratio < quantiles[i])
-            return 1 - below -
-                   (probabilities[i] - below) *
-                       std::max(ratio - ratio_below, 0.0) /
-                       (quantiles[i] - ratio_below);
-        below = probabilities[i];
-        ratio_below = quantiles[i];
-    }
-    // Beyond the last quantile, the chance falls with the square.
-    const double beyond = p97 / ratio;
-    return (1 - below) * beyond * beyond;
-}
-
 struct run_times::history
 {
     quantile_estimator quantiles = make_estimator();
