A host that was slow and gets no tasks counts like any other after 8 s

Cause: long-running tasks keep a host from getting the one task that could show its pace, so it would have stayed under suspicion for good. Change: suspicion ends 8 s after the host's last avoidance.

--- a/src/include/dandeliontack/host_pace.hpp
+++ b/src/include/dandeliontack/host_pace.hpp
@@ -30,8 +30,9 @@
 
     /// Whether the host gets no new tasks.
     bool is_avoided(boot_time now) const;
-    /// Whether the host was slow and has not shown since that it is not.
-    bool is_suspect() const;
+    /// Whether the host was slow and has not shown since that it is not. Held
+    /// for a time only: a host that gets no tasks can't show it.
+    bool is_suspect(boot_time now) const;
 
 private:
     /// Submissions that were slow since a task last ran at the usual pace, and
--- a/src/libsched/host_pace.cpp
+++ b/src/libsched/host_pace.cpp
@@ -19,6 +19,8 @@
 // Bounds of the time without new tasks, which doubles with each time in a row.
 constexpr auto min_avoidance = 2000ms;
 constexpr auto max_avoidance = 8000ms;
+// After this time without tasks that show its pace, a host is like any other.
+constexpr auto max_suspicion = 8000ms;
 constexpr std::uint32_t max_doublings = 2;
 constexpr double full_percent = 100;
 
@@ -41,7 +43,9 @@
         return now - item.second > sample_window;
     });
     slow_[submission] = now;
-    const auto needed = is_suspect() ? 1 : submissions_to_be_slow;
+    if (!is_suspect(now))
+        times_slow_ = 0;
+    const auto needed = is_suspect(now) ? 1 : submissions_to_be_slow;
     if (is_avoided(now) || slow_.size() < needed ||
         now - last_usual_ < min_time_without_usual_pace)
         return change::none;
@@ -59,9 +63,9 @@
     return now < avoid_until_;
 }
 
-bool host_pace::is_suspect() const
+bool host_pace::is_suspect(boot_time now) const
 {
-    return times_slow_ > 0;
+    return times_slow_ > 0 && now < avoid_until_ + max_suspicion;
 }
 
 double pace_of(
--- a/src/libsched/host_pace_test.cpp
+++ b/src/libsched/host_pace_test.cpp
@@ -115,7 +115,7 @@
         EXPECT_EQ(pace.add(1, true, now), host_pace::change::none);
     EXPECT_EQ(pace.add(2, false, now), host_pace::change::none);
     EXPECT_EQ(pace.add(3, true, now), host_pace::change::none);
-    EXPECT_FALSE(pace.is_suspect());
+    EXPECT_FALSE(pace.is_suspect(now));
 }
 
 TEST(host_pace, slow_host_is_avoided_longer_each_time_until_it_is_restored)
@@ -130,8 +130,20 @@
     ASSERT_EQ(pace.add(3, true, now), host_pace::change::slow);
     EXPECT_TRUE(pace.is_avoided(now + 3999ms));
     now += 4s;
+    EXPECT_TRUE(pace.is_suspect(now));
     EXPECT_EQ(pace.add(4, false, now), host_pace::change::restored);
-    EXPECT_FALSE(pace.is_suspect());
+    EXPECT_FALSE(pace.is_suspect(now));
+}
+
+// A host that long-running tasks hold gets no others that could clear it.
+TEST(host_pace, slow_host_without_new_tasks_is_used_again)
+{
+    host_pace pace;
+    boot_time now{1h};
+    pace.add(1, true, now);
+    ASSERT_EQ(pace.add(2, true, now), host_pace::change::slow);
+    EXPECT_TRUE(pace.is_suspect(now + 9s));
+    EXPECT_FALSE(pace.is_suspect(now + 11s));
 }
 
 // Load pattern: a host runs everything seven times slower.
--- a/src/libsched/pool_engine_pace.cpp
+++ b/src/libsched/pool_engine_pace.cpp
@@ -79,7 +79,7 @@
         return;
     const auto& route = s.record.terms.route;
     // What a slow host does says nothing of the route.
-    if (!h.pace.is_suspect())
+    if (!h.pace.is_suspect(now_.steady))
         run_times_.add(route, run_time, step.estimate);
     if (slow_pace(route))
         note_pace(
@@ -99,7 +99,7 @@
         const auto& other = step.tasks[i];
         const auto on = hosts_.find(other.host);
         if (i == task.index || on == hosts_.end() || &on->second == &h ||
-            on->second.pace.is_suspect())
+            on->second.pace.is_suspect(now_.steady))
             continue;
         const auto run = on->second.runs.find(
             {task.submission, task.occurrence, task.step, i});
@@ -116,7 +116,7 @@
     const bool is_slow = pace >= slow;
     if (is_slow && is_slow_elsewhere(h, task, slow))
         return;
-    if (is_slow && !h.pace.is_suspect())
+    if (is_slow && !h.pace.is_suspect(now_.steady))
     {
         std::size_t hosts = 0;
         std::size_t suspects = 0;
@@ -124,7 +124,7 @@
             if (other.listed && other.entry.pool == h.entry.pool)
             {
                 ++hosts;
-                suspects += other.pace.is_suspect() ? 1 : 0;
+                suspects += other.pace.is_suspect(now_.steady) ? 1 : 0;
             }
         if (suspects > 0 && (suspects + 1) * most_slow_hosts_divisor > hosts)
             return;
@@ -158,7 +158,7 @@
         return std::ranges::any_of(hosts_, [&](const auto& item) {
             const auto& [id, other] = item;
             if (&other == &h || other.entry.pool != h.entry.pool ||
-                other.pace.is_suspect() || !is_eligible(other) ||
+                other.pace.is_suspect(now_.steady) || !is_eligible(other) ||
                 !has_room_for(other, task, step) ||
                 !fits(taken[id] + need, other.entry.capacity - other.used))
                 return false;
--- a/src/libsched/pool_planner.cpp
+++ b/src/libsched/pool_planner.cpp
@@ -166,7 +166,7 @@
     const task_ref step{c.submission->record.id, c.occurrence, c.step, 0};
     // A host that was suspended or slow before gets one run at a time.
     return starts_left_.at(&h) > 0 && engine_.has_room_for(h, step, spec) &&
-           ((h.health.suspensions == 0 && !h.pace.is_suspect()) ||
+           ((h.health.suspensions == 0 && !h.pace.is_suspect(now_.steady)) ||
             h.runs.empty() || spec.long_running);
 }
 
@@ -185,7 +185,7 @@
         cost += cost_previous_failure;
     if (!rack.empty() && h.entry.rack != rack)
         cost += cost_other_rack;
-    if (h.health.suspensions > 0 || h.pace.is_suspect())
+    if (h.health.suspensions > 0 || h.pace.is_suspect(now_.steady))
         cost += cost_on_probation;
     if (spec.best_effort || spec.long_running)
         cost += cost_interference *
