Hold hosts for large tasks and gangs that wait; pack by the scarcer resource

Small work takes each gap at once, so the room that a large task or a gang needs never comes together. With pool_terms::look_ahead (off by default), a reservation_plan holds hosts for such steps, from the time at which the runs there are expected to end; other work that is not more urgent may use a held host only if it ends before or leaves the held room free. A hold ends when its host is lost, its estimate is passed or its step starts. Tasks are packed by the scarcer of cores and memory of the pool.

--- a/src/include/dandeliontack/pool_engine.hpp
+++ b/src/include/dandeliontack/pool_engine.hpp
@@ -3,6 +3,8 @@
 #include <dandeliontack/arrival_rate.hpp>
 #include <dandeliontack/pool_demand.hpp>
 #include <dandeliontack/pool_state.hpp>
+#include <dandeliontack/reservation_plan.hpp>
+#include <dandeliontack/run_time_ratios.hpp>
 
 #include <functional>
 
@@ -22,6 +24,9 @@
     std::chrono::milliseconds finished_retention{180'000};
     /// A longer checkpoint of a task is not used: it could not be stored.
     std::size_t max_checkpoint = 64 * 1024;
+    /// Whether hosts are held for large and wide steps that wait, and tasks are
+    /// packed by the scarcer of cores and memory.
+    bool look_ahead = false;
 };
 
 /// The status of a submission as reported to a caller.
@@ -79,6 +84,8 @@
     std::size_t pending(const std::string& route) const;
 
     const std::map<std::string, host_state>& hosts() const;
+    /// The hosts that are held for waiting steps; empty without look-ahead.
+    const reservation_plan& reservations() const;
     /// The expiry, on the host's clock, of a lease sent with a call at `now`. A
     /// host that is not responding gets no lease, so that its leases run out
     /// and its tasks can be started elsewhere.
@@ -257,6 +264,9 @@
     std::size_t pending_advice_ = 0;
     /// Learned ratio of run time to estimate, by route.
     std::map<std::string, double> estimate_factor_;
+    /// Used only with `pool_terms::look_ahead`.
+    run_time_ratios run_time_ratios_;
+    reservation_plan reservations_;
     /// Hosts that a previous owner used and that have not listed all ends to
     /// this one: hosts that may run any task, and closed hosts with the
     /// recorded list of tasks that may run there.
--- a/src/libsched/completion_forecast.cpp
+++ b/src/libsched/completion_forecast.cpp
@@ -62,6 +62,8 @@
     completion_forecast out;
     out.age = now - o.due;
     const double end = static_cast<double>(out.age.count()) + remaining;
+    out.until_overdue = std::chrono::duration_cast<std::chrono::milliseconds>(
+        exact_milliseconds(late_limit_factor * objective - end));
     if (end > late_limit_factor * objective)
         out.state = timeliness::overdue;
     else if (end > objective)
--- a/src/libsched/completion_forecast.hpp
+++ b/src/libsched/completion_forecast.hpp
@@ -24,6 +24,8 @@
     timeliness state = timeliness::in_time;
     /// The time since it was due.
     std::chrono::milliseconds age{0};
+    /// How much later it may end before it is overdue; negative if it is.
+    std::chrono::milliseconds until_overdue{0};
 };
 
 /// Forecasts the completion of an occurrence. `estimate_factor` is the learned
--- a/src/libsched/pool_engine.cpp
+++ b/src/libsched/pool_engine.cpp
@@ -984,6 +984,8 @@
             factor = std::clamp(
                 factor + estimate_smoothing * (ratio - factor),
                 min_estimate_factor, max_estimate_factor);
+            if (terms_.look_ahead)
+                run_time_ratios_.add(s.record.terms.route, ratio);
         }
         break;
     case run_outcome::failed:
@@ -1848,6 +1850,11 @@
     return hosts_;
 }
 
+const reservation_plan& pool_engine::reservations() const
+{
+    return reservations_;
+}
+
 std::optional<host_time>
 pool_engine::extend_lease(const std::string& host, moment now)
 {
--- a/src/libsched/pool_planner.cpp
+++ b/src/libsched/pool_planner.cpp
@@ -62,6 +62,8 @@
     std::ranges::sort(candidates, {}, [](const candidate& c) {
         return std::tuple(c.rank, c.priority, c.order_key);
     });
+    if (engine_.terms_.look_ahead)
+        review_holds(candidates);
     for (const auto& c : candidates)
     {
         if (c.submission->record.spec.steps[c.step].gang)
@@ -69,6 +71,8 @@
         else
             place_tasks(c);
     }
+    if (engine_.terms_.look_ahead)
+        hold_hosts(candidates);
 }
 
 void pool_planner::collect_hosts()
@@ -128,7 +132,7 @@
 pool_planner::candidate pool_planner::make_candidate(
     submission_state& s, std::uint32_t occurrence, std::uint32_t step)
 {
-    candidate c{&s, occurrence, step, 0, s.record.terms.priority, 0};
+    candidate c{&s, occurrence, step, 0, s.record.terms.priority, 0, {}};
     const auto& spec = s.record.spec.steps[step];
     if (spec.long_running)
     {
@@ -150,6 +154,8 @@
         c.rank = started ? rank_started : rank_in_time;
     else
         c.rank = view.state == timeliness::late ? rank_late : rank_overdue;
+    if (view.state != timeliness::overdue)
+        c.slack = view.until_overdue;
     const double mean = std::max(mean_work_[terms.route], 1.0);
     const double work = std::max(s.work, 1.0);
     const double value =
@@ -166,7 +172,8 @@
     const task_ref step{c.submission->record.id, c.occurrence, c.step, 0};
     // A host that was suspended before gets one run at a time.
     return starts_left_.at(&h) > 0 && engine_.has_room_for(h, step, spec) &&
-           (h.health.suspensions == 0 || h.runs.empty() || spec.long_running);
+           (h.health.suspensions == 0 || h.runs.empty() || spec.long_running) &&
+           respects_hold(h, c, spec);
 }
 
 bool pool_planner::can_place(
@@ -193,12 +200,14 @@
                         return r.second.serves ||
                                (r.second.best_effort && !spec.best_effort);
                     }));
+    const auto scarcer = scarcer_.find(h.entry.pool);
+    const auto part =
+        scarcer == scarcer_.end() ? &resources::cpu_milli : scarcer->second;
     const auto free = h.entry.capacity - h.used;
-    const double left =
-        h.entry.capacity.cpu_milli > 0
-            ? static_cast<double>(free.cpu_milli) /
-                  static_cast<double>(h.entry.capacity.cpu_milli)
-            : 0;
+    const double left = h.entry.capacity.*part > 0
+                            ? static_cast<double>(free.*part) /
+                                  static_cast<double>(h.entry.capacity.*part)
+                            : 0;
     // Long-running tasks are packed onto few hosts, since a host that runs one
     // can't move to another pool. Other tasks go where the least capacity
     // remains free.
@@ -257,6 +266,10 @@
     const host_state& h, const candidate& c, const step_spec& spec,
     std::uint32_t most) const
 {
+    // The room that a hold is to bring counts, so that the advice is there when
+    // the room is.
+    if (is_held_for(h, c))
+        return most;
     if (!has_room(h, c, spec))
         return 0;
     const auto need = reserved_resources(spec);
@@ -433,6 +446,8 @@
     held.long_running = spec.long_running;
     held.objective = spec.latency_objective;
     engine_.add_run(h, task, held);
+    if (engine_.terms_.look_ahead)
+        note_start(h, c);
     auto& left = starts_left_[&h];
     left -= std::min<std::size_t>(left, 1);
     const auto advice = step.advice.find(h.entry.id);
--- a/src/libsched/pool_planner.hpp
+++ b/src/libsched/pool_planner.hpp
@@ -1,8 +1,11 @@
 #pragma once
 
+#include "host_outlook.hpp"
 #include <dandeliontack/pool_engine.hpp>
 
 #include <map>
+#include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -31,6 +34,26 @@
         int rank = 0;
         std::uint32_t priority = 0;
         double order_key = 0;
+        /// Only with look-ahead: how long its start may be delayed before the
+        /// submission has no value; no bound if it has none.
+        std::optional<std::chrono::milliseconds> slack;
+
+        step_urgency urgency() const
+        {
+            return {rank, priority};
+        }
+        task_ref first_task() const
+        {
+            return {submission->record.id, occurrence, step, 0};
+        }
+        const step_spec& spec() const
+        {
+            return submission->record.spec.steps[step];
+        }
+        step_state& state() const
+        {
+            return submission->occurrences.at(occurrence).steps[step];
+        }
     };
 
     void collect_hosts();
@@ -70,6 +93,36 @@
     /// there is none.
     std::string rack_in_use(const candidate& c) const;
 
+    // Look-ahead, in pool_look_ahead.cpp.
+    /// Ends the holds of earlier rounds that can no longer be met, and prepares
+    /// the outlook of the hosts of the others.
+    void review_holds(const std::vector<candidate>& candidates);
+    /// Holds hosts for large and wide steps that found no room.
+    void hold_hosts(const std::vector<candidate>& candidates);
+    void hold_hosts_in(
+        const std::vector<host_state*>& hosts,
+        const std::vector<candidate>& candidates);
+    /// The steps of the pool that hosts are sought for in this round.
+    std::vector<const candidate*> steps_to_hold_for(
+        const std::vector<host_state*>& hosts,
+        const std::vector<candidate>& candidates) const;
+    hold_request request_for(const candidate& c) const;
+    std::uint32_t waiting_tasks(const candidate& c) const;
+    /// Whether the host may run tasks of the step, room aside.
+    bool may_hold(const host_state& h, const candidate& c) const;
+    /// Whether a task of the step may start on the host without delaying a
+    /// hold.
+    bool respects_hold(
+        const host_state& h, const candidate& c, const step_spec& spec) const;
+    bool is_held_for(const host_state& h, const candidate& c) const;
+    void note_start(const host_state& h, const candidate& c);
+    host_outlook outlook_of(const host_state& h) const;
+    /// How long a task of the step is expected to run.
+    std::chrono::milliseconds
+    run_time_of(const submission_state& s, const step_spec& spec) const;
+    /// Selects the resource of each pool by which tasks are packed.
+    void find_scarcer_resources();
+
     pool_engine& engine_;
     moment now_;
     /// How many more starts each eligible host may get before it has answered
@@ -80,6 +133,10 @@
     /// Moving average of the work of a submission, in core milliseconds, by
     /// queue.
     std::map<std::string, double> mean_work_;
+    /// Of the hosts that are held.
+    std::map<const host_state*, host_outlook> outlooks_;
+    /// By pool; cores if there is none.
+    std::map<std::string, std::int64_t resources::*> scarcer_;
 };
 
 /// The resources that a task reserves on its host. A best-effort task reserves
