--- a/src/include/dandeliontack/tack_node_settings.hpp
+++ b/src/include/dandeliontack/tack_node_settings.hpp
@@ -58,6 +58,14 @@
     std::string address;
 };
 
+/// Section `[placement]`: how tasks are placed on hosts.
+struct node_placement_settings
+{
+    /// Whether hosts are held for large and wide steps that wait
+    /// (docs/design/placement.md).
+    bool look_ahead = false;
+};
+
 /// Section `[bounds]`: time limits that the deployment guarantees or requires.
 struct node_bounds_settings
 {
@@ -87,6 +95,7 @@
     node_store_settings store;
     node_machines_settings machines;
     node_advice_settings advice;
+    node_placement_settings placement;
     node_bounds_settings bounds;
     node_limits_settings limits;
 };
--- a/src/libnode/tack_node_settings.cpp
+++ b/src/libnode/tack_node_settings.cpp
@@ -81,6 +81,13 @@
     return table;
 }
 
+std::span<const field<node_placement_settings>> placement_fields()
+{
+    static const std::array table{field<node_placement_settings>{
+        .key = "look_ahead", .member = &node_placement_settings::look_ahead}};
+    return table;
+}
+
 std::span<const field<node_bounds_settings>> bounds_fields()
 {
     using row = field<node_bounds_settings>;
@@ -134,6 +141,9 @@
         "machines", true,
         read_member<&root_settings::machines, machines_fields>},
     reader{"advice", false, read_member<&root_settings::advice, advice_fields>},
+    reader{
+        "placement", false,
+        read_member<&root_settings::placement, placement_fields>},
     reader{"bounds", false, read_member<&root_settings::bounds, bounds_fields>},
     reader{
         "limits", false, read_member<&root_settings::limits, limits_fields>}};
@@ -201,6 +211,7 @@
     terms.stop_bound = milliseconds_of(bounds.stop_ms);
     // So that the state of one task fits a record with room to spare.
     terms.max_checkpoint = settings.store.record_bytes / 4;
+    terms.look_ahead = settings.placement.look_ahead;
     terms.finished_retention =
         std::chrono::round<std::chrono::milliseconds>(
             std::chrono::duration<double>(bounds.status_seconds)) +
--- a/src/libsched/look_ahead_load_test.cpp
+++ b/src/libsched/look_ahead_load_test.cpp
@@ -173,6 +173,24 @@
     EXPECT_FALSE(is_held(pool, "host-0"));
 }
 
+TEST(look_ahead_load_test, many_large_tasks_hold_a_quarter_of_the_hosts)
+{
+    constexpr std::size_t hosts = 8;
+    simulated_pool pool(hosts, terms_of(true));
+    narrow_stream stream(pool);
+    stream.run(2s);
+    for (int i = 0; i < 10; ++i)
+        pool.submit(large_need, 1, large_run_time);
+    std::size_t most = 0;
+    for (int i = 0; i < 50; ++i)
+    {
+        stream.run(simulated_pool::round);
+        most =
+            std::max(most, pool.driver().engine.reservations().holds().size());
+    }
+    EXPECT_EQ(most, hosts / 4);
+}
+
 // One host has little memory left and many cores, the other the reverse.
 class scarce_memory_test : public testing::TestWithParam<bool>
 {
