--- a/src/include/dandeliontack/pool_engine.hpp
+++ b/src/include/dandeliontack/pool_engine.hpp
@@ -24,8 +24,8 @@
     std::chrono::milliseconds finished_retention{180'000};
     /// A longer checkpoint of a task is not used: it could not be stored.
     std::size_t max_checkpoint = 64 * 1024;
-    /// Whether hosts are held for large and wide steps that wait, and tasks are
-    /// packed by the scarcer of cores and memory.
+    /// Whether hosts are reserved for large tasks and gangs that wait, and tasks
+    /// are packed by the scarcer of cores and memory.
     bool look_ahead = false;
 };
 
@@ -84,7 +84,7 @@
     std::size_t pending(const std::string& route) const;
 
     const std::map<std::string, host_state>& hosts() const;
-    /// The hosts that are held for waiting steps; empty without look-ahead.
+    /// The hosts that are reserved for waiting steps; empty without look-ahead.
     const reservation_plan& reservations() const;
     /// The expiry, on the host's clock, of a lease sent with a call at `now`. A
     /// host that is not responding gets no lease, so that its leases run out
--- a/src/include/dandeliontack/tack_node_settings.hpp
+++ b/src/include/dandeliontack/tack_node_settings.hpp
@@ -61,7 +61,7 @@
 /// Section `[placement]`: how tasks are placed on hosts.
 struct node_placement_settings
 {
-    /// Whether hosts are held for large and wide steps that wait
+    /// Whether hosts are reserved for large tasks and gangs that wait
     /// (docs/design/placement.md).
     bool look_ahead = false;
 };
--- a/src/libsched/look_ahead_load_test.cpp
+++ b/src/libsched/look_ahead_load_test.cpp
@@ -1,5 +1,5 @@
-// Placement that looks ahead, against streams of work that the pool can't hold,
-// in virtual time.
+// Placement that looks ahead, against streams of work that the pool has no room
+// for, in virtual time.
 
 #include "simulated_pool.hpp"
 
@@ -63,9 +63,9 @@
     unsigned count_ = 0;
 };
 
-bool is_held(const simulated_pool& pool, const std::string& host)
+bool is_reserved(const simulated_pool& pool, const std::string& host)
 {
-    return pool.driver().engine.reservations().is_held(host);
+    return pool.driver().engine.reservations().is_reserved(host);
 }
 
 } // namespace
@@ -104,7 +104,7 @@
         stream.run(2s);
         const auto large = pool.submit(large_need, 1, large_run_time, factor);
         stream.run(latest_start);
-        // A hold costs at most the room of one host in four.
+        // Reservations cost at most the room of one host in four.
         simulated_pool plain(4, terms_of(false));
         narrow_stream same(plain, factor);
         same.run(2s + latest_start);
@@ -114,7 +114,7 @@
     }
 }
 
-TEST(look_ahead_load_test, small_tasks_fill_the_gap_before_a_hold_begins)
+TEST(look_ahead_load_test, small_tasks_fill_the_gap_before_a_reservation)
 {
     simulated_pool pool(1, terms_of(true));
     pool.submit({4000, 1000, 0}, 2, 1000ms);
@@ -122,7 +122,7 @@
     const auto large = pool.submit(large_need, 1, large_run_time);
     pool.run();
     pool.run();
-    ASSERT_TRUE(is_held(pool, "host-0"));
+    ASSERT_TRUE(is_reserved(pool, "host-0"));
     const auto ends_before = pool.submit(small_need, 1, 400ms);
     const auto ends_after = pool.submit(small_need, 1, 1400ms);
     pool.run();
@@ -134,23 +134,23 @@
     EXPECT_LE(*pool.wait_of(large), 1100ms);
 }
 
-TEST(look_ahead_load_test, hold_passes_to_another_host_when_its_host_is_lost)
+TEST(look_ahead_load_test, another_host_is_reserved_when_the_first_is_lost)
 {
     simulated_pool pool(4, terms_of(true));
     narrow_stream stream(pool);
     stream.run(2s);
     const auto large = pool.submit(large_need, 1, large_run_time);
     stream.run(100ms);
-    const auto held = pool.driver().engine.reservations().holds();
-    ASSERT_EQ(held.size(), 1);
-    pool.remove_host(held.begin()->first);
+    const auto reserved = pool.driver().engine.reservations().by_host();
+    ASSERT_EQ(reserved.size(), 1);
+    pool.remove_host(reserved.begin()->first);
     stream.run(latest_start);
-    EXPECT_GE(pool.holds("hold_ended"), 1);
+    EXPECT_GE(pool.decisions("reservation_ended"), 1);
     ASSERT_TRUE(pool.wait_of(large));
     EXPECT_LT(*pool.wait_of(large), latest_start);
 }
 
-TEST(look_ahead_load_test, hold_gives_way_to_what_is_more_urgent)
+TEST(look_ahead_load_test, reservation_gives_way_to_what_is_more_urgent)
 {
     simulated_pool pool(1, terms_of(true));
     pool.submit({4000, 1000, 0}, 2, 1000ms);
@@ -158,7 +158,7 @@
     pool.submit(large_need, 1, large_run_time);
     pool.run();
     pool.run();
-    ASSERT_TRUE(is_held(pool, "host-0"));
+    ASSERT_TRUE(is_reserved(pool, "host-0"));
     auto urgent = pool_driver::make_submission(1, 1000);
     urgent.spec.steps.front().long_running = true;
     urgent.spec.steps.front().need = {8000, 1000, 0};
@@ -170,10 +170,10 @@
     EXPECT_EQ(starts.front().task.submission, urgent.id);
     pool.driver().advance(20ms);
     pool.driver().tick();
-    EXPECT_FALSE(is_held(pool, "host-0"));
+    EXPECT_FALSE(is_reserved(pool, "host-0"));
 }
 
-TEST(look_ahead_load_test, many_large_tasks_hold_a_quarter_of_the_hosts)
+TEST(look_ahead_load_test, many_large_tasks_reserve_a_quarter_of_the_hosts)
 {
     constexpr std::size_t hosts = 8;
     simulated_pool pool(hosts, terms_of(true));
@@ -185,8 +185,8 @@
     for (int i = 0; i < 50; ++i)
     {
         stream.run(simulated_pool::round);
-        most =
-            std::max(most, pool.driver().engine.reservations().holds().size());
+        most = std::max(
+            most, pool.driver().engine.reservations().by_host().size());
     }
     EXPECT_EQ(most, hosts / 4);
 }
@@ -248,7 +248,7 @@
             for (const auto s : submitted)
             {
                 const auto* state = pool.driver().engine.state_of(s);
-                if (!state || is_held(pool, id) ||
+                if (!state || is_reserved(pool, id) ||
                     state->record.spec.steps[0].gang)
                     continue;
                 const auto& step = state->occurrences.at(0).steps[0];
--- a/src/libsched/pool_look_ahead.cpp
+++ b/src/libsched/pool_look_ahead.cpp
@@ -16,9 +16,9 @@
 // A task is large if it needs this many times the mean share of a host that the
 // runs of its pool hold: a host has room for it only once several have ended.
 constexpr double large_factor = 2;
-// Hosts of a pool that may be held at a time, as a divisor. The first gang may
-// hold as many as it needs.
-constexpr std::size_t held_divisor = 4;
+// Hosts of a pool that may be reserved at a time, as a divisor. While there are
+// fewer, a gang gets as many as it needs.
+constexpr std::size_t reserved_divisor = 4;
 // Steps of a pool for which hosts are sought in one round.
 constexpr std::size_t max_requests_per_round = 2;
 
@@ -72,16 +72,16 @@
     return out;
 }
 
-void pool_planner::review_holds(const std::vector<candidate>& candidates)
+void pool_planner::review_reservations(const std::vector<candidate>& candidates)
 {
     find_scarcer_resources();
     auto& plan = engine_.reservations_;
-    if (plan.holds().empty())
+    if (plan.by_host().empty())
         return;
     std::map<task_ref, std::optional<step_urgency>> waiting;
-    for (const auto& [id, hold] : plan.holds())
+    for (const auto& [id, reservation] : plan.by_host())
     {
-        waiting.try_emplace(hold.step);
+        waiting.try_emplace(reservation.step);
         const auto h = engine_.hosts_.find(id);
         if (h != engine_.hosts_.end() && starts_left_.contains(&h->second))
             outlooks_.emplace(&h->second, outlook_of(h->second));
@@ -105,7 +105,7 @@
             h != engine_.hosts_.end())
             outlooks_.erase(&h->second);
         engine_.log_decision(
-            "hold_ended", item.hold.step, 0, item.host,
+            "reservation_ended", item.reservation.step, 0, item.host,
             std::string(item.reason));
     }
 }
@@ -116,7 +116,7 @@
         c.state().tasks, [&](const task_state& t) { return may_start(t); }));
 }
 
-std::vector<const pool_planner::candidate*> pool_planner::steps_to_hold_for(
+std::vector<const pool_planner::candidate*> pool_planner::steps_to_reserve_for(
     const std::vector<host_state*>& hosts,
     const std::vector<candidate>& candidates) const
 {
@@ -156,7 +156,7 @@
     return waiting;
 }
 
-bool pool_planner::may_hold(const host_state& h, const candidate& c) const
+bool pool_planner::may_reserve(const host_state& h, const candidate& c) const
 {
     const auto& label = c.spec().label;
     const auto known = c.state().advice.find(h.entry.id);
@@ -168,10 +168,10 @@
             std::ranges::find(h.entry.labels, label) != h.entry.labels.end());
 }
 
-hold_request pool_planner::request_for(const candidate& c) const
+reservation_request pool_planner::request_for(const candidate& c) const
 {
     const auto& spec = c.spec();
-    hold_request out;
+    reservation_request out;
     out.step = c.first_task();
     out.urgency = c.urgency();
     out.need = reserved_resources(spec);
@@ -185,28 +185,28 @@
     return out;
 }
 
-void pool_planner::hold_hosts(const std::vector<candidate>& candidates)
+void pool_planner::reserve_hosts(const std::vector<candidate>& candidates)
 {
     for (const auto& [pool, hosts] : hosts_)
-        hold_hosts_in(hosts, candidates);
+        reserve_hosts_in(hosts, candidates);
 }
 
-void pool_planner::hold_hosts_in(
+void pool_planner::reserve_hosts_in(
     const std::vector<host_state*>& hosts,
     const std::vector<candidate>& candidates)
 {
     auto& plan = engine_.reservations_;
     const auto& pool = hosts.front()->entry.pool;
-    const auto most = std::max<std::size_t>(hosts.size() / held_divisor, 1);
-    const auto count_held = [&] {
+    const auto most = std::max<std::size_t>(hosts.size() / reserved_divisor, 1);
+    const auto count_reserved = [&] {
         return static_cast<std::size_t>(
-            std::ranges::count_if(plan.holds(), [&](const auto& item) {
+            std::ranges::count_if(plan.by_host(), [&](const auto& item) {
                 return engine_.hosts_.at(item.first).entry.pool == pool;
             }));
     };
-    if (count_held() >= most)
+    if (count_reserved() >= most)
         return;
-    const auto steps = steps_to_hold_for(hosts, candidates);
+    const auto steps = steps_to_reserve_for(hosts, candidates);
     if (steps.empty())
         return;
     std::vector<host_outlook> outlooks;
@@ -218,21 +218,21 @@
     {
         std::vector<reservation_plan::host_view> views;
         for (std::size_t i = 0; i < hosts.size(); ++i)
-            if (may_hold(*hosts[i], *c))
+            if (may_reserve(*hosts[i], *c))
                 views.push_back({hosts[i]->entry.id, &outlooks[i]});
         for (const auto& host : plan.request(
-                 request_for(*c), views, most - std::min(most, count_held()),
-                 now_.steady))
+                 request_for(*c), views,
+                 most - std::min(most, count_reserved()), now_.steady))
             engine_.log_decision(
-                "hold_made", c->first_task(), 0, host,
+                "host_reserved", c->first_task(), 0, host,
                 "ready in " +
                     std::to_string(
-                        (plan.holds().at(host).ready - now_.steady).count()) +
+                        (plan.by_host().at(host).ready - now_.steady).count()) +
                     " ms");
     }
 }
 
-bool pool_planner::respects_hold(
+bool pool_planner::respects_reservation(
     const host_state& h, const candidate& c, const step_spec& spec) const
 {
     const auto outlook = outlooks_.find(&h);
@@ -248,10 +248,11 @@
         outlook->second, now_.steady);
 }
 
-bool pool_planner::is_held_for(const host_state& h, const candidate& c) const
+bool pool_planner::is_reserved_for(
+    const host_state& h, const candidate& c) const
 {
     return outlooks_.contains(&h) &&
-           engine_.reservations_.is_held_for(h.entry.id, c.first_task());
+           engine_.reservations_.is_reserved_for(h.entry.id, c.first_task());
 }
 
 void pool_planner::note_start(const host_state& h, const candidate& c)
--- a/src/libsched/pool_planner.cpp
+++ b/src/libsched/pool_planner.cpp
@@ -63,7 +63,7 @@
         return std::tuple(c.rank, c.priority, c.order_key);
     });
     if (engine_.terms_.look_ahead)
-        review_holds(candidates);
+        review_reservations(candidates);
     for (const auto& c : candidates)
     {
         if (c.submission->record.spec.steps[c.step].gang)
@@ -72,7 +72,7 @@
             place_tasks(c);
     }
     if (engine_.terms_.look_ahead)
-        hold_hosts(candidates);
+        reserve_hosts(candidates);
 }
 
 void pool_planner::collect_hosts()
@@ -173,7 +173,7 @@
     // A host that was suspended before gets one run at a time.
     return starts_left_.at(&h) > 0 && engine_.has_room_for(h, step, spec) &&
            (h.health.suspensions == 0 || h.runs.empty() || spec.long_running) &&
-           respects_hold(h, c, spec);
+           respects_reservation(h, c, spec);
 }
 
 bool pool_planner::can_place(
@@ -266,9 +266,9 @@
     const host_state& h, const candidate& c, const step_spec& spec,
     std::uint32_t most) const
 {
-    // The room that a hold is to bring counts, so that the advice is there when
-    // the room is.
-    if (is_held_for(h, c))
+    // Room that is reserved counts, so that the advice is there when the room
+    // is.
+    if (is_reserved_for(h, c))
         return most;
     if (!has_room(h, c, spec))
         return 0;
--- a/src/libsched/pool_planner.hpp
+++ b/src/libsched/pool_planner.hpp
@@ -94,27 +94,27 @@
     std::string rack_in_use(const candidate& c) const;
 
     // Look-ahead, in pool_look_ahead.cpp.
-    /// Ends the holds of earlier rounds that can no longer be met, and prepares
-    /// the outlook of the hosts of the others.
-    void review_holds(const std::vector<candidate>& candidates);
-    /// Holds hosts for large and wide steps that found no room.
-    void hold_hosts(const std::vector<candidate>& candidates);
-    void hold_hosts_in(
+    /// Ends the reservations of earlier rounds that can no longer be met, and
+    /// prepares the outlook of the hosts of the others.
+    void review_reservations(const std::vector<candidate>& candidates);
+    /// Reserves hosts for large tasks and gangs that found no room.
+    void reserve_hosts(const std::vector<candidate>& candidates);
+    void reserve_hosts_in(
         const std::vector<host_state*>& hosts,
         const std::vector<candidate>& candidates);
     /// The steps of the pool that hosts are sought for in this round.
-    std::vector<const candidate*> steps_to_hold_for(
+    std::vector<const candidate*> steps_to_reserve_for(
         const std::vector<host_state*>& hosts,
         const std::vector<candidate>& candidates) const;
-    hold_request request_for(const candidate& c) const;
+    reservation_request request_for(const candidate& c) const;
     std::uint32_t waiting_tasks(const candidate& c) const;
     /// Whether the host may run tasks of the step, room aside.
-    bool may_hold(const host_state& h, const candidate& c) const;
-    /// Whether a task of the step may start on the host without delaying a
-    /// hold.
-    bool respects_hold(
+    bool may_reserve(const host_state& h, const candidate& c) const;
+    /// Whether a task of the step may start on the host without delaying
+    /// what is reserved.
+    bool respects_reservation(
         const host_state& h, const candidate& c, const step_spec& spec) const;
-    bool is_held_for(const host_state& h, const candidate& c) const;
+    bool is_reserved_for(const host_state& h, const candidate& c) const;
     void note_start(const host_state& h, const candidate& c);
     host_outlook outlook_of(const host_state& h) const;
     /// How long a task of the step is expected to run.
@@ -133,7 +133,7 @@
     /// Moving average of the work of a submission, in core milliseconds, by
     /// queue.
     std::map<std::string, double> mean_work_;
-    /// Of the hosts that are held.
+    /// Of the hosts that are reserved.
     std::map<const host_state*, host_outlook> outlooks_;
     /// By pool; cores if there is none.
     std::map<std::string, std::int64_t resources::*> scarcer_;
--- a/src/libsched/simulated_pool.hpp
+++ b/src/libsched/simulated_pool.hpp
@@ -94,11 +94,11 @@
         return sum;
     }
 
-    std::size_t holds(std::string_view decision = "hold_made") const
+    std::size_t decisions(std::string_view name) const
     {
         return static_cast<std::size_t>(std::ranges::count(
             pool_driver::effects_of<pool_effect::decision>(driver_.all_effects),
-            decision, &pool_effect::decision::name));
+            name, &pool_effect::decision::name));
     }
 
     pool_driver& driver()
