--- a/src/libsched/look_ahead_load_test.cpp
+++ b/src/libsched/look_ahead_load_test.cpp
@@ -68,9 +68,30 @@
     return pool.driver().engine.reservations().is_reserved(host);
 }
 
+// One host has little left of the scarce resource and much of the other, the
+// other host the reverse. Returns whether tasks get room on both.
+bool packs_by_scarce_resource(bool by_memory)
+{
+    const auto need = [&](std::int64_t scarce, std::int64_t plenty) {
+        return by_memory ? resources{plenty, scarce * 2, 0}
+                         : resources{scarce, plenty * 2, 0};
+    };
+    simulated_pool pool(2, terms_of(true));
+    // The first leaves 6 and 14 of 16 on its host, the second 10 and 8.
+    pool.submit(need(10'000, 2000), 1, 5s);
+    pool.run();
+    pool.submit(need(6500, 8000), 1, 5s);
+    pool.run();
+    const auto fits_both = pool.submit(need(5000, 500), 1, 1s);
+    pool.run();
+    const auto fits_one = pool.submit(need(9000, 500), 1, 1s);
+    pool.run();
+    return pool.wait_of(fits_both) && pool.wait_of(fits_one);
+}
+
 } // namespace
 
-TEST(look_ahead_load_test, large_task_among_small_ones_that_take_every_gap)
+TEST(look_ahead_load, large_task_among_small_ones_that_take_every_gap)
 {
     simulated_pool pool(4, terms_of(true));
     narrow_stream stream(pool);
@@ -82,7 +103,7 @@
     EXPECT_FALSE(pool.was_overfull());
 }
 
-TEST(look_ahead_load_test, gang_behind_a_stream_of_narrow_steps)
+TEST(look_ahead_load, gang_behind_a_stream_of_narrow_steps)
 {
     simulated_pool pool(4, terms_of(true));
     narrow_stream stream(pool);
@@ -95,7 +116,7 @@
     EXPECT_FALSE(pool.was_overfull());
 }
 
-TEST(look_ahead_load_test, estimates_that_are_off_by_half_and_by_ten)
+TEST(look_ahead_load, estimates_that_are_off_by_half_and_by_ten)
 {
     for (const double factor : {0.1, 0.5, 1.5, 2.0, 10.0})
     {
@@ -114,7 +135,7 @@
     }
 }
 
-TEST(look_ahead_load_test, small_tasks_fill_the_gap_before_a_reservation)
+TEST(look_ahead_load, small_tasks_fill_the_gap_before_a_reservation)
 {
     simulated_pool pool(1, terms_of(true));
     pool.submit({4000, 1000, 0}, 2, 1000ms);
@@ -134,7 +155,7 @@
     EXPECT_LE(*pool.wait_of(large), 1100ms);
 }
 
-TEST(look_ahead_load_test, another_host_is_reserved_when_the_first_is_lost)
+TEST(look_ahead_load, another_host_is_reserved_when_the_first_is_lost)
 {
     simulated_pool pool(4, terms_of(true));
     narrow_stream stream(pool);
@@ -150,7 +171,7 @@
     EXPECT_LT(*pool.wait_of(large), latest_start);
 }
 
-TEST(look_ahead_load_test, reservation_gives_way_to_what_is_more_urgent)
+TEST(look_ahead_load, reservation_gives_way_to_what_is_more_urgent)
 {
     simulated_pool pool(1, terms_of(true));
     pool.submit({4000, 1000, 0}, 2, 1000ms);
@@ -173,7 +194,7 @@
     EXPECT_FALSE(is_reserved(pool, "host-0"));
 }
 
-TEST(look_ahead_load_test, many_large_tasks_reserve_a_quarter_of_the_hosts)
+TEST(look_ahead_load, many_large_tasks_reserve_a_quarter_of_the_hosts)
 {
     constexpr std::size_t hosts = 8;
     simulated_pool pool(hosts, terms_of(true));
@@ -191,37 +212,18 @@
     EXPECT_EQ(most, hosts / 4);
 }
 
-// One host has little memory left and many cores, the other the reverse.
-class scarce_memory_test : public testing::TestWithParam<bool>
+TEST(look_ahead_load, packs_by_memory_where_cores_are_left)
 {
-};
+    EXPECT_TRUE(packs_by_scarce_resource(true));
+}
 
-TEST_P(scarce_memory_test, packs_by_the_scarcer_resource)
+TEST(look_ahead_load, packs_by_cores_where_memory_is_left)
 {
-    const bool by_memory = GetParam();
-    const auto need = [&](std::int64_t scarce, std::int64_t plenty) {
-        return by_memory ? resources{plenty, scarce * 2, 0}
-                         : resources{scarce, plenty * 2, 0};
-    };
-    simulated_pool pool(2, terms_of(true));
-    // The first leaves 6 and 14 of 16 on its host, the second 10 and 8.
-    pool.submit(need(10'000, 2000), 1, 5s);
-    pool.run();
-    pool.submit(need(6500, 8000), 1, 5s);
-    pool.run();
-    const auto fits_both = pool.submit(need(5000, 500), 1, 1s);
-    pool.run();
-    const auto fits_one = pool.submit(need(9000, 500), 1, 1s);
-    pool.run();
-    EXPECT_TRUE(pool.wait_of(fits_both));
-    EXPECT_TRUE(pool.wait_of(fits_one));
+    EXPECT_TRUE(packs_by_scarce_resource(false));
 }
 
-INSTANTIATE_TEST_SUITE_P(memory_and_cores, scarce_memory_test, testing::Bool());
-
 RC_GTEST_PROP(
-    look_ahead_load_property_test, keeps_to_capacity_and_leaves_no_room_idle,
-    ())
+    look_ahead_load_property, keeps_to_capacity_and_leaves_no_room_idle, ())
 {
     const auto hosts = *rc::gen::inRange<std::size_t>(1, 6);
     simulated_pool pool(hosts, terms_of(true));
@@ -269,8 +271,7 @@
     RC_ASSERT(pool.driver().engine.waiting_tasks() == 0u);
 }
 
-RC_GTEST_PROP(
-    look_ahead_load_property_test, wait_of_a_large_task_is_bounded, ())
+RC_GTEST_PROP(look_ahead_load_property, wait_of_a_large_task_is_bounded, ())
 {
     simulated_pool pool(*rc::gen::inRange<std::size_t>(4, 9), terms_of(true));
     narrow_stream stream(pool);
