--- a/src/libsched/look_ahead_load_test.cpp
+++ b/src/libsched/look_ahead_load_test.cpp
@@ -41,12 +41,14 @@
     void run(milliseconds duration)
     {
         constexpr std::size_t least_waiting = 8;
+        constexpr std::uint32_t tasks_per_submission = 3;
         constexpr std::uint32_t spread = 5;
         for (auto t = 0ms; t < duration; t += simulated_pool::round)
         {
             while (pool_.driver().engine.waiting_tasks() < least_waiting)
                 pool_.submit(
-                    small_need, 1, small_run_time + 40ms * (count_++ % spread),
+                    small_need, tasks_per_submission,
+                    small_run_time + 40ms * (count_++ % spread),
                     estimate_factor_);
             pool_.run();
         }
--- a/src/libsched/pool_planner.cpp
+++ b/src/libsched/pool_planner.cpp
@@ -49,6 +49,13 @@
     return need;
 }
 
+// What has started goes first, but is no more urgent than what is in time:
+// otherwise the rest of small submissions would take what is reserved.
+step_urgency pool_planner::candidate::urgency() const
+{
+    return {rank == rank_started ? rank_in_time : rank, priority};
+}
+
 pool_planner::pool_planner(pool_engine& engine)
     : engine_(engine), now_(engine.now_)
 {}
--- a/src/libsched/pool_planner.hpp
+++ b/src/libsched/pool_planner.hpp
@@ -38,10 +38,7 @@
         /// submission has no value; no bound if it has none.
         std::optional<std::chrono::milliseconds> slack;
 
-        step_urgency urgency() const
-        {
-            return {rank, priority};
-        }
+        step_urgency urgency() const;
         task_ref first_task() const
         {
             return {submission->record.id, occurrence, step, 0};
