--- a/src/include/dandeliontack/pool_engine.hpp
+++ b/src/include/dandeliontack/pool_engine.hpp
@@ -24,8 +24,8 @@
     std::chrono::milliseconds finished_retention{180'000};
     /// A longer checkpoint of a task is not used: it could not be stored.
     std::size_t max_checkpoint = 64 * 1024;
-    /// Whether hosts are reserved for large tasks and gangs that wait, and tasks
-    /// are packed by the scarcer of cores and memory.
+    /// Whether hosts are reserved for large tasks and gangs that wait, and
+    /// tasks are packed by the scarcer of cores and memory.
     bool look_ahead = false;
 };
 
