--- a/src/libsched/pool_planner.cpp
+++ b/src/libsched/pool_planner.cpp
@@ -73,6 +73,13 @@
     return need;
 }
 
+// What has started goes first, but is no more urgent than what is in time:
+// otherwise the rest of small submissions would take what is reserved.
+step_urgency pool_planner::candidate::urgency() const
+{
+    return {rank == rank_started ? rank_in_time : rank, priority};
+}
+
 pool_planner::pool_planner(pool_engine& engine)
     : engine_(engine), now_(engine.now_)
 {}
@@ -86,14 +93,17 @@
     std::ranges::sort(candidates, {}, [](const candidate& c) {
         return std::tuple(c.rank, c.priority, c.order_key);
     });
+    if (engine_.terms_.look_ahead)
+        review_reservations(candidates);
     if (engine_.accounts_)
-    {
         place_by_shares(candidates);
+    else
+        std::ranges::for_each(
+            candidates, [this](const candidate& c) { place(c); });
+    if (engine_.terms_.look_ahead)
+        reserve_hosts(candidates);
+    if (engine_.accounts_)
         note_room();
-        return;
-    }
-    for (const auto& c : candidates)
-        place(c);
 }
 
 void pool_planner::place(const candidate& c)
@@ -226,7 +236,7 @@
 pool_planner::candidate pool_planner::make_candidate(
     submission_state& s, std::uint32_t occurrence, std::uint32_t step)
 {
-    candidate c{&s, occurrence, step, 0, s.record.terms.priority, 0};
+    candidate c{&s, occurrence, step, 0, s.record.terms.priority, 0, {}};
     const auto& spec = s.record.spec.steps[step];
     if (spec.long_running)
     {
@@ -259,6 +269,8 @@
         c.rank = rank_overdue;
         break;
     }
+    if (view.state != timeliness::overdue)
+        c.slack = view.until_overdue;
     const double mean = std::max(mean_work_[terms.route], 1.0);
     const double work = std::max(s.work, 1.0);
     const double value =
@@ -276,7 +288,8 @@
     // A host that was suspended or slow before gets one run at a time.
     return starts_left_.at(&h) > 0 && engine_.has_room_for(h, step, spec) &&
            ((h.health.suspensions == 0 && !h.pace.is_suspect(now_.steady)) ||
-            h.runs.empty() || spec.long_running);
+            h.runs.empty() || spec.long_running) &&
+           respects_reservation(h, c, spec);
 }
 
 bool pool_planner::can_place(
@@ -303,12 +316,14 @@
                         return r.second.serves ||
                                (r.second.best_effort && !spec.best_effort);
                     }));
+    const auto scarcer = scarcer_.find(h.entry.pool);
+    const auto part =
+        scarcer == scarcer_.end() ? &resources::cpu_milli : scarcer->second;
     const auto free = h.entry.capacity - h.used;
-    const double left =
-        h.entry.capacity.cpu_milli > 0
-            ? static_cast<double>(free.cpu_milli) /
-                  static_cast<double>(h.entry.capacity.cpu_milli)
-            : 0;
+    const double left = h.entry.capacity.*part > 0
+                            ? static_cast<double>(free.*part) /
+                                  static_cast<double>(h.entry.capacity.*part)
+                            : 0;
     // Long-running tasks are packed onto few hosts, since a host that runs one
     // can't move to another pool. Other tasks go where the least capacity
     // remains free.
@@ -383,6 +398,10 @@
     const host_state& h, const candidate& c, const step_spec& spec,
     std::uint32_t most) const
 {
+    // Room that is reserved counts, so that the advice is there when the room
+    // is.
+    if (is_reserved_for(h, c))
+        return most;
     if (!has_room(h, c, spec))
         return 0;
     const auto need = reserved_resources(spec);
@@ -595,6 +614,8 @@
             record.account, engine_.weight_of(record.account),
             share_of(held.need, h.entry.capacity) *
                 static_cast<double>(spec.estimate.count()));
+    if (engine_.terms_.look_ahead)
+        note_start(h, c);
     auto& left = starts_left_[&h];
     left -= std::min<std::size_t>(left, 1);
     const auto advice = step.advice.find(h.entry.id);
