--- a/src/include/dandeliontack/run_times.hpp
+++ b/src/include/dandeliontack/run_times.hpp
@@ -10,7 +10,7 @@
 {
 
 /// How long the tasks of a route run, relative to their estimates.
-struct run_time_ratios
+struct run_time_quantiles
 {
     double p10 = 1.0;
     double p25 = 1.0;
@@ -23,7 +23,7 @@
     /// Runs that were measured.
     std::size_t runs = 0;
 
-    bool operator==(const run_time_ratios&) const = default;
+    bool operator==(const run_time_quantiles&) const = default;
 };
 
 /// Learns the quantiles of the run times of each route, of tasks or of whole
@@ -50,7 +50,7 @@
         std::chrono::milliseconds estimate);
 
     /// The ratios of the route; all 1 if it is not known.
-    run_time_ratios ratios(const std::string& route) const;
+    run_time_quantiles ratios(const std::string& route) const;
 
     std::size_t routes() const;
 
--- a/src/libsched/pool_look_ahead.cpp
+++ b/src/libsched/pool_look_ahead.cpp
@@ -28,14 +28,6 @@
                      : 0;
 }
 
-double share_of(const resources& need, const resources& capacity)
-{
-    return std::max(
-        {ratio(need.cpu_milli, capacity.cpu_milli),
-         ratio(need.memory_mb, capacity.memory_mb),
-         ratio(need.accelerators, capacity.accelerators)});
-}
-
 } // namespace
 
 std::chrono::milliseconds pool_planner::run_time_of(
--- a/src/libsched/run_times.cpp
+++ b/src/libsched/run_times.cpp
@@ -68,7 +68,7 @@
     known.newest = ++added_;
 }
 
-run_time_ratios run_times::ratios(const std::string& route) const
+run_time_quantiles run_times::ratios(const std::string& route) const
 {
     const auto found = routes_.find(route);
     if (found == routes_.end())
--- a/src/libsched/run_times_test.cpp
+++ b/src/libsched/run_times_test.cpp
@@ -38,13 +38,13 @@
 TEST(run_times, estimates_that_are_too_short_move_the_median)
 {
     run_times times;
-    EXPECT_EQ(times.ratios("quick"), run_time_ratios{});
+    EXPECT_EQ(times.ratios("quick"), run_time_quantiles{});
     times.add("quick", 2s, 1s);
     EXPECT_LT(times.ratios("quick").median, 1.5);
     for (int i = 0; i < 100; ++i)
         times.add("quick", 2s, 1s);
     EXPECT_NEAR(times.ratios("quick").median, 2.0, 0.1);
-    EXPECT_EQ(times.ratios("other"), run_time_ratios{});
+    EXPECT_EQ(times.ratios("other"), run_time_quantiles{});
 }
 
 RC_GTEST_PROP(run_times, quantiles_are_ordered_and_routes_bounded, ())
