--- a/src/libnode/caller_front.cpp
+++ b/src/libnode/caller_front.cpp
@@ -86,6 +86,41 @@
     return text;
 }
 
+void count_request(
+    metric_registry& metrics, const std::string& method,
+    const http_response& response, std::chrono::nanoseconds took)
+{
+    metrics
+        .get_counter(
+            "tack_requests_total{method=\"" + method + "\",status=\"" +
+            std::to_string(response.result_int()) + "\"}")
+        .add();
+    metrics.get_summary("tack_request_seconds{method=\"" + method + "\"}")
+        .record(took);
+}
+
+// In whose name a request is made.
+struct caller_identity
+{
+    bool may_call = true;
+    bool has_key = false;
+    /// Empty for a public queue.
+    std::string account;
+};
+
+caller_identity identify_caller(
+    const http_request& request, const queue_table& table,
+    const queue_entry& queue)
+{
+    if (!table.accounts || queue.is_public)
+        return {};
+    const auto key = platform::decode_account_key(request);
+    const auto* holder = key ? table.accounts->find_by_key(*key) : nullptr;
+    return {
+        holder != nullptr, key.has_value(),
+        holder ? holder->name : std::string()};
+}
+
 std::optional<submission_phase> phase_of(std::string_view name)
 {
     for (const auto phase :
@@ -143,15 +178,9 @@
     if (!queue)
         co_return error_response(
             http::status::not_found, outcome::not_run, "no such queue", path);
-    std::string account;
-    if (held->accounts && !queue->is_public)
-    {
-        const auto key = platform::decode_account_key(request);
-        const auto* holder = key ? held->accounts->find_by_key(*key) : nullptr;
-        if (!holder)
-            co_return refuse_key(*held, *queue, key.has_value());
-        account = holder->name;
-    }
+    auto caller = identify_caller(request, *held, *queue);
+    if (!caller.may_call)
+        co_return refuse_key(*held, *queue, caller.has_key);
     if (!router_.shards().has_been_read())
         co_return retry_later(
             "no registry",
@@ -164,7 +193,7 @@
             "this node has not read the layout of the deployment's cells yet");
     request_scope scope{
         *queue,
-        std::move(account),
+        std::move(caller.account),
         *layout,
         0,
         path.substr(queue->path_prefix.size()),
@@ -187,14 +216,7 @@
             "method not allowed", "use GET, POST or DELETE");
     const auto took = read_clocks().steady - began;
     const std::string method_name(request.method_string());
-    context_.metrics
-        .get_counter(
-            "tack_requests_total{method=\"" + method_name + "\",status=\"" +
-            std::to_string(response.result_int()) + "\"}")
-        .add();
-    context_.metrics
-        .get_summary("tack_request_seconds{method=\"" + method_name + "\"}")
-        .record(took);
+    count_request(context_.metrics, method_name, response, took);
     if (method != http::verb::get || response.result() != http::status::ok)
         context_.log.write(
             "front", "request_answered",
