--- a/src/libsched/account_shares_test.cpp
+++ b/src/libsched/account_shares_test.cpp
@@ -120,8 +120,10 @@
 {
     auto driver = make_full_pool(20);
     driver.submit(make_record(100, 1, driver.now));
+    constexpr std::uint32_t ended = 4;
     std::vector<ended_row> ends;
-    for (std::uint32_t i = 0; i < 4; ++i)
+    ends.reserve(ended);
+    for (std::uint32_t i = 0; i < ended; ++i)
         ends.push_back({i + 1, {1, 0, 0, i}, 1, run_outcome::done, {}});
     driver.hold("h", {}, ends);
     driver.store();
--- a/src/libsched/allotment_keeper.cpp
+++ b/src/libsched/allotment_keeper.cpp
@@ -33,6 +33,42 @@
     return static_cast<std::int64_t>(wide{amount} * part / whole);
 }
 
+// Raises a grant from what is held to `to`, as far as `free` goes, from which
+// it is taken.
+void raise_grant(
+    resources& grant, const resources& held, const resources& to,
+    resources& free)
+{
+    for (const auto kind : resource_kinds)
+    {
+        const auto raised = std::max(grant.*kind, held.*kind);
+        const auto more =
+            std::min(to.*kind - raised, std::max<std::int64_t>(free.*kind, 0));
+        if (more <= 0)
+            grant.*kind = std::max(grant.*kind, std::min(to.*kind, raised));
+        else
+        {
+            grant.*kind = raised + more;
+            free.*kind -= more;
+        }
+    }
+}
+
+// Whether the change of an allotment is not worth a row: it is small, and what
+// was allotted covers what is used.
+bool is_small_change(
+    const resources& last, const resources& grant, const resources& used,
+    const resources& limit)
+{
+    return std::ranges::all_of(resource_kinds, [&](auto kind) {
+        if (limit.*kind <= 0)
+            return true;
+        const auto change = grant.*kind - last.*kind;
+        return last.*kind >= used.*kind &&
+               (change < 0 ? -change : change) <= limit.*kind / least_change;
+    });
+}
+
 } // namespace
 
 resources allotment_keeper::part::reserved() const
@@ -207,21 +243,7 @@
     std::map<shard_id, resources> grants;
     const auto raise = [&](shard_id id, const resources& to) {
         const auto& p = shards_.at(id).parts[account];
-        const auto held = p.reserved() - p.inherited;
-        auto& grant = grants[id];
-        for (const auto kind : resource_kinds)
-        {
-            const auto raised = std::max(grant.*kind, held.*kind);
-            const auto more = std::min(
-                to.*kind - raised, std::max<std::int64_t>(free.*kind, 0));
-            if (more <= 0)
-                grant.*kind = std::max(grant.*kind, std::min(to.*kind, raised));
-            else
-            {
-                grant.*kind = raised + more;
-                free.*kind -= more;
-            }
-        }
+        raise_grant(grants[id], p.reserved() - p.inherited, to, free);
     };
     for (const auto id : order)
     {
@@ -250,18 +272,11 @@
                 grant.*kind = 0;
         auto& shard = shards_.at(id);
         auto& p = shard.parts[account];
-        const bool is_small_change =
-            std::ranges::all_of(resource_kinds, [&](auto kind) {
-                if (limit.limit.*kind <= 0)
-                    return true;
-                const auto change = grant.*kind - p.last.*kind;
-                return p.last.*kind >= p.used.*kind &&
-                       (change < 0 ? -change : change) <=
-                           limit.limit.*kind / least_change;
-            });
+        const bool is_minor =
+            is_small_change(p.last, grant, p.used, limit.limit);
         const bool keeps =
             !p.sent && p.last == p.confirmed &&
-            (grant == p.last || (is_small_change && !anyone_waits && !is_over));
+            (grant == p.last || (is_minor && !anyone_waits && !is_over));
         if (keeps)
             continue;
         p.last = grant;
--- a/src/libsched/client_account_bench.cpp
+++ b/src/libsched/client_account_bench.cpp
@@ -23,6 +23,7 @@
         client_account account;
         account.name = "account-" + std::to_string(i);
         std::vector<std::string> keys;
+        keys.reserve(keys_per_account);
         for (std::int64_t k = 0; k < keys_per_account; ++k)
             keys.push_back(key_of(i * keys_per_account + k));
         table.add(std::move(account), std::move(keys));
