--- a/src/libutil/buffer_budget_test.cpp
+++ b/src/libutil/buffer_budget_test.cpp
@@ -73,8 +73,10 @@
 RC_GTEST_FIXTURE_PROP(
     buffer_budget_test, incomplete_messages_keep_within_the_limit, ())
 {
+    constexpr std::size_t count = 10;
     std::vector<std::unique_ptr<buffer_share>> shares;
-    for (int i = 0; i < 10; ++i)
+    shares.reserve(count);
+    for (std::size_t i = 0; i < count; ++i)
         shares.push_back(begin(start));
     auto now = start;
     const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
--- a/testsuite/caller_flood/caller_flood_test.cpp
+++ b/testsuite/caller_flood/caller_flood_test.cpp
@@ -59,11 +59,13 @@
     return out;
 }
 
-std::vector<attack> attacks()
+constexpr std::size_t many = 400;
+constexpr std::size_t largest_body = 256 * 1024;
+
+// Bodies, and what frames them.
+std::vector<attack> body_attacks()
 {
-    constexpr std::size_t many = 400;
     constexpr std::size_t endless = 32 * bytes_per_mb;
-    constexpr std::size_t largest_body = 256 * 1024;
     const auto long_line = std::string(64 * 1024, '0');
     const auto length = std::to_string(largest_body);
     return {
@@ -101,7 +103,14 @@
          .connections = many,
          .opening = chunked_head + "40000\r\n",
          .repeated = std::string(largest_body / 4, 'x'),
-         .bytes = largest_body - 1},
+         .bytes = largest_body - 1}};
+}
+
+// Heads, trickles, and connections that are not used as meant.
+std::vector<attack> connection_attacks()
+{
+    const auto length = std::to_string(largest_body);
+    return {
         {.name = "heads_that_trickle",
          .connections = many,
          .opening = get_head,
@@ -144,6 +153,13 @@
          .waves = 5}};
 }
 
+std::vector<attack> attacks()
+{
+    auto all = body_attacks();
+    std::ranges::move(connection_attacks(), std::back_inserter(all));
+    return all;
+}
+
 // One connection of a crowd.
 class member
 {
@@ -195,6 +211,7 @@
 {
     asio::io_context context;
     std::vector<member> crowd;
+    crowd.reserve(what.connections);
     for (std::size_t i = 0; i < what.connections; ++i)
         crowd.emplace_back(context, node.callers());
     const auto until = std::chrono::steady_clock::now() + crowd_patience;
