Settings: section [limits] for tack-control and tack-entry

Cause: only tack-node was told of its machine, so the other programs had nothing to derive bounds from. Nothing draws on it yet in tack-control and tack-entry.

--- a/src/include/dandeliontack/control_settings.hpp
+++ b/src/include/dandeliontack/control_settings.hpp
@@ -58,6 +58,7 @@
     admin_settings admin;
     api_settings api;
     logging_settings logging;
+    machine_limits limits;
 };
 
 checked<control_settings> parse_control_settings(const ini_document& document);
--- a/src/include/dandeliontack/entry_settings.hpp
+++ b/src/include/dandeliontack/entry_settings.hpp
@@ -83,6 +83,7 @@
     admin_settings admin;
     api_settings api;
     logging_settings logging;
+    machine_limits limits;
 };
 
 checked<entry_settings> parse_entry_settings(const ini_document& document);
--- a/src/include/dandeliontack/settings.hpp
+++ b/src/include/dandeliontack/settings.hpp
@@ -5,6 +5,7 @@
 #include <dandeliontack/finding.hpp>
 #include <dandeliontack/ini.hpp>
 
+#include <cstdint>
 #include <span>
 #include <string>
 #include <string_view>
@@ -41,11 +42,26 @@
     std::string level = "info";
 };
 
+/// Section `[limits]`: what the machine gives the process.
+struct machine_limits
+{
+    std::uint64_t descriptors = 4096;
+    std::uint64_t memory_mb = 256;
+    /// The share of the memory that requests and their responses may hold on
+    /// all connections of one address together; the same again for responses
+    /// that the process reads.
+    double buffer_share = 0.125;
+};
+
+/// The bytes that `machine_limits::buffer_share` allows.
+std::uint64_t buffered_bytes_of(const machine_limits& limits);
+
 /// The tables of the sections that all programs share.
 std::span<const field<node_settings>> node_fields();
 std::span<const field<admin_settings>> admin_fields();
 std::span<const field<api_settings>> api_fields();
 std::span<const field<logging_settings>> logging_fields();
+std::span<const field<machine_limits>> machine_limits_fields();
 
 /// Reads a section into a member of a program's settings by a table of
 /// fields. Used through `read_member`.
--- a/src/include/dandeliontack/tack_node_settings.hpp
+++ b/src/include/dandeliontack/tack_node_settings.hpp
@@ -89,16 +89,10 @@
 };
 
 /// Section `[limits]`: the machine's resources for the process.
-struct node_limits_settings
+struct node_limits_settings : machine_limits
 {
     double cpu_share = 1;
     double cores = 1;
-    std::uint64_t descriptors = 4096;
-    std::uint64_t memory_mb = 256;
-    /// The share of the memory that callers' requests and their responses may
-    /// hold on all connections together; that calls of other nodes may hold;
-    /// and that responses may hold which are being read.
-    double buffer_share = 0.125;
 };
 
 /// The settings of a node.
@@ -122,9 +116,6 @@
 /// All keys of the settings, as `section.key`.
 std::vector<std::string> tack_node_setting_keys();
 
-/// The bytes that `node_limits_settings::buffer_share` allows.
-std::uint64_t buffered_bytes_of(const tack_node_settings& settings);
-
 /// The parameters of the pool engine for these settings.
 pool_terms pool_terms_of(const tack_node_settings& settings);
 /// The most tasks that the submissions of one node may have together.
--- a/src/libcontrol/control_settings.cpp
+++ b/src/libcontrol/control_settings.cpp
@@ -125,7 +125,10 @@
     reader{"api", false, read_member<&control_settings::api, api_fields>},
     reader{
         "logging", false,
-        read_member<&control_settings::logging, logging_fields>}};
+        read_member<&control_settings::logging, logging_fields>},
+    reader{
+        "limits", false,
+        read_member<&control_settings::limits, machine_limits_fields>}};
 
 } // namespace
 
--- a/src/libentry/entry_settings.cpp
+++ b/src/libentry/entry_settings.cpp
@@ -134,7 +134,8 @@
     reader{"stop", false, read_member<&all::stop, stop_fields>},
     reader{"admin", true, read_member<&all::admin, admin_fields>},
     reader{"api", false, read_member<&all::api, api_fields>},
-    reader{"logging", false, read_member<&all::logging, logging_fields>}};
+    reader{"logging", false, read_member<&all::logging, logging_fields>},
+    reader{"limits", false, read_member<&all::limits, machine_limits_fields>}};
 
 } // namespace
 
--- a/src/libnode/tack_node.cpp
+++ b/src/libnode/tack_node.cpp
@@ -84,7 +84,7 @@
     limits.connections = max_caller_connections(settings.limits);
     limits.idle = 60s;
     limits.transfer = 10s;
-    limits.buffered_bytes = buffered_bytes_of(settings);
+    limits.buffered_bytes = buffered_bytes_of(settings.limits);
     limits.server = "callers";
     return limits;
 }
@@ -92,7 +92,7 @@
 http_limits peer_limits(const tack_node_settings& settings)
 {
     http_limits limits;
-    limits.buffered_bytes = buffered_bytes_of(settings);
+    limits.buffered_bytes = buffered_bytes_of(settings.limits);
     limits.server = "peers";
     return limits;
 }
--- a/src/libnode/tack_node_settings.cpp
+++ b/src/libnode/tack_node_settings.cpp
@@ -219,13 +219,6 @@
     return settings.limits.memory_mb * bytes_per_mb / 2 / bytes_per_task;
 }
 
-std::uint64_t buffered_bytes_of(const tack_node_settings& settings)
-{
-    return static_cast<std::uint64_t>(
-        static_cast<double>(settings.limits.memory_mb * bytes_per_mb) *
-        settings.limits.buffer_share);
-}
-
 pool_terms pool_terms_of(const tack_node_settings& settings)
 {
     // Finished submissions are kept for longer than callers may ask for them.
--- a/src/libutil/settings.cpp
+++ b/src/libutil/settings.cpp
@@ -28,6 +28,25 @@
     .member = &logging_settings::level,
     .choices = {"debug", "info", "warn", "error"}}};
 
+constexpr std::uint64_t bytes_per_mb = 1024 * 1024;
+
+const std::array machine_limits_table{
+    field<machine_limits>{
+        .key = "descriptors",
+        .member = &machine_limits::descriptors,
+        .least = 64,
+        .most = 10'000'000},
+    field<machine_limits>{
+        .key = "memory_mb",
+        .member = &machine_limits::memory_mb,
+        .least = 16,
+        .most = 1'000'000},
+    field<machine_limits>{
+        .key = "buffer_share",
+        .member = &machine_limits::buffer_share,
+        .least = 0.01,
+        .most = 0.25}};
+
 unsigned line_of(const ini_document& document, const bound_address& bound)
 {
     const auto* section = document.find(bound.section);
@@ -60,6 +79,18 @@
     return logging_table;
 }
 
+std::span<const field<machine_limits>> machine_limits_fields()
+{
+    return machine_limits_table;
+}
+
+std::uint64_t buffered_bytes_of(const machine_limits& limits)
+{
+    return static_cast<std::uint64_t>(
+        static_cast<double>(limits.memory_mb * bytes_per_mb) *
+        limits.buffer_share);
+}
+
 void check_clashes(
     const ini_document& document, const std::vector<bound_address>& addresses,
     findings& found)
--- a/src/tack-node/main.cpp
+++ b/src/tack-node/main.cpp
@@ -74,7 +74,7 @@
     asio::io_context context(1);
     event_log log(settings.node.name, STDOUT_FILENO, {});
     http_pool::limits connection_limits;
-    connection_limits.buffered_bytes = buffered_bytes_of(settings);
+    connection_limits.buffered_bytes = buffered_bytes_of(settings.limits);
     http_pool connections(context.get_executor(), connection_limits);
     node_context shared{
         context.get_executor(), settings, log, metrics, connections,
