Tests: crowds on every address of every program, and whole requests

Cause: the crowds of caller_flood and host_flood end where the bytes are read. What a request becomes when it is decoded, what is kept of it, the other listening addresses, and tack-entry and tack-control were not pressed. The crowd of raw connections and the measuring of a process moved out of caller_flood and flooded_node; its crowds and bounds are as they were.

--- a/testsuite/caller_flood/caller_flood_test.cpp
+++ b/testsuite/caller_flood/caller_flood_test.cpp
@@ -1,9 +1,9 @@
 // A node keeps within its memory and its descriptors whatever its callers
 // send, and goes on to serve.
 
+#include "harness/crowd.hpp"
 #include "harness/flooded_node.hpp"
 
-#include <boost/asio.hpp>
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -15,12 +15,7 @@
 namespace
 {
 
-namespace asio = boost::asio;
-using asio::ip::tcp;
-
 constexpr std::uint64_t bytes_per_mb = 1024 * 1024;
-// After this a crowd stops sending, whatever the node does.
-constexpr auto crowd_patience = std::chrono::seconds(20);
 
 const std::string post_head =
     "POST /checks/0123456789abcdef HTTP/1.1\r\nhost: reg.example\r\n";
@@ -28,37 +23,6 @@
     post_head + "transfer-encoding: chunked\r\n\r\n";
 const std::string get_head = "GET /checks/ HTTP/1.1\r\nhost: reg.example\r\n";
 
-// What each connection of a crowd sends: `opening`, then `repeated` until
-// `bytes` are sent or the node has ended the connection.
-struct attack
-{
-    std::string name;
-    std::size_t connections = 1;
-    std::string opening;
-    std::string repeated;
-    std::size_t bytes = 0;
-    /// The most bytes of one write; 0 for as many as fit.
-    std::size_t step = 0;
-    /// Whether the connection is reset once all is sent.
-    bool resets = false;
-    /// How often the crowd comes again.
-    unsigned waves = 1;
-
-    friend std::ostream& operator<<(std::ostream& out, const attack& what)
-    {
-        return out << what.connections << " connections";
-    }
-};
-
-std::string repeat(const std::string& text, std::size_t times)
-{
-    std::string out;
-    out.reserve(text.size() * times);
-    for (std::size_t i = 0; i < times; ++i)
-        out += text;
-    return out;
-}
-
 constexpr std::size_t many = 400;
 constexpr std::size_t largest_body = 256 * 1024;
 
@@ -160,71 +124,13 @@
     return all;
 }
 
-// One connection of a crowd.
-class member
-{
-public:
-    member(asio::io_context& context, const endpoint& to) : socket_(context)
-    {
-        boost::system::error_code ec;
-        socket_.connect({asio::ip::make_address(to.address), to.port}, ec);
-        socket_.non_blocking(true, ec);
-        ended_ = static_cast<bool>(ec);
-    }
-
-    // Sends some bytes if the connection takes any; false once all is sent or
-    // the connection has ended.
-    bool send(const attack& what)
-    {
-        if (ended_ || (opened_ == what.opening.size() && sent_ >= what.bytes))
-            return false;
-        const bool opening = opened_ < what.opening.size();
-        auto rest = opening ? std::string_view(what.opening).substr(opened_)
-                            : std::string_view(what.repeated)
-                                  .substr(sent_ % what.repeated.size());
-        if (!opening)
-            rest = rest.substr(0, what.bytes - sent_);
-        if (!opening && what.step != 0)
-            rest = rest.substr(0, what.step);
-        boost::system::error_code ec;
-        const auto count = socket_.write_some(asio::buffer(rest), ec);
-        (opening ? opened_ : sent_) += count;
-        ended_ = ec && ec != asio::error::would_block;
-        return !ended_;
-    }
-
-    void reset()
-    {
-        boost::system::error_code ignored;
-        socket_.set_option(asio::socket_base::linger(true, 0), ignored);
-        socket_.close(ignored);
-    }
-
-private:
-    tcp::socket socket_;
-    std::size_t opened_ = 0;
-    std::size_t sent_ = 0;
-    bool ended_ = false;
-};
-
 void send_wave(flooded_node& node, const attack& what)
 {
-    asio::io_context context;
-    std::vector<member> crowd;
-    crowd.reserve(what.connections);
-    for (std::size_t i = 0; i < what.connections; ++i)
-        crowd.emplace_back(context, node.callers());
-    const auto until = std::chrono::steady_clock::now() + crowd_patience;
-    bool sending = true;
-    while (sending && std::chrono::steady_clock::now() < until)
-    {
-        sending = false;
-        for (auto& one : crowd)
-            sending = one.send(what) || sending;
-    }
+    crowd senders(node.callers(), what);
+    senders.send();
     node.settle();
     if (what.resets)
-        std::ranges::for_each(crowd, &member::reset);
+        senders.reset();
 }
 
 struct caller_flood : testing::TestWithParam<attack>
--- /dev/null
+++ b/testsuite/control_flood/control_flood_test.cpp
@@ -0,0 +1,270 @@
+// A control process keeps within its memory and its descriptors whatever comes
+// to its pages or its gRPC address, and goes on to serve beside it.
+
+#include "harness/crowd.hpp"
+#include "harness/flooded_system.hpp"
+
+#include <gtest/gtest.h>
+
+#include <cstdint>
+#include <iostream>
+#include <string_view>
+#include <tuple>
+
+namespace dandeliontack::harness
+{
+
+namespace
+{
+
+constexpr std::size_t many = 400;
+constexpr std::size_t more_than_descriptors = 1500;
+constexpr std::size_t bytes_per_mb = 1024 * 1024;
+constexpr std::size_t endless = 40 * bytes_per_mb;
+constexpr std::size_t largest_frame = 16 * 1024;
+
+// Types and flags of HTTP/2 frames (RFC 9113, section 6).
+constexpr std::uint8_t data_frame = 0;
+constexpr std::uint8_t headers_frame = 1;
+constexpr std::uint8_t reset_frame = 3;
+constexpr std::uint8_t settings_frame = 4;
+constexpr std::uint8_t ping_frame = 6;
+constexpr std::uint8_t continuation_frame = 9;
+constexpr std::uint8_t end_of_stream = 1;
+constexpr std::uint8_t end_of_headers = 4;
+
+std::string big_endian(std::uint32_t number, unsigned bytes)
+{
+    std::string out;
+    for (unsigned i = bytes; i > 0; --i)
+        out.push_back(static_cast<char>(number >> (8 * (i - 1))));
+    return out;
+}
+
+std::string frame(
+    std::uint8_t type, std::uint8_t flags, std::uint32_t stream,
+    const std::string& payload)
+{
+    return big_endian(static_cast<std::uint32_t>(payload.size()), 3) +
+           static_cast<char>(type) + static_cast<char>(flags) +
+           big_endian(stream, 4) + payload;
+}
+
+const std::string preface =
+    "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + frame(settings_frame, 0, 0, "");
+
+// A literal field without indexing (RFC 7541, section 6.2.2).
+std::string field(std::string_view name, std::string_view value)
+{
+    return std::string(1, '\0') + static_cast<char>(name.size()) +
+           std::string(name) + static_cast<char>(value.size()) +
+           std::string(value);
+}
+
+std::string call_head(std::string_view method)
+{
+    return field(":method", "POST") + field(":scheme", "http") +
+           field(":path", "/dandeliontack.wire." + std::string(method)) +
+           field(":authority", "a") + field("te", "trailers") +
+           field("content-type", "application/grpc");
+}
+
+// Calls with rising stream numbers, each followed by what `behind` makes.
+template <class Behind>
+std::string calls(std::string_view method, std::uint32_t count, Behind behind)
+{
+    const auto head = call_head(method);
+    std::string out;
+    for (std::uint32_t i = 0; i < count; ++i)
+        out += frame(headers_frame, end_of_headers, 2 * i + 1, head) +
+               behind(2 * i + 1);
+    return out;
+}
+
+attack once(std::string name, std::size_t connections, const std::string& bytes)
+{
+    return {
+        .name = std::move(name),
+        .connections = connections,
+        .opening = preface,
+        .repeated = bytes,
+        .bytes = bytes.size()};
+}
+
+std::vector<attack> header_attacks()
+{
+    // The length of a name: more than 268 million bytes.
+    const std::string endless_name("\x00\x7f\xff\xff\xff\x7f", 6);
+    std::string fields;
+    while (fields.size() + 8 < largest_frame)
+        fields += field("a", "b");
+    return {
+        {.name = "a_field_without_end",
+         .connections = 4,
+         .opening = preface + frame(headers_frame, 0, 1, endless_name),
+         .repeated =
+             frame(continuation_frame, 0, 1, std::string(largest_frame, 'a')),
+         .bytes = endless},
+        {.name = "fields_without_end",
+         .connections = 4,
+         .opening = preface + frame(headers_frame, 0, 1, field("a", "b")),
+         .repeated = frame(continuation_frame, 0, 1, fields),
+         .bytes = endless},
+        {.name = "empty_continuations_without_end",
+         .connections = 4,
+         .opening = preface + frame(headers_frame, 0, 1, field("a", "b")),
+         .repeated = repeat(frame(continuation_frame, 0, 1, ""), 1000),
+         .bytes = endless / 4},
+        {.name = "trailers_without_end",
+         .connections = 4,
+         .opening = preface + calls("peer/relay", 1, [](auto) { return ""; }) +
+                    frame(headers_frame, end_of_stream, 1, endless_name),
+         .repeated =
+             frame(continuation_frame, 0, 1, std::string(largest_frame, 'a')),
+         .bytes = endless}};
+}
+
+std::vector<attack> stream_attacks()
+{
+    const auto message = [](std::uint32_t length, const std::string& part) {
+        return std::string(1, '\0') + big_endian(length, 4) + part;
+    };
+    const auto whole = message(0, "");
+    const auto part = message(4 * bytes_per_mb - 1, std::string(16'000, 'x'));
+    const std::string subscribe = "control/subscribe_routing";
+    return {
+        once(
+            "streams_that_stay", 4,
+            calls(
+                subscribe, 10'000,
+                [&](auto stream) {
+                    return frame(data_frame, end_of_stream, stream, whole);
+                })),
+        once(
+            "streams_that_are_reset", 4,
+            calls(
+                subscribe, 40'000,
+                [&](auto stream) {
+                    return frame(data_frame, end_of_stream, stream, whole) +
+                           frame(reset_frame, 0, stream, big_endian(8, 4));
+                })),
+        once(
+            "messages_that_stop", many,
+            calls("peer/relay", 100, [&](auto stream) {
+                return frame(data_frame, 0, stream, part);
+            }))};
+}
+
+std::vector<attack> connection_attacks()
+{
+    return {
+        {.name = "connections_that_stay",
+         .connections = more_than_descriptors,
+         .opening = "",
+         .repeated = "P",
+         .bytes = 0},
+        {.name = "prefaces_without_calls",
+         .connections = more_than_descriptors,
+         .opening = preface,
+         .repeated = "P",
+         .bytes = 0},
+        {.name = "pings_without_end",
+         .connections = 4,
+         .opening = preface,
+         .repeated = repeat(frame(ping_frame, 0, 0, "12345678"), 1000),
+         .bytes = endless},
+        {.name = "settings_without_end",
+         .connections = 4,
+         .opening = preface,
+         .repeated = repeat(frame(settings_frame, 0, 0, ""), 1000),
+         .bytes = endless},
+        {.name = "bytes_of_no_protocol",
+         .connections = many,
+         .opening = "",
+         .repeated = std::string(largest_frame, '\xff'),
+         .bytes = bytes_per_mb}};
+}
+
+std::vector<attack> grpc_attacks()
+{
+    auto all = header_attacks();
+    std::ranges::move(stream_attacks(), std::back_inserter(all));
+    std::ranges::move(connection_attacks(), std::back_inserter(all));
+    return all;
+}
+
+std::vector<attack> page_attacks()
+{
+    const std::string head = "POST /v1/status HTTP/1.1\r\nhost: a\r\n";
+    const std::string get = "GET /v1/values HTTP/1.1\r\nhost: a\r\n\r\n";
+    return {
+        {.name = "connections_that_stay",
+         .connections = more_than_descriptors,
+         .opening = "",
+         .repeated = "G",
+         .bytes = 0},
+        {.name = "heads_that_stop",
+         .connections = more_than_descriptors,
+         .opening = "GET /v1/status HTTP/1.1\r\n",
+         .repeated = "a: b\r\n",
+         .bytes = 60},
+        {.name = "bodies_that_stop",
+         .connections = many,
+         .opening = head + "content-length: 1048576\r\n\r\n",
+         .repeated = std::string(bytes_per_mb / 16, 'x'),
+         .bytes = bytes_per_mb - 1},
+        {.name = "responses_that_are_never_read",
+         .connections = many,
+         .opening = get,
+         .repeated = repeat(get, 20),
+         .bytes = bytes_per_mb / 8}};
+}
+
+struct control_flood : testing::TestWithParam<attack>
+{
+    void play(const std::string& address)
+    {
+        crowd senders(system.control_address(address), GetParam());
+        senders.send();
+        auto& control = system.control();
+        control.settle();
+        const auto used = control.used();
+        EXPECT_LE(used.peak_bytes, control.most_bytes()) << to_string(used);
+        EXPECT_LE(control.most_descriptors(), small_machine::descriptors);
+        EXPECT_TRUE(system.control_serves()) << "while the crowd stays";
+        std::cout << to_string(used) << ", " << control.most_descriptors()
+                  << " at most\n";
+    }
+
+    flooded_system system;
+};
+
+struct control_grpc_flood : control_flood
+{
+};
+
+struct control_page_flood : control_flood
+{
+};
+
+} // namespace
+
+TEST_P(control_grpc_flood, leaves_the_process_within_its_bounds)
+{
+    play("grpc");
+}
+
+TEST_P(control_page_flood, leaves_the_process_within_its_bounds)
+{
+    play("admin");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    of, control_grpc_flood, testing::ValuesIn(grpc_attacks()),
+    [](const auto& attack) { return attack.param.name; });
+
+INSTANTIATE_TEST_SUITE_P(
+    of, control_page_flood, testing::ValuesIn(page_attacks()),
+    [](const auto& attack) { return attack.param.name; });
+
+} // namespace dandeliontack::harness
--- a/testsuite/harness/flooded_node.hpp
+++ b/testsuite/harness/flooded_node.hpp
@@ -1,38 +1,31 @@
 #pragma once
 
 #include "cluster.hpp"
-
-#include <sys/types.h>
+#include "process_usage.hpp"
 
 #include <cstdint>
-#include <filesystem>
+#include <optional>
 #include <string>
 
 namespace dandeliontack::harness
 {
 
-/// What the system says that a process uses.
-struct process_usage
-{
-    std::uint64_t resident_bytes = 0;
-    std::uint64_t peak_bytes = 0;
-    std::size_t descriptors = 0;
-};
-
-std::string to_string(const process_usage& used);
-
 /// A node with little memory and few descriptors on a stand-in of the
 /// platform, to be flooded by its callers or its hosts.
 class flooded_node
 {
 public:
-    static constexpr std::uint64_t memory_bytes = 64ULL * 1024 * 1024;
-    static constexpr std::size_t descriptors = 1000;
+    static constexpr std::size_t descriptors = small_machine::descriptors;
 
     /// Starts the node and waits until it serves; throws
     /// `std::runtime_error` if it doesn't.
     flooded_node();
 
+    /// What the node announced under a name of section `[listen]`.
+    endpoint address_of(const std::string& name)
+    {
+        return node_.address_of(name);
+    }
     const endpoint& callers() const
     {
         return callers_;
@@ -46,19 +39,27 @@
     bool serves();
 
     /// Waits until the node's memory no longer rises, within bounds.
-    void settle();
+    void settle()
+    {
+        machine_->settle();
+    }
 
-    /// The most memory that the node may use: its machine's, or half as much
-    /// again as when it was calm.
-    std::uint64_t most_bytes() const;
+    /// The most memory that the node may use; see `small_machine`.
+    std::uint64_t most_bytes() const
+    {
+        return machine_->most_bytes();
+    }
 
     /// Throws `std::runtime_error` if the node has ended.
-    process_usage used() const;
+    process_usage used() const
+    {
+        return machine_->used();
+    }
 
     /// The most descriptors that were open at once while the node settled.
     std::size_t most_descriptors() const
     {
-        return most_descriptors_;
+        return machine_->most_descriptors();
     }
 
 private:
@@ -69,8 +70,7 @@
     endpoint platform_address_;
     child_process node_;
     endpoint callers_;
-    std::uint64_t calm_bytes_ = 0;
-    std::size_t most_descriptors_ = 0;
+    std::optional<small_machine> machine_;
 };
 
 } // namespace dandeliontack::harness
