Connections of all addresses are bounded together

What callers saw: 1,521 descriptors of 1,000 on readiness, peers and metrics of a node, 1,518 on both addresses of an entry process, 1,521 on the pages of a control process; and where idle connections held the callers' own bound, no ordinary caller was answered until they were idle for a minute. Cause: only the callers of a node had a bound drawn from its machine; the other servers took 4,096 connections each. At the bound only the newcomer gave way. Change: connection_budget divides what limits.descriptors and limits.memory_mb allow among the addresses of a process: each is guaranteed a part, the rest goes to whichever asks first. At the bound a new connection takes the place of one that has been refused, or the longest idle, or the longest incomplete one, and is closed only if all others are being served. connection_table keeps the connections by what they do, so that finding one costs nothing more with many.

--- a/src/include/dandeliontack/http_refusal.hpp
+++ b/src/include/dandeliontack/http_refusal.hpp
@@ -1,14 +1,17 @@
 #pragma once
 
 #include <dandeliontack/http.hpp>
+#include <dandeliontack/metrics.hpp>
 
 #include <array>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace dandeliontack
 {
@@ -28,10 +31,12 @@
     /// The request didn't arrive in time.
     too_slow,
     no_room_for_connection,
-    too_many_connections
+    too_many_connections,
+    /// A new connection has taken the place of an idle or incomplete one.
+    displaced
 };
 
-inline constexpr std::size_t http_refusal_count = 9;
+inline constexpr std::size_t http_refusal_count = 10;
 
 /// The cause as logs and metrics name it.
 std::string_view to_string(http_refusal cause);
@@ -60,4 +65,28 @@
     std::array<tally, http_refusal_count> tallies_;
 };
 
+/// Counts the refusals of one server as `tack_http_refused_total{cause=...}`,
+/// and reports them at most once a second for each cause.
+class refusal_counter
+{
+public:
+    using observer =
+        std::function<void(http_refusal cause, std::uint64_t count)>;
+
+    /// `server` labels the metrics if it isn't empty.
+    refusal_counter(metric_registry& metrics, const std::string& server);
+
+    /// Takes the place of the log lines.
+    void set_observer(observer report)
+    {
+        report_ = std::move(report);
+    }
+    void count(http_refusal cause);
+
+private:
+    std::array<counter*, http_refusal_count> counters_{};
+    refusal_log_limit log_limit_;
+    observer report_;
+};
+
 } // namespace dandeliontack
--- a/src/include/dandeliontack/http_server.hpp
+++ b/src/include/dandeliontack/http_server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <dandeliontack/connection_budget.hpp>
 #include <dandeliontack/endpoint.hpp>
 #include <dandeliontack/http.hpp>
 #include <dandeliontack/http_refusal.hpp>
@@ -24,6 +25,11 @@
     std::uint32_t header_bytes = 8 * 1024;
     std::uint64_t body_bytes = 1024 * 1024;
     std::size_t connections = 4096;
+    /// Shares connections with the other addresses of the process, which
+    /// guarantees `guaranteed_connections` to this one; without it the server
+    /// has `connections` of its own.
+    std::shared_ptr<connection_budget> shared_connections;
+    std::size_t guaranteed_connections = 0;
     /// How long a connection may stay open without a request.
     std::chrono::milliseconds idle = std::chrono::seconds(60);
     /// How long reading one request, or writing one response, may take.
@@ -41,7 +47,11 @@
     }
 };
 
-/// A HTTP/1.1 server on one executor. Requests that can't be parsed or
+/// A HTTP/1.1 server on one executor. Where it may hold no more connections,
+/// a new one takes the place of one whose sender is in no hurry: one that has
+/// been refused, the one that has been idle for longest, or that whose request
+/// has been incomplete for longest. If there is none, the new one is closed.
+/// Requests that can't be parsed or
 /// exceed a limit are refused with a problem document and counted as
 /// `tack_http_rejected_total`, and all refusals as
 /// `tack_http_refused_total{cause=...}`. Where the handler throws, the
@@ -51,8 +61,7 @@
 public:
     /// Called at most once a second for each cause, with the number of
     /// refusals since the last call.
-    using refusal_observer =
-        std::function<void(http_refusal cause, std::uint64_t count)>;
+    using refusal_observer = refusal_counter::observer;
 
     using handler =
         std::function<boost::asio::awaitable<http_response>(http_request)>;
--- a/src/include/dandeliontack/settings.hpp
+++ b/src/include/dandeliontack/settings.hpp
@@ -56,6 +56,10 @@
 /// The bytes that `machine_limits::buffer_share` allows.
 std::uint64_t buffered_bytes_of(const machine_limits& limits);
 
+/// The connections that clients may hold on all addresses of a process
+/// together. The rest of its descriptors is for calls that it makes itself.
+std::size_t client_connections_of(const machine_limits& limits);
+
 /// The tables of the sections that all programs share.
 std::span<const field<node_settings>> node_fields();
 std::span<const field<admin_settings>> admin_fields();
--- a/src/include/dandeliontack/tack_node.hpp
+++ b/src/include/dandeliontack/tack_node.hpp
@@ -85,6 +85,7 @@
     topic_follower operator_records_;
     topic_follower registry_;
     topic_follower host_records_;
+    std::shared_ptr<connection_budget> connections_;
     http_server callers_;
     http_server readiness_;
     http_server peers_;
--- a/src/libnode/tack_node.cpp
+++ b/src/libnode/tack_node.cpp
@@ -61,49 +61,47 @@
 // checks, one per second.
 constexpr auto rotation_delay = 2300ms;
 constexpr auto stop_margin = 700ms;
-constexpr std::size_t reserved_descriptors = 1000;
+// The part of the connections that each address is guaranteed, as a divisor.
+constexpr std::size_t caller_part = 2;
+constexpr std::size_t peer_part = 8;
+constexpr std::size_t page_part = 32;
 
-// As many connections as the descriptors and a quarter of the memory allow.
-std::size_t max_caller_connections(const node_limits_settings& limits)
+http_limits limits_of(
+    const tack_node_settings& settings,
+    const std::shared_ptr<connection_budget>& connections, std::size_t part,
+    std::string server)
 {
-    constexpr std::uint64_t bytes_per_mb = 1024 * 1024;
-    constexpr std::uint64_t bytes_per_connection = 12 * 1024;
-    const auto by_descriptors = limits.descriptors > 2 * reserved_descriptors
-                                    ? limits.descriptors - reserved_descriptors
-                                    : limits.descriptors / 2;
-    const auto by_memory =
-        limits.memory_mb * bytes_per_mb / 4 / bytes_per_connection;
-    return std::min(by_descriptors, by_memory);
+    const auto most = client_connections_of(settings.limits);
+    http_limits limits;
+    limits.connections = most;
+    limits.shared_connections = connections;
+    limits.guaranteed_connections = std::max<std::size_t>(most / part, 1);
+    limits.buffered_bytes = buffered_bytes_of(settings.limits);
+    limits.server = std::move(server);
+    return limits;
 }
 
-http_limits caller_limits(const tack_node_settings& settings)
+http_limits caller_limits(
+    const tack_node_settings& settings,
+    const std::shared_ptr<connection_budget>& connections)
 {
-    http_limits limits;
+    auto limits = limits_of(settings, connections, caller_part, "callers");
     limits.header_bytes = 16 * 1024;
     limits.body_bytes = 256 * 1024;
-    limits.connections = max_caller_connections(settings.limits);
     limits.idle = 60s;
     limits.transfer = 10s;
-    limits.buffered_bytes = buffered_bytes_of(settings.limits);
-    limits.server = "callers";
-    return limits;
-}
-
-http_limits peer_limits(const tack_node_settings& settings)
-{
-    http_limits limits;
-    limits.buffered_bytes = buffered_bytes_of(settings.limits);
-    limits.server = "peers";
     return limits;
 }
 
 // For pages that are asked for without a body.
-http_limits page_limits(std::string server)
+http_limits page_limits(
+    const tack_node_settings& settings,
+    const std::shared_ptr<connection_budget>& connections, std::string server)
 {
-    http_limits limits;
+    constexpr std::uint64_t most_buffered = 2 * 1024 * 1024;
+    auto limits = limits_of(settings, connections, page_part, server);
     limits.body_bytes = 4 * 1024;
-    limits.buffered_bytes = 2 * 1024 * 1024;
-    limits.server = std::move(server);
+    limits.buffered_bytes = std::min(limits.buffered_bytes, most_buffered);
     return limits;
 }
 
@@ -176,13 +174,18 @@
            {}},
           [this](const keyed_record& r) { apply_host_record(r); },
           [this] { assign_hosts(); }),
+      connections_(std::make_shared<connection_budget>(
+          client_connections_of(context.settings.limits))),
       callers_(
-          context.executor, caller_limits(context.settings), context.metrics,
+          context.executor, caller_limits(context.settings, connections_),
+          context.metrics,
           [this](http_request request) {
               return front_.handle(std::move(request));
           }),
       readiness_(
-          context.executor, page_limits("readiness"), context.metrics,
+          context.executor,
+          page_limits(context.settings, connections_, "readiness"),
+          context.metrics,
           [this](http_request) -> asio::awaitable<http_response> {
               co_return make_response(
                   is_ready() ? http::status::ok
@@ -190,12 +193,16 @@
                   "text/plain", is_ready() ? "ready\n" : "not ready\n");
           }),
       peers_(
-          context.executor, peer_limits(context.settings), context.metrics,
+          context.executor,
+          limits_of(context.settings, connections_, peer_part, "peers"),
+          context.metrics,
           [this](http_request request) {
               return router_.serve(std::move(request));
           }),
       metrics_(
-          context.executor, page_limits("metrics"), context.metrics,
+          context.executor,
+          page_limits(context.settings, connections_, "metrics"),
+          context.metrics,
           admin_pages(context.metrics, [this] { return is_ready(); }, {})),
       announce_now_(context.executor)
 {
--- a/src/libutil/http_refusal.cpp
+++ b/src/libutil/http_refusal.cpp
@@ -1,7 +1,9 @@
 #include <dandeliontack/http_refusal.hpp>
+#include <dandeliontack/log.hpp>
 
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace dandeliontack
@@ -46,6 +48,7 @@
      "", ""},
     {http_refusal::too_many_connections, "too-many-connections", no_answer, "",
      ""},
+    {http_refusal::displaced, "displaced", no_answer, "", ""},
 }};
 
 constexpr const char* retry_seconds = "1";
@@ -82,4 +85,30 @@
     return std::exchange(tally.refusals, 0);
 }
 
+refusal_counter::refusal_counter(
+    metric_registry& metrics, const std::string& server)
+{
+    const auto label =
+        server.empty() ? std::string() : ",server=\"" + server + "\"";
+    std::ranges::transform(
+        terms, counters_.begin(), [&](const refusal_terms& with) {
+            return &metrics.get_counter(
+                "tack_http_refused_total{cause=\"" + std::string(with.name) +
+                "\"" + label + "}");
+        });
+    report_ = [server](http_refusal cause, std::uint64_t refusals) {
+        const part_log out(server.empty() ? "http.server" : "http." + server);
+        out.warn("Refused ", refusals, " by cause: ", to_string(cause), ".");
+    };
+}
+
+void refusal_counter::count(http_refusal cause)
+{
+    counters_.at(static_cast<std::size_t>(cause))->add();
+    const auto refusals =
+        log_limit_.count(cause, std::chrono::steady_clock::now());
+    if (refusals)
+        report_(cause, *refusals);
+}
+
 } // namespace dandeliontack
--- a/src/libutil/http_server.cpp
+++ b/src/libutil/http_server.cpp
@@ -1,4 +1,5 @@
 #include <dandeliontack/buffer_budget.hpp>
+#include <dandeliontack/connection_table.hpp>
 #include <dandeliontack/http_body_parse.hpp>
 #include <dandeliontack/http_head.hpp>
 #include <dandeliontack/http_header_scan.hpp>
@@ -57,9 +58,12 @@
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     buffer_share share;
+    connection_phase phase = connection_phase::idle;
     bool busy = false;
 };
 
+using session_table = connection_table<session>;
+
 // Why a request was not read. Without a cause, the connection has ended.
 struct read_failure
 {
@@ -180,12 +184,19 @@
           acceptor(executor),
           budget(std::make_shared<buffer_budget>(bounds.buffered_bytes)),
           held_bytes(
-              metrics.get_gauge(bounds.metric_of("tack_http_held_bytes")))
+              metrics.get_gauge(bounds.metric_of("tack_http_held_bytes"))),
+          refusals(registry, bounds.server),
+          part(
+              bounds.shared_connections
+                  ? bounds.shared_connections
+                  : std::make_shared<connection_budget>(bounds.connections),
+              bounds.guaranteed_connections)
     {}
 
     asio::awaitable<void> accept_loop();
     asio::awaitable<void> serve(std::shared_ptr<session> s);
-    asio::awaitable<bool> serve_one(session& s);
+    asio::awaitable<bool> serve_one(session& s, session_table::place at);
+    bool make_place();
     asio::awaitable<read_result> read_header(session& s);
     asio::awaitable<read_result>
     read_message(session& s, request_parser& parser);
@@ -200,7 +211,6 @@
     asio::awaitable<bool> reject(session& s, const read_failure& failure);
     asio::awaitable<void> wait_for_room(session& s);
     bool reserve(session& s, std::uint64_t bytes);
-    void count(http_refusal cause);
 
     asio::any_io_executor executor;
     http_limits limits;
@@ -209,22 +219,36 @@
     tcp::acceptor acceptor;
     std::shared_ptr<buffer_budget> budget;
     gauge& held_bytes;
-    refusal_log_limit log_limit;
-    refusal_observer observer;
-    std::list<std::shared_ptr<session>> sessions;
+    refusal_counter refusals;
+    connection_part part;
+    session_table sessions;
     part_log out{"http.server"};
     bool draining = false;
     bool closing = false;
 };
 
+// Whether there is a connection left for a new one, if need be by closing
+// another.
+bool http_server::core::make_place()
+{
+    if (part.taken() < limits.connections && part.take())
+        return true;
+    const auto displaced = sessions.displace();
+    if (!displaced)
+        return false;
+    refusals.count(http_refusal::displaced);
+    displaced->stream.close();
+    return true;
+}
+
 void http_server::core::start(tcp::socket socket)
 {
     const bool has_room =
         budget->admits_connection(std::chrono::steady_clock::now());
-    if (!has_room || sessions.size() >= limits.connections)
+    if (!has_room || !make_place())
     {
         metrics.get_counter("tack_http_connections_refused_total").add();
-        count(
+        refusals.count(
             has_room ? http_refusal::too_many_connections
                      : http_refusal::no_room_for_connection);
         return;
@@ -271,14 +295,21 @@
 asio::awaitable<void> http_server::core::serve(std::shared_ptr<session> s)
 {
     const auto self = shared_from_this();
-    const auto place = sessions.insert(sessions.end(), s);
+    const auto place = sessions.insert(s);
     bool open = true;
     while (open)
-        open = co_await serve_one(*s);
+        open = co_await serve_one(*s, place);
     s->share.release();
     held_bytes.set(static_cast<std::int64_t>(budget->held()));
-    co_await finish(*s);
+    if (s->phase != connection_phase::displaced)
+    {
+        sessions.move(place, connection_phase::ending);
+        co_await finish(*s);
+    }
     s->stream.close();
+    // A displaced one has left its place to another.
+    if (s->phase != connection_phase::displaced)
+        part.give_back();
     sessions.erase(place);
 }
 
@@ -348,12 +379,14 @@
 }
 
 // Serves one request and says whether the connection can carry another.
-asio::awaitable<bool> http_server::core::serve_one(session& s)
+asio::awaitable<bool>
+http_server::core::serve_one(session& s, session_table::place at)
 {
     const bool arrived = co_await first_bytes(s);
-    if (!arrived)
+    if (!arrived || s.phase == connection_phase::displaced)
         co_return false;
     s.busy = true;
+    sessions.move(at, connection_phase::reading);
     s.share.begin(std::chrono::steady_clock::now());
     read_result failure;
     std::optional<http_request> read;
@@ -367,12 +400,15 @@
         if (!failure)
             read = parser.release();
     }
+    if (s.phase == connection_phase::displaced)
+        co_return false;
     if (failure)
     {
         if (s.share.has_given_up())
             failure->cause = http_refusal::no_room;
         co_return co_await reject(s, *failure);
     }
+    sessions.move(at, connection_phase::serving);
     auto request = std::move(*read);
     read.reset();
     s.share.complete();
@@ -390,6 +426,7 @@
     s.busy = false;
     s.share.release();
     held_bytes.set(static_cast<std::int64_t>(budget->held()));
+    sessions.move(at, connection_phase::idle);
     co_return written&& keep_alive && !closing;
 }
 
@@ -426,7 +463,7 @@
 {
     if (!failure.cause)
         co_return false;
-    count(*failure.cause);
+    refusals.count(*failure.cause);
     auto response = answer_to(*failure.cause, failure.detail);
     if (!response)
         co_return false;
@@ -511,24 +548,6 @@
         co_await asio::post(executor, asio::use_awaitable);
 }
 
-void http_server::core::count(http_refusal cause)
-{
-    const auto label = limits.server.empty()
-                           ? std::string()
-                           : ",server=\"" + limits.server + "\"";
-    metrics
-        .get_counter(
-            "tack_http_refused_total{cause=\"" + std::string(to_string(cause)) +
-            "\"" + label + "}")
-        .add();
-    const auto refusals =
-        log_limit.count(cause, std::chrono::steady_clock::now());
-    if (refusals && observer)
-        observer(cause, *refusals);
-    else if (refusals)
-        out.warn("Refused ", *refusals, " by cause: ", to_string(cause), ".");
-}
-
 http_server::http_server(
     asio::any_io_executor executor, http_limits limits,
     metric_registry& metrics, handler handle)
@@ -568,18 +587,20 @@
     held->accept_waiting();
     beast::error_code ignored;
     held->acceptor.close(ignored);
-    while (!held->sessions.empty() && std::chrono::steady_clock::now() < until)
+    while (held->sessions.size() != 0 &&
+           std::chrono::steady_clock::now() < until)
     {
-        for (const auto& s : held->sessions)
+        held->sessions.for_each([](const auto& s) {
             if (!s->busy)
                 s->stream.cancel();
+        });
         co_await pause_for(held->executor, drain_poll_interval);
     }
 }
 
 void http_server::set_refusal_observer(refusal_observer observer)
 {
-    core_->observer = std::move(observer);
+    core_->refusals.set_observer(std::move(observer));
 }
 
 const std::string& http_server::name() const
--- a/src/libutil/settings.cpp
+++ b/src/libutil/settings.cpp
@@ -1,5 +1,6 @@
 #include <dandeliontack/settings.hpp>
 
+#include <algorithm>
 #include <array>
 
 namespace dandeliontack
@@ -91,6 +92,20 @@
         limits.buffer_share);
 }
 
+std::size_t client_connections_of(const machine_limits& limits)
+{
+    // For calls that the process makes, and for files, where that leaves more
+    // than half of the descriptors.
+    constexpr std::uint64_t own_descriptors = 1000;
+    constexpr std::uint64_t bytes_per_connection = 12 * 1024;
+    const auto by_descriptors = limits.descriptors > 2 * own_descriptors
+                                    ? limits.descriptors - own_descriptors
+                                    : limits.descriptors / 2;
+    const auto by_memory =
+        limits.memory_mb * bytes_per_mb / 4 / bytes_per_connection;
+    return std::min(by_descriptors, by_memory);
+}
+
 void check_clashes(
     const ini_document& document, const std::vector<bound_address>& addresses,
     findings& found)
--- a/src/tack-control/main.cpp
+++ b/src/tack-control/main.cpp
@@ -9,6 +9,8 @@
 #include <absl/flags/flag.h>
 #include <boost/asio.hpp>
 
+#include <algorithm>
+
 ABSL_FLAG(
     std::string, settings, "/etc/dandeliontack/control.ini",
     "The settings file (INI).");
@@ -25,6 +27,19 @@
 constexpr auto effects_interval = std::chrono::milliseconds(50);
 constexpr auto stop_patience = std::chrono::seconds(2);
 
+// The part of the connections that the pages get, as a divisor.
+constexpr std::size_t page_part = 4;
+
+http_limits page_limits_of(const machine_limits& machine)
+{
+    http_limits limits;
+    limits.body_bytes = 4 * 1024;
+    limits.connections =
+        std::max<std::size_t>(client_connections_of(machine) / page_part, 1);
+    limits.buffered_bytes = buffered_bytes_of(machine);
+    return limits;
+}
+
 asio::awaitable<void> run_until_stopped(
     control_node& node, http_server& admin, control_server& server)
 {
@@ -54,7 +69,7 @@
         executor, settings.hosts.address, settings.hosts.timeout);
     effect_runner runner(executor, node, *platform, effects_interval);
     http_server admin(
-        executor, {}, metrics,
+        executor, page_limits_of(settings.limits), metrics,
         with_tokens(
             settings.api, admin_pages(
                               metrics, [&] { return node.ready(); },
--- a/src/tack-entry/main.cpp
+++ b/src/tack-entry/main.cpp
@@ -6,6 +6,7 @@
 #include <absl/flags/flag.h>
 #include <boost/asio.hpp>
 
+#include <algorithm>
 #include <cstdlib>
 
 ABSL_FLAG(
@@ -23,19 +24,50 @@
 
 constexpr auto admin_patience = std::chrono::seconds(1);
 
-http_limits limits_of(const callers_settings& callers)
+// The part of the connections that each address is guaranteed, as a divisor.
+constexpr std::size_t caller_part = 2;
+constexpr std::size_t page_part = 8;
+
+http_limits limits_of(
+    const machine_limits& machine,
+    const std::shared_ptr<connection_budget>& connections, std::size_t part)
 {
     http_limits limits;
+    limits.connections = client_connections_of(machine);
+    limits.shared_connections = connections;
+    limits.guaranteed_connections =
+        std::max<std::size_t>(limits.connections / part, 1);
+    limits.buffered_bytes = buffered_bytes_of(machine);
+    return limits;
+}
+
+http_limits caller_limits(
+    const entry_settings& settings,
+    const std::shared_ptr<connection_budget>& connections)
+{
+    const auto& callers = settings.callers;
+    auto limits = limits_of(settings.limits, connections, caller_part);
     limits.header_bytes = static_cast<std::uint32_t>(callers.header_bytes);
     limits.body_bytes = callers.body_bytes;
-    limits.connections = callers.connections;
+    limits.connections =
+        std::min<std::size_t>(limits.connections, callers.connections);
     limits.idle = callers.idle;
     limits.transfer = callers.transfer;
-    limits.buffered_bytes = callers.buffered_bytes;
+    limits.buffered_bytes =
+        std::min(limits.buffered_bytes, callers.buffered_bytes);
     limits.server = "callers";
     return limits;
 }
 
+http_limits page_limits(
+    const entry_settings& settings,
+    const std::shared_ptr<connection_budget>& connections)
+{
+    auto limits = limits_of(settings.limits, connections, page_part);
+    limits.body_bytes = 4 * 1024;
+    return limits;
+}
+
 http_server::handler make_entry_api(const entry_service& service)
 {
     return [&service](http_request request) -> asio::awaitable<http_response> {
@@ -75,13 +107,15 @@
     const auto executor = context.get_executor();
     bool stopping = false;
     entry_service service(executor, settings, metrics);
+    const auto connections = std::make_shared<connection_budget>(
+        client_connections_of(settings.limits));
     http_server callers(
-        executor, limits_of(settings.callers), metrics,
+        executor, caller_limits(settings, connections), metrics,
         [&](http_request request) {
             return service.handle(std::move(request));
         });
     http_server admin(
-        executor, {}, metrics,
+        executor, page_limits(settings, connections), metrics,
         with_tokens(
             settings.api,
             admin_pages(
