Responses that nobody reads give way

What callers saw: 400 callers that send 1 MB and read nothing of as much in response brought an entry process to 111 MB of 64. Cause: a complete request and its response never gave way, however long the response waited for its reader; what is being written was bounded by the number of connections alone. Change: a response that is being written is the last to give way, after new connections and incomplete messages, by the product of bytes and time. Requests that are being served still never do. Such a connection ends without more, so nothing untrue is said of the request. Result: buffer_budget_test shows the order.

--- a/src/include/dandeliontack/buffer_budget.hpp
+++ b/src/include/dandeliontack/buffer_budget.hpp
@@ -11,11 +11,22 @@
 
 class buffer_share;
 
+enum class buffer_share_state
+{
+    idle,
+    incomplete,
+    complete,
+    responding,
+    given_up
+};
+
 /// Bounds the bytes that all connections of a server or client hold together
 /// for messages that senders outside of our control may make large or slow.
 /// Where the bytes run short it gives way in this order: new connections, then
 /// the incomplete messages that have held most bytes for longest, measured by
-/// the product of both. Complete requests keep their bytes. For one thread.
+/// the product of both, then in the same way the responses that are being
+/// written, as their readers are slow. Requests that are being served keep
+/// their bytes. For one thread.
 class buffer_budget
 {
 public:
@@ -46,6 +57,9 @@
     friend class buffer_share;
 
     void shed(time_point now);
+    // Lets the shares in `from` give up until `wanted` bytes are held.
+    void
+    shed_from(buffer_share_state from, std::uint64_t wanted, time_point now);
 
     std::uint64_t limit_;
     std::uint64_t held_ = 0;
@@ -77,6 +91,9 @@
     bool has_room() const;
     /// The message is complete: it no longer gives way.
     void complete();
+    /// A response begins to be written; it gives way after all that is
+    /// incomplete.
+    void respond(time_point now);
     /// Nothing is held any more.
     void release();
 
@@ -84,20 +101,12 @@
     /// once it is released.
     bool has_given_up() const
     {
-        return state_ == state::given_up;
+        return state_ == buffer_share_state::given_up;
     }
 
 private:
     friend class buffer_budget;
 
-    enum class state
-    {
-        idle,
-        incomplete,
-        complete,
-        given_up
-    };
-
     void set_bytes(std::uint64_t bytes);
     void give_up();
 
@@ -106,7 +115,7 @@
     std::list<buffer_share*>::iterator place_;
     std::uint64_t bytes_ = 0;
     time_point since_;
-    state state_ = state::idle;
+    buffer_share_state state_ = buffer_share_state::idle;
 };
 
 } // namespace dandeliontack
--- a/src/libutil/buffer_budget.cpp
+++ b/src/libutil/buffer_budget.cpp
@@ -33,6 +33,16 @@
 }
 
 void buffer_budget::shed(time_point now)
+{
+    shed_from(
+        buffer_share_state::incomplete, share_of(limit_, shed_share), now);
+    if (held_ > limit_)
+        shed_from(
+            buffer_share_state::responding, share_of(limit_, shed_share), now);
+}
+
+void buffer_budget::shed_from(
+    buffer_share_state from, std::uint64_t wanted, time_point now)
 {
     // A message that has just begun counts by its bytes.
     const auto cost = [now](const buffer_share* share) {
@@ -42,11 +52,9 @@
     };
     std::vector<std::pair<double, buffer_share*>> by_cost;
     for (auto* share : shares_)
-        if (share->state_ == buffer_share::state::incomplete &&
-            share->bytes_ != 0)
+        if (share->state_ == from && share->bytes_ != 0)
             by_cost.emplace_back(cost(share), share);
     std::ranges::sort(by_cost, std::greater<>());
-    const auto wanted = share_of(limit_, shed_share);
     for (auto* share : by_cost | std::views::values)
     {
         if (held_ <= wanted)
@@ -71,12 +79,12 @@
 void buffer_share::begin(time_point now)
 {
     since_ = now;
-    state_ = state::incomplete;
+    state_ = buffer_share_state::incomplete;
 }
 
 bool buffer_share::hold(std::uint64_t bytes, time_point now)
 {
-    if (state_ == state::given_up)
+    if (state_ == buffer_share_state::given_up)
         return true;
     const bool more = bytes > bytes_;
     set_bytes(bytes);
@@ -87,29 +95,37 @@
 
 bool buffer_share::has_room() const
 {
-    return state_ == state::given_up || budget_->leaving_ == 0 ||
+    return state_ == buffer_share_state::given_up || budget_->leaving_ == 0 ||
            budget_->held_ + budget_->leaving_ <= budget_->limit_;
 }
 
 void buffer_share::complete()
 {
-    if (state_ == state::incomplete)
-        state_ = state::complete;
+    if (state_ == buffer_share_state::incomplete)
+        state_ = buffer_share_state::complete;
+}
+
+void buffer_share::respond(time_point now)
+{
+    if (state_ != buffer_share_state::complete)
+        return;
+    since_ = now;
+    state_ = buffer_share_state::responding;
 }
 
 void buffer_share::release()
 {
-    if (state_ == state::given_up)
+    if (state_ == buffer_share_state::given_up)
         budget_->leaving_ -= std::exchange(bytes_, 0);
     set_bytes(0);
-    state_ = state::idle;
+    state_ = buffer_share_state::idle;
 }
 
 void buffer_share::give_up()
 {
     budget_->held_ -= bytes_;
     budget_->leaving_ += bytes_;
-    state_ = state::given_up;
+    state_ = buffer_share_state::given_up;
     end_message_();
 }
 
--- a/src/libutil/buffer_budget_test.cpp
+++ b/src/libutil/buffer_budget_test.cpp
@@ -70,6 +70,24 @@
     EXPECT_FALSE(budget->admits_connection(start + 1s));
 }
 
+TEST_F(buffer_budget_test, responses_give_way_after_incomplete_messages)
+{
+    const auto unread = begin(start);
+    unread->hold(500, start);
+    unread->complete();
+    unread->respond(start);
+    const auto incomplete = begin(start);
+    incomplete->hold(400, start);
+    const auto served = begin(start + 1s);
+    served->hold(200, start + 1s);
+    served->complete();
+    EXPECT_TRUE(incomplete->has_given_up());
+    EXPECT_FALSE(unread->has_given_up());
+    served->hold(600, start + 2s);
+    EXPECT_TRUE(unread->has_given_up());
+    EXPECT_FALSE(served->has_given_up());
+}
+
 RC_GTEST_FIXTURE_PROP(
     buffer_budget_test, incomplete_messages_keep_within_the_limit, ())
 {
--- a/src/libutil/http_server.cpp
+++ b/src/libutil/http_server.cpp
@@ -421,6 +421,7 @@
     if (!response)
         co_return false;
     reserve(s, bytes_of(s.buffer) + response->body().size());
+    s.share.respond(std::chrono::steady_clock::now());
     const bool written = co_await write_response(
         s, std::move(*response), keep_alive && !closing);
     s.busy = false;
