gRPC stands behind a gate that bounds its clients

What callers saw: a header without end on 4 connections brought tack-control to 2,277 MB, streams that are reset at once to 2,211 MB, streams that stay to 696 MB, messages that stop to 748 MB, pings to 120 MB, and connections to 1,521 descriptors of 1,000. Cause: gRPC keeps an unfinished field, and the fields of a block, without a bound; its bound on streams holds only once the client has acknowledged it; it answers control frames of a client that doesn't read; nothing bounds how many connections it accepts. Change: grpc_gate accepts the connections itself, follows the frames of both sides without keeping them, and passes them on through a pair of sockets. It bounds connections by the machine, in the same order of giving way as the HTTP servers, a block of fields with its frames, frames, calls under way, and what the frames of a second may cost; it reads nothing of a client that doesn't read. gRPC itself gets a quota of memory, bounds on requests and fixed windows. Weighed: an interceptor (it comes after the header), the quota alone (it doesn't count what is unparsed), a server of our own (more protocol for the same).

--- a/src/include/dandeliontack/control_server.hpp
+++ b/src/include/dandeliontack/control_server.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <dandeliontack/endpoint.hpp>
+#include <dandeliontack/grpc_gate.hpp>
 #include <dandeliontack/metrics.hpp>
 #include <dandeliontack/relay_buffer.hpp>
 #include <dandeliontack/routing.hpp>
@@ -17,7 +18,8 @@
 {
 public:
     /// `metrics` must outlive the server.
-    explicit control_server(metric_registry& metrics);
+    explicit control_server(
+        metric_registry& metrics, const grpc_limits& limits = {});
     ~control_server();
     control_server(const control_server&) = delete;
     control_server& operator=(const control_server&) = delete;
--- a/src/libpeer/control_server.cpp
+++ b/src/libpeer/control_server.cpp
@@ -4,6 +4,8 @@
 #include <dandeliontack/control_server.hpp>
 
 #include <grpcpp/grpcpp.h>
+#include <grpcpp/resource_quota.h>
+#include <grpcpp/server_posix.h>
 
 #include <mutex>
 #include <set>
@@ -169,19 +171,27 @@
 
 struct control_server::core
 {
-    explicit core(metric_registry& metrics)
-        : service(shared, metrics), peers(records)
+    core(metric_registry& metrics, const grpc_limits& bounds)
+        : limits(bounds),
+          service(shared, metrics),
+          peers(records),
+          gate(limits, metrics, [this](int descriptor) {
+              grpc::AddInsecureChannelFromFd(server.get(), descriptor);
+          })
     {}
 
+    grpc_limits limits;
     hub shared;
     relay_buffer records;
     control_service service;
     peer_service peers;
     std::unique_ptr<grpc::Server> server;
+    grpc_gate gate;
 };
 
-control_server::control_server(metric_registry& metrics)
-    : core_(std::make_unique<core>(metrics))
+control_server::control_server(
+    metric_registry& metrics, const grpc_limits& limits)
+    : core_(std::make_unique<core>(metrics, limits))
 {}
 
 control_server::~control_server()
@@ -191,17 +201,28 @@
 
 endpoint control_server::listen(const endpoint& where)
 {
-    int port = 0;
+    const auto& limits = core_->limits;
     grpc::ServerBuilder builder;
-    builder.AddListeningPort(
-        to_string(where), grpc::InsecureServerCredentials(), &port);
-    builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+    builder.SetResourceQuota(
+        grpc::ResourceQuota("clients").Resize(limits.buffered_bytes));
+    builder.SetMaxReceiveMessageSize(limits.request_bytes);
+    builder.AddChannelArgument(
+        GRPC_ARG_MAX_CONCURRENT_STREAMS,
+        static_cast<int>(limits.frames.requests));
+    builder.AddChannelArgument(
+        GRPC_ARG_MAX_METADATA_SIZE,
+        static_cast<int>(limits.frames.header_bytes));
+    builder.AddChannelArgument(
+        GRPC_ARG_HTTP2_MAX_FRAME_SIZE,
+        static_cast<int>(limits.frames.frame_bytes));
+    // The windows of clients stay as they are at first.
+    builder.AddChannelArgument(GRPC_ARG_HTTP2_BDP_PROBE, 0);
     builder.RegisterService(&core_->service);
     builder.RegisterService(&core_->peers);
     core_->server = builder.BuildAndStart();
-    if (!core_->server || port == 0)
-        throw std::runtime_error("can't listen on " + to_string(where));
-    return {where.address, static_cast<std::uint16_t>(port)};
+    if (!core_->server)
+        throw std::runtime_error("can't serve on " + to_string(where));
+    return core_->gate.listen(where);
 }
 
 void control_server::publish(const routing_table& table)
@@ -241,6 +262,7 @@
 {
     if (!core_->server)
         return;
+    core_->gate.stop();
     core_->server->Shutdown(
         std::chrono::system_clock::now() + shutdown_patience);
     core_->server->Wait();
--- a/src/tack-control/main.cpp
+++ b/src/tack-control/main.cpp
@@ -40,6 +40,21 @@
     return limits;
 }
 
+grpc_limits grpc_limits_of(const machine_limits& machine)
+{
+    // The client's and the two between the gate and gRPC.
+    constexpr std::size_t descriptors_per_connection = 3;
+    // Its window and its calls.
+    constexpr std::size_t bytes_per_connection = 128 * 1024;
+    grpc_limits limits;
+    limits.buffered_bytes = buffered_bytes_of(machine);
+    const auto all = client_connections_of(machine);
+    limits.connections = std::clamp<std::size_t>(
+        (all - all / page_part) / descriptors_per_connection, 1,
+        std::max<std::size_t>(limits.buffered_bytes / bytes_per_connection, 1));
+    return limits;
+}
+
 asio::awaitable<void> run_until_stopped(
     control_node& node, http_server& admin, control_server& server)
 {
@@ -62,7 +77,7 @@
         executor, settings.log.address, settings.log.timeout);
     const auto hosts = make_http_host_list_client(
         executor, settings.hosts.address, settings.hosts.timeout);
-    control_server server(metrics);
+    control_server server(metrics, grpc_limits_of(settings.limits));
     control_node node(executor, settings, *log, *hosts, server, metrics);
     capacity_duty capacity(executor, node, planning_interval);
     const auto platform = make_http_platform_commands(
