Entry: what is held for a request counts once, and for its machine

What callers saw: 100 callers with bodies of 1 MB brought an entry process to 99 MB of 64, and bodies that stop to 107 MB. Cause: each attempt copied the request that the service kept for the next one; responses of upstreams had no bound together; tickets and kept answers had fixed bounds whatever the machine, and answers counted without their fields. Copies that wait for the same ticket searched all that waited when they ended. Change: an attempt sends the kept request itself (exchange_in_place; http_pool uses it too and makes no copies for named peers either); the responses that are read share a budget of limits.buffer_share; tickets get a sixteenth and kept answers an eighth of the memory, within their own settings, fields counted; each waiting copy knows its place.

--- a/src/include/dandeliontack/entry_service.hpp
+++ b/src/include/dandeliontack/entry_service.hpp
@@ -93,9 +93,8 @@
     bool is_stale(const route& to) const;
     boost::asio::awaitable<served> serve(call c);
     boost::asio::awaitable<served> serve_routed(call c);
-    boost::asio::awaitable<attempt> try_once(const call& c);
-    boost::asio::awaitable<attempt>
-    send(const call& c, upstream_pool::lease lease);
+    boost::asio::awaitable<attempt> try_once(call& c);
+    boost::asio::awaitable<attempt> send(call& c, upstream_pool::lease lease);
     attempt
     judge(exchange_result result, const std::string& id, upstream_pool::lease&);
     attempt refused(admission_refusal why);
@@ -116,6 +115,8 @@
     bool has_table_ = false;
     applied_position applied_;
     std::chrono::steady_clock::time_point confirmed_;
+    /// What the responses that are being read may hold together.
+    std::shared_ptr<buffer_budget> responses_;
     upstream_pool upstreams_;
     admission admission_;
     retry_budget retries_;
--- a/src/include/dandeliontack/http_connection.hpp
+++ b/src/include/dandeliontack/http_connection.hpp
@@ -54,6 +54,11 @@
         http_request request, std::chrono::milliseconds timeout,
         send_permission may_send = {});
 
+    /// The same for a request that outlives the call.
+    boost::asio::awaitable<exchange_result> exchange_in_place(
+        const http_request& request, std::chrono::milliseconds timeout,
+        send_permission may_send = {});
+
     /// The name that the caller has given to the process at the other end;
     /// empty for a connection that has been opened since then.
     const std::string& peer_name() const;
--- a/src/include/dandeliontack/ticket_service.hpp
+++ b/src/include/dandeliontack/ticket_service.hpp
@@ -39,10 +39,11 @@
     using run_function =
         std::function<boost::asio::awaitable<served>(http_request)>;
 
-    /// `metrics` must outlive the object.
+    /// `metrics` must outlive the object. `responses` bounds those of other
+    /// entry processes.
     ticket_service(
         boost::asio::any_io_executor executor, const entry_settings& settings,
-        metric_registry& metrics);
+        metric_registry& metrics, std::shared_ptr<buffer_budget> responses);
 
     /// Sets where other entry processes reach this one. Needed before
     /// `issue`.
@@ -62,7 +63,6 @@
 
 private:
     using time_point = std::chrono::steady_clock::time_point;
-    using timer_pointer = std::shared_ptr<boost::asio::steady_timer>;
 
     bool is_peer(const endpoint& where) const;
     boost::asio::awaitable<http_response> handle_own(
@@ -85,7 +85,7 @@
     std::set<std::string> peers_;
     ticket_table table_;
     upstream_pool issuers_;
-    std::multimap<std::uint64_t, timer_pointer> waiting_;
+    std::multimap<std::uint64_t, boost::asio::steady_timer> waiting_;
     std::uint64_t last_forward_ = 0;
     bool issuing_ = true;
 };
--- a/src/include/dandeliontack/ticket_table.hpp
+++ b/src/include/dandeliontack/ticket_table.hpp
@@ -53,7 +53,7 @@
 {
     std::size_t capacity = 65536;
     std::chrono::milliseconds lifetime = std::chrono::minutes(10);
-    /// Bytes of answers' bodies that are kept.
+    /// Bytes of answers that are kept, with their fields.
     std::size_t answer_bytes = 16 * 1024 * 1024;
 };
 
@@ -65,6 +65,9 @@
 public:
     using time_point = std::chrono::steady_clock::time_point;
 
+    /// What a ticket without an answer takes, in bytes.
+    static constexpr std::size_t bytes_per_ticket = 192;
+
     explicit ticket_table(ticket_limits limits);
 
     /// Adds a new ticket. False where the table is full of unexpired ones or
--- a/src/include/dandeliontack/upstream_pool.hpp
+++ b/src/include/dandeliontack/upstream_pool.hpp
@@ -25,6 +25,8 @@
     std::uint64_t index = 0;
     /// Bytes of a response's body.
     std::uint64_t body_bytes = 16 * 1024 * 1024;
+    /// Of the responses that are being read, if it is shared or bounded.
+    std::shared_ptr<buffer_budget> budget;
 };
 
 /// Connections to upstreams and how many requests are under way at each.
--- a/src/libentry/entry_service.cpp
+++ b/src/libentry/entry_service.cpp
@@ -63,16 +63,18 @@
       requests_(metrics.get_counter("tack_requests_total")),
       request_times_(metrics.get_summary("tack_request_seconds")),
       out_("entry.service"),
+      responses_(
+          std::make_shared<buffer_budget>(buffered_bytes_of(settings.limits))),
       upstreams_(
           executor,
           {settings.upstreams.entry_processes, settings.upstreams.entry_index,
-           settings.upstreams.body_bytes}),
+           settings.upstreams.body_bytes, responses_}),
       admission_(
           executor, upstreams_, settings.upstreams.queue,
           [this](const service_key& key) -> const std::vector<upstream>& {
               return upstreams_of(key);
           }),
-      tickets_(executor, settings, metrics),
+      tickets_(executor, settings, metrics, responses_),
       request_prefix_(to_string(make_incarnation()) + "-")
 {}
 
@@ -256,7 +258,7 @@
     return true;
 }
 
-asio::awaitable<entry_service::attempt> entry_service::try_once(const call& c)
+asio::awaitable<entry_service::attempt> entry_service::try_once(call& c)
 {
     auto admitted =
         co_await admission_.admit(c.service, c.options.rank, c.deadline);
@@ -278,20 +280,19 @@
 }
 
 asio::awaitable<entry_service::attempt>
-entry_service::send(const call& c, upstream_pool::lease lease)
+entry_service::send(call& c, upstream_pool::lease lease)
 {
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
         c.deadline - std::chrono::steady_clock::now());
     if (left.count() <= 0)
         co_return refused(admission_refusal::too_late);
     const auto id = request_prefix_ + std::to_string(++last_request_);
-    auto request = c.request;
+    auto& request = c.request;
     request.set(http::field::host, to_string(lease.target().address));
     request.set(request_id_header, id);
     request.set(deadline_header, std::to_string(left.count()));
     request.prepare_payload();
-    auto result =
-        co_await lease.connection().exchange(std::move(request), left);
+    auto result = co_await lease.connection().exchange_in_place(request, left);
     co_return judge(std::move(result), id, lease);
 }
 
--- a/src/libentry/ticket_service.cpp
+++ b/src/libentry/ticket_service.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/http.hpp>
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -57,20 +58,35 @@
         ticket_verdict::forgotten, http::status::conflict, outcome::unknown,
         "ticket not known", "it has expired or was never issued"}};
 
+ticket_limits limits_of(const entry_settings& settings)
+{
+    // A sixteenth of the memory for tickets, and an eighth for answers.
+    constexpr std::uint64_t bytes_per_mb = 1024 * 1024;
+    constexpr std::uint64_t tickets_divisor = 16;
+    constexpr std::uint64_t answers_divisor = 8;
+    const auto memory = settings.limits.memory_mb * bytes_per_mb;
+    return {
+        std::min(
+            settings.tickets.capacity,
+            memory / tickets_divisor / ticket_table::bytes_per_ticket),
+        settings.tickets.lifetime,
+        std::min(settings.tickets.answer_bytes, memory / answers_divisor)};
+}
+
 } // namespace
 
 ticket_service::ticket_service(
     asio::any_io_executor executor, const entry_settings& settings,
-    metric_registry& metrics)
+    metric_registry& metrics, std::shared_ptr<buffer_budget> responses)
     : executor_(std::move(executor)),
       metrics_(metrics),
       self_(make_incarnation()),
       address_(settings.tickets.advertise.value_or(settings.callers.listen)),
       peers_(settings.tickets.peers.begin(), settings.tickets.peers.end()),
-      table_(
-          {settings.tickets.capacity, settings.tickets.lifetime,
-           settings.tickets.answer_bytes}),
-      issuers_(executor_, {.body_bytes = settings.upstreams.body_bytes})
+      table_(limits_of(settings)),
+      issuers_(
+          executor_, {.body_bytes = settings.upstreams.body_bytes,
+                      .budget = std::move(responses)})
 {}
 
 void ticket_service::set_address(endpoint address)
@@ -186,19 +202,17 @@
             : nullptr);
     const auto [first, last] = waiting_.equal_range(number);
     for (auto item = first; item != last; ++item)
-        item->second->cancel();
-    waiting_.erase(first, last);
+        item->second.cancel();
 }
 
 asio::awaitable<void>
 ticket_service::wait_for_end(std::uint64_t number, time_point deadline)
 {
-    const auto timer =
-        std::make_shared<asio::steady_timer>(executor_, deadline);
-    waiting_.emplace(number, timer);
-    co_await timer->async_wait(no_throw);
-    std::erase_if(
-        waiting_, [&](const auto& item) { return item.second == timer; });
+    const auto place = waiting_.emplace(
+        std::piecewise_construct, std::forward_as_tuple(number),
+        std::forward_as_tuple(executor_, deadline));
+    co_await place->second.async_wait(no_throw);
+    waiting_.erase(place);
 }
 
 http_response ticket_service::answer_to(const ticket_claim& claim)
--- a/src/libentry/ticket_table.cpp
+++ b/src/libentry/ticket_table.cpp
@@ -27,6 +27,17 @@
     return {text.data(), text.size()};
 }
 
+// A response with what holds its fields.
+std::size_t bytes_of(const http_response& response)
+{
+    constexpr std::size_t field_overhead_bytes = 80;
+    std::size_t bytes = response.body().size();
+    for (const auto& field : response)
+        bytes += field.name_string().size() + field.value().size() +
+                 field_overhead_bytes;
+    return bytes;
+}
+
 } // namespace
 
 std::uint64_t fingerprint_of(const http_request& request)
@@ -98,10 +109,10 @@
     if (end != run_end::answered)
         return;
     item.at = state::answered;
-    if (!answer || answer->body().size() > limits_.answer_bytes)
+    if (!answer || bytes_of(*answer) > limits_.answer_bytes)
         return;
     item.answer = std::move(answer);
-    kept_bytes_ += item.answer->body().size();
+    kept_bytes_ += bytes_of(*item.answer);
     kept_.push_back(number);
     while (kept_bytes_ > limits_.answer_bytes)
     {
@@ -115,7 +126,7 @@
 void ticket_table::drop_answer(entry& from)
 {
     if (from.answer)
-        kept_bytes_ -= from.answer->body().size();
+        kept_bytes_ -= bytes_of(*from.answer);
     from.answer.reset();
 }
 
--- a/src/libentry/upstream_pool.cpp
+++ b/src/libentry/upstream_pool.cpp
@@ -44,7 +44,7 @@
 
 upstream_pool::upstream_pool(
     boost::asio::any_io_executor executor, upstream_limits limits)
-    : executor_(std::move(executor)), limits_(limits), freed_([] {})
+    : executor_(std::move(executor)), limits_(std::move(limits)), freed_([] {})
 {}
 
 void upstream_pool::on_freed(std::function<void()> freed)
@@ -98,7 +98,7 @@
     auto& idle = peers_[target.address].idle;
     if (idle.empty())
         return std::make_unique<http_connection>(
-            executor_, target.address, limits_.body_bytes);
+            executor_, target.address, limits_.body_bytes, limits_.budget);
     auto connection = std::move(idle.back());
     idle.pop_back();
     return connection;
--- a/src/libutil/http_connection.cpp
+++ b/src/libutil/http_connection.cpp
@@ -191,6 +191,15 @@
 asio::awaitable<exchange_result> http_connection::exchange(
     http_request request, std::chrono::milliseconds timeout,
     send_permission may_send)
+{
+    auto result =
+        co_await exchange_in_place(request, timeout, std::move(may_send));
+    co_return result;
+}
+
+asio::awaitable<exchange_result> http_connection::exchange_in_place(
+    const http_request& request, std::chrono::milliseconds timeout,
+    send_permission may_send)
 {
     auto& c = *core_;
     if (c.open && !c.quiet())
--- a/src/libutil/http_pool.cpp
+++ b/src/libutil/http_pool.cpp
@@ -69,8 +69,8 @@
     send_permission may_send)
 {
     auto connection = take(peer);
-    auto result = co_await connection.exchange(
-        std::move(request), timeout, std::move(may_send));
+    auto result = co_await connection.exchange_in_place(
+        request, timeout, std::move(may_send));
     give_back(peer, std::move(connection), result);
     co_return result;
 }
@@ -87,21 +87,20 @@
         is_named = connection.peer_name() == check.expected;
         return is_named && (!may_send || may_send());
     };
-    auto copy = request;
-    auto result = co_await connection.exchange(
-        std::move(copy), timeout, may_send_to_named);
+    auto result = co_await connection.exchange_in_place(
+        request, timeout, may_send_to_named);
     if (!is_named)
     {
-        result = co_await connection.exchange(
-            std::move(check.question), timeout, may_send);
+        result = co_await connection.exchange_in_place(
+            check.question, timeout, may_send);
         const auto* answer = std::get_if<http_response>(&result);
         if (answer && connection.reusable())
             connection.set_peer_name(check.name_of(*answer));
         if (auto* error = std::get_if<exchange_error>(&result))
             error->result = outcome::not_run;
         else if (!check.question_suffices)
-            result = co_await connection.exchange(
-                std::move(request), timeout, may_send_to_named);
+            result = co_await connection.exchange_in_place(
+                request, timeout, may_send_to_named);
     }
     give_back(peer, std::move(connection), result);
     co_return result;
