Decoding a submission costs what its limits allow

What callers saw: whole, permitted requests of 256 KB brought a node to 82 MB of 64: steps without fields, 3 bytes each and some 300 decoded; findings for each of 100,000 items; and numbers that overflow sums over tasks were accepted. Cause: the number of steps was checked after all were decoded, each wrong item of a list was a finding of its own, and the parsed text had no bound. What a task needs had a lower bound only. The text is freed once it is decoded.

--- a/src/include/dandeliontack/caller_front.hpp
+++ b/src/include/dandeliontack/caller_front.hpp
@@ -43,7 +43,7 @@
     };
 
     boost::asio::awaitable<http_response>
-    submit(const http_request& request, request_scope& scope);
+    submit(std::string body, request_scope& scope);
     /// Refuses a submission whose record the store would not accept.
     std::optional<http_response>
     check_stored_size(const submission_record& record) const;
--- a/src/include/dandeliontack/submission.hpp
+++ b/src/include/dandeliontack/submission.hpp
@@ -135,6 +135,9 @@
     bool operator==(const submission_record&) const = default;
 };
 
+/// The most steps of a submission.
+inline constexpr std::size_t max_steps = 256;
+
 /// The state of a submission as reported to callers.
 enum class submission_phase : std::uint8_t
 {
--- a/src/libnode/caller_front.cpp
+++ b/src/libnode/caller_front.cpp
@@ -209,7 +209,7 @@
     else if (method == http::verb::delete_)
         response = co_await cancel(scope);
     else if (method == http::verb::post)
-        response = co_await submit(request, scope);
+        response = co_await submit(std::move(request.body()), scope);
     else
         response = error_response(
             http::status::method_not_allowed, outcome::not_run,
@@ -270,14 +270,17 @@
 }
 
 asio::awaitable<http_response>
-caller_front::submit(const http_request& request, request_scope& scope)
+caller_front::submit(std::string body, request_scope& scope)
 {
     const auto id = parse_submission_name(scope.path_suffix);
     if (!id)
         co_return error_response(
             http::status::bad_request, outcome::not_run,
             "malformed submission id", malformed_id_detail(scope.path_suffix));
-    auto decoded = platform::decode_submission(request.body());
+    auto decoded = platform::decode_submission(
+        body, decoded_bytes_of(context_.settings.limits));
+    // The decoded form takes its place.
+    std::string().swap(body);
     if (const auto* wrong = std::get_if<findings>(&decoded))
         co_return error_response(
             http::status::bad_request, outcome::not_run, "malformed submission",
--- a/src/libnode/tack_node_settings.cpp
+++ b/src/libnode/tack_node_settings.cpp
@@ -219,6 +219,14 @@
     return settings.limits.memory_mb * bytes_per_mb / 2 / bytes_per_task;
 }
 
+std::uint64_t decoded_bytes_of(const machine_limits& limits)
+{
+    // Holds the largest request that can be run.
+    constexpr std::uint64_t least = 2 * bytes_per_mb;
+    constexpr std::uint64_t memory_divisor = 32;
+    return std::max(least, limits.memory_mb * bytes_per_mb / memory_divisor);
+}
+
 pool_terms pool_terms_of(const tack_node_settings& settings)
 {
     // Finished submissions are kept for longer than callers may ask for them.
--- a/src/libsched/submission.cpp
+++ b/src/libsched/submission.cpp
@@ -15,10 +15,12 @@
 constexpr int hexadecimal = 16;
 constexpr std::size_t task_name_numbers = 3;
 // Limits that keep a single submission from using up a host's memory.
-constexpr std::size_t max_steps = 256;
 constexpr std::uint32_t max_tasks_per_step = 100'000;
 constexpr std::uint64_t max_tasks = 100'000;
 constexpr std::size_t max_text = 4000;
+// Far more than a host has, and small enough for sums over all tasks.
+constexpr std::int64_t max_need = 1'000'000'000'000;
+constexpr std::chrono::milliseconds max_duration = std::chrono::years(10);
 // The time from the first to the last occurrence.
 constexpr std::chrono::milliseconds max_schedule = std::chrono::years(1000);
 
@@ -118,7 +120,8 @@
     if (spec.steps.size() > max_steps)
         errors.push_back(
             {"steps", "must contain at most " + std::to_string(max_steps) +
-                          " steps, has " + std::to_string(spec.steps.size())});
+                          " steps, has at least " +
+                          std::to_string(spec.steps.size())});
     if (spec.repetitions > 1 && spec.interval.count() <= 0)
         errors.push_back({"interval", "must be above 0"});
     if (spec.repetitions > 1 && spec.interval > max_schedule / spec.repetitions)
@@ -163,6 +166,26 @@
             {"text", "must be at most " + std::to_string(max_text) +
                          " bytes long, is " +
                          std::to_string(spec.text.size())});
+    for (std::size_t i = 0; i < spec.steps.size(); ++i)
+    {
+        const auto& step = spec.steps[i];
+        const auto path = "steps[" + std::to_string(i) + "].";
+        const auto check = [&](std::string_view key, std::int64_t number,
+                               std::int64_t most) {
+            if (number < 0 || number > most)
+                errors.push_back(
+                    {path + std::string(key),
+                     "must be from 0 to " + std::to_string(most) + ", is " +
+                         std::to_string(number)});
+        };
+        check("need.cpu_milli", step.need.cpu_milli, max_need);
+        check("need.memory_mb", step.need.memory_mb, max_need);
+        check("need.accelerators", step.need.accelerators, max_need);
+        check("estimate", step.estimate.count(), max_duration.count());
+        check(
+            "latency_objective", step.latency_objective.count(),
+            max_duration.count());
+    }
     return errors;
 }
 
