What is kept of submissions counts in bytes

What callers saw: submissions with labels of 192 KB brought a node to 187 MB of 64, repeated dependencies to 92 MB, and 20 schedules that are due all at once to 477 MB. Cause: what a node may accept was counted in tasks of 512 bytes, one occurrence each. Texts, steps, further occurrences and finished submissions were not counted. The count went through all submissions for each new one, and so did each question for the pending ones. A request was held up to five times while it was being stored. Change: kept_memory counts the bytes of all shards of a node as they change; its limit is three eighths of the memory beyond what the process itself uses. A submission that doesn't fit is refused at once with 503, and a schedule opens further occurrences as others are done. Pending submissions are counted at most ten times a second. The record of a call is shared by its attempts, and the budget of a server counts a request as often as it is held. A new test plays crowds at once.

--- a/src/include/dandeliontack/http_server.hpp
+++ b/src/include/dandeliontack/http_server.hpp
@@ -37,6 +37,9 @@
     /// What all connections may hold together of requests and responses, in
     /// bytes, beside a fixed cost of each; see `buffer_budget`.
     std::uint64_t buffered_bytes = 64 * 1024 * 1024;
+    /// How many times a request is held while it is served: as it came, or
+    /// decoded, and encoded for whom it is passed on to. At least 1.
+    std::uint64_t request_copies = 1;
     /// Labels the server's metrics if it isn't empty.
     std::string server;
 
--- a/src/include/dandeliontack/node_context.hpp
+++ b/src/include/dandeliontack/node_context.hpp
@@ -4,11 +4,13 @@
 #include <dandeliontack/event_log.hpp>
 #include <dandeliontack/http_pool.hpp>
 #include <dandeliontack/incarnation.hpp>
+#include <dandeliontack/kept_memory.hpp>
 #include <dandeliontack/metrics.hpp>
 #include <dandeliontack/tack_node_settings.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
 
+#include <memory>
 #include <string>
 
 namespace dandeliontack
@@ -31,8 +33,8 @@
     /// sent. Other nodes take over its shards once its announcements stop; by
     /// then the node sends no more orders.
     boot_time last_announcement_sent;
-    /// Tasks of the submissions that this node's shard owners hold.
-    std::uint64_t tasks_in_memory = 0;
+    /// What the submissions of this node's shard owners keep.
+    std::shared_ptr<kept_memory> kept = std::make_shared<kept_memory>();
 };
 
 } // namespace dandeliontack
--- a/src/include/dandeliontack/pool_engine.hpp
+++ b/src/include/dandeliontack/pool_engine.hpp
@@ -33,6 +33,8 @@
     /// Whether hosts are reserved for large tasks and gangs that wait, and
     /// tasks are packed by the scarcer of cores and memory.
     bool look_ahead = false;
+    /// Shared by all engines of a node; an engine without it has no bound.
+    std::shared_ptr<kept_memory> memory;
 };
 
 /// The status of a submission as reported to a caller.
@@ -123,9 +125,8 @@
     std::size_t active() const;
     bool has_submissions_of(const std::string& pool) const;
     std::size_t waiting_tasks() const;
-    /// The tasks of all occurrences that are due and not done, as a measure of
-    /// the memory that they take.
-    std::uint64_t tasks_in_memory() const;
+    /// The numbers of `pending` of all routes that have any.
+    std::map<std::string, std::size_t> pending_by_route() const;
 
 private:
     friend class pool_planner;
@@ -182,6 +183,12 @@
     double capacity_of(const std::string& pool) const;
     void open_occurrences(submission_state& s);
     void open_occurrence(submission_state& s, std::uint32_t k);
+    /// Counts what the submission keeps now.
+    void count_memory(submission_state& s);
+    /// Counts what the runs on hosts keep now.
+    void count_runs();
+    /// Forgets an active submission.
+    void erase_active(submission_state& s);
     /// Opens the occurrence of a task that a host has a run of. The previous
     /// owner, whose clock may have been ahead, has opened it.
     void open_reported_occurrence(const task_ref& task);
@@ -326,6 +333,9 @@
     std::map<std::string, room_growth> room_;
     std::map<std::string, pool_backlog> backlogs_;
     std::map<std::string, return_schedule> returns_;
+    kept_share kept_;
+    /// What is counted there for runs on hosts.
+    std::uint64_t run_bytes_ = 0;
     std::map<std::uint64_t, submission_state> active_;
     std::map<std::uint64_t, finished> finished_;
     std::map<std::string, host_state> hosts_;
--- a/src/include/dandeliontack/pool_state.hpp
+++ b/src/include/dandeliontack/pool_state.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <dandeliontack/host_pace.hpp>
+#include <dandeliontack/kept_memory.hpp>
 #include <dandeliontack/number_ranges.hpp>
 #include <dandeliontack/pool_events.hpp>
 
@@ -163,6 +164,9 @@
     double work = 0;
     /// Its account sent it beyond what it is entitled to.
     bool is_excess = false;
+    submission_memory memory;
+    /// What is counted for it in `kept_memory`.
+    std::uint64_t kept_bytes = 0;
 };
 
 /// Visits the tasks of a part in order.
--- a/src/include/dandeliontack/shard_owner.hpp
+++ b/src/include/dandeliontack/shard_owner.hpp
@@ -61,7 +61,7 @@
     void set_hosts(std::vector<host_entry> entries);
 
     boost::asio::awaitable<shard_answer>
-    submit(submission_record record) override;
+    submit(std::shared_ptr<const submission_record> record) override;
     boost::asio::awaitable<shard_answer>
     find(std::uint64_t id, queue_terms terms) override;
     boost::asio::awaitable<shard_answer> cancel(std::uint64_t id) override;
@@ -131,11 +131,9 @@
 
     std::vector<keyed_record> encode_changes(const pool_changes& changes);
     void drop_refused_records();
-    /// Updates this owner's share of the tasks in the node's memory.
-    void count_tasks();
     /// Sets the metrics of accounts that are limited.
     void report_accounts();
-    bool has_memory_for(const submission_spec& spec);
+    bool has_memory_for(const submission_record& record) const;
     void apply(const pool_event_body& event);
     void run_effects(pool_effects effects);
     void log_decision(const pool_effect::decision& decision);
@@ -169,7 +167,9 @@
     std::uint64_t accounts_version_ = 0;
     /// Keys of stored records that are to be deleted with the next batch.
     std::vector<std::string> orphans_;
-    std::uint64_t counted_tasks_ = 0;
+    /// Submissions that have not begun, by route, and when they were counted.
+    std::map<std::string, std::size_t> pending_;
+    boot_time pending_counted_;
     std::set<std::string> polled_hosts_;
     std::map<std::string, host_queue> queues_;
     /// The last batch of engine changes that the store has accepted.
--- a/src/include/dandeliontack/shard_router.hpp
+++ b/src/include/dandeliontack/shard_router.hpp
@@ -47,7 +47,8 @@
     /// encoded announcement for `announce`, the encoded owner record for
     /// `owner_changed`, the version, in decimal, for `configuration`.
     std::string name;
-    std::optional<submission_record> record;
+    /// For `submit` and `find`; shared, as a call may be repeated.
+    std::shared_ptr<const submission_record> record;
 };
 
 /// Finds the owner of a shard, in this process or on another node, and calls
--- a/src/include/dandeliontack/shard_service.hpp
+++ b/src/include/dandeliontack/shard_service.hpp
@@ -7,6 +7,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -50,7 +51,7 @@
 
     /// Idempotent: `done` once the record is stored, also if it was before.
     virtual boost::asio::awaitable<shard_answer>
-    submit(submission_record record) = 0;
+    submit(std::shared_ptr<const submission_record> record) = 0;
     /// Whether the submission was accepted here: `done` once its record is
     /// stored. For a queue that `terms` sends to another shard; if the answer
     /// is `not_found`, nothing of the queue is accepted here any more under
--- a/src/include/dandeliontack/tack_node_settings.hpp
+++ b/src/include/dandeliontack/tack_node_settings.hpp
@@ -118,8 +118,8 @@
 
 /// The parameters of the pool engine for these settings.
 pool_terms pool_terms_of(const tack_node_settings& settings);
-/// The most tasks that the submissions of one node may have together.
-std::uint64_t max_tasks_of(const tack_node_settings& settings);
+/// The most bytes that the submissions of one node may keep together.
+std::uint64_t kept_bytes_of(const machine_limits& limits);
 /// The most bytes that the decoded form of one request may take.
 std::uint64_t decoded_bytes_of(const machine_limits& limits);
 /// Time from the decision to move a machine until its new host accepts tasks.
--- a/src/libnode/caller_front.cpp
+++ b/src/libnode/caller_front.cpp
@@ -305,9 +305,9 @@
         scope,
         cell_of_submission(scope.layout, *id, spec, scope.queue.terms.pool));
     shard_call call{shard_call::verb::submit, scope.shard, *id, {}, {}};
-    call.record = submission_record{
-        *id, std::move(spec), scope.queue.terms, read_clocks().wall,
-        0,   scope.account};
+    call.record = std::make_shared<const submission_record>(submission_record{
+        *id, std::move(spec), scope.queue.terms, read_clocks().wall, 0,
+        scope.account});
     if (auto refusal = check_stored_size(*call.record))
         co_return std::move(*refusal);
     const auto answer = co_await submit_once(std::move(call), scope);
--- a/src/libnode/shard_owner.cpp
+++ b/src/libnode/shard_owner.cpp
@@ -58,6 +58,16 @@
 // Longest wait for a queue that the registry does not list yet.
 constexpr auto queues_check_interval = 10s;
 
+// Pause between counts of the submissions that have not begun.
+constexpr auto pending_interval = 100ms;
+
+pool_terms terms_of(const node_context& context)
+{
+    auto terms = pool_terms_of(context.settings);
+    terms.memory = context.kept;
+    return terms;
+}
+
 } // namespace
 
 // Load pattern: thousands of submissions wait. With passes as often as in calm,
@@ -85,7 +95,7 @@
       store_(store),
       advice_(advice),
       shard_(shard),
-      terms_(pool_terms_of(context.settings)),
+      terms_(terms_of(context)),
       claim_(context, store, shard),
       order_times_({.most = order_timeout}),
       admission_(std::move(listed)),
@@ -259,7 +269,6 @@
 {
     if (std::exchange(lost_, true))
         return;
-    count_tasks();
     if (engine_)
         report_accounts();
     serving_ = false;
@@ -522,20 +531,12 @@
         apply(refused);
 }
 
-void shard_owner::count_tasks()
+// Whether the submission fits the memory of this node beside those that it
+// has accepted.
+bool shard_owner::has_memory_for(const submission_record& record) const
 {
-    const auto now = engine_ && !lost_ ? engine_->tasks_in_memory() : 0;
-    context_.tasks_in_memory += now - counted_tasks_;
-    counted_tasks_ = now;
-}
-
-// Whether the submission's tasks fit the memory of this node beside those of
-// the submissions that it has accepted.
-bool shard_owner::has_memory_for(const submission_spec& spec)
-{
-    count_tasks();
-    return context_.tasks_in_memory + tasks_of(spec) <=
-           max_tasks_of(context_.settings);
+    const auto needed = memory_of(record);
+    return context_.kept->has_room(needed.fixed + needed.occurrence);
 }
 
 asio::awaitable<void> shard_owner::store_changes()
@@ -570,7 +571,6 @@
         drop_refused_records();
         stored_batch_ = changes.batch;
         apply(pool_event::batch_stored{changes.batch});
-        count_tasks();
         stored_signal_.notify();
         co_await pause_for(context_.executor, batch_delay);
     }
@@ -923,12 +923,13 @@
         apply(answered);
 }
 
-asio::awaitable<shard_answer> shard_owner::submit(submission_record record)
+asio::awaitable<shard_answer>
+shard_owner::submit(std::shared_ptr<const submission_record> record)
 {
     const auto self = shared_from_this();
     if (!can_answer())
         co_return shard_answer{shard_outcome::not_owner, {}};
-    const auto id = record.id;
+    const auto id = record->id;
     const auto failing = claim_.writer().failing_since();
     if (!engine_->find(id) && failing &&
         read_clocks().steady - *failing > store_failure_limit)
@@ -946,37 +947,38 @@
     }
     if (!engine_->find(id))
     {
-        if (!admission_.is_open(record.terms))
+        if (!admission_.is_open(record->terms))
             co_return shard_answer{shard_outcome::not_owner, {}};
-        const bool listed = co_await wait_until_listed(record.terms.queue);
+        const bool listed = co_await wait_until_listed(record->terms.queue);
         if (!listed)
             co_return shard_answer{shard_outcome::rejected, {}};
-        if (!can_answer() || !admission_.is_open(record.terms))
+        if (!can_answer() || !admission_.is_open(record->terms))
             co_return shard_answer{shard_outcome::not_owner, {}};
     }
-    if (!engine_->find(id) && !has_memory_for(record.spec))
+    if (!engine_->find(id) && !has_memory_for(*record))
     {
         context_.log.write(
             "owner", "submission_refused",
             log_line()
                 .add("submission", submission_name(id))
                 .add("shard", shard_)
-                .add("reason", "too many tasks are in memory")
-                .add("tasks", tasks_of(record.spec))
-                .add("in_memory", context_.tasks_in_memory)
-                .add("limit", max_tasks_of(context_.settings)));
+                .add("reason", "the submissions fill this node's memory")
+                .add("tasks", tasks_of(record->spec))
+                .add("held_bytes", context_.kept->held)
+                .add("limit_bytes", context_.kept->limit));
         co_return shard_answer{shard_outcome::rejected, {}};
     }
-    if (const auto refusal = engine_->refusal_of(record, read_clocks()))
+    if (const auto refusal = engine_->refusal_of(*record, read_clocks()))
     {
-        log_refusal(record, *refusal);
+        log_refusal(*record, *refusal);
         co_return shard_answer{shard_outcome::rejected, {}, *refusal};
     }
     if (!engine_->find(id))
     {
-        record.accepted = read_clocks().wall;
-        apply(pool_event::submitted{record});
-        log_submission(record);
+        pool_event::submitted event{*record};
+        event.record.accepted = read_clocks().wall;
+        apply(event);
+        log_submission(*record);
     }
     const auto view = engine_->find(id);
     const auto outcome =
@@ -1034,8 +1036,16 @@
     const auto self = shared_from_this();
     if (!can_answer())
         co_return shard_answer{shard_outcome::not_owner, {}};
+    const auto now = read_clocks().steady;
+    if (now - pending_counted_ >= pending_interval)
+    {
+        pending_ = engine_->pending_by_route();
+        pending_counted_ = now;
+    }
+    const auto found = pending_.find(route);
     co_return shard_answer{
-        shard_outcome::done, std::to_string(engine_->pending(route))};
+        shard_outcome::done,
+        std::to_string(found == pending_.end() ? 0 : found->second)};
 }
 
 asio::awaitable<shard_answer> shard_owner::evacuate(std::string host)
--- a/src/libnode/shard_router.cpp
+++ b/src/libnode/shard_router.cpp
@@ -102,9 +102,10 @@
         call.name = request.body();
         return call;
     }
-    call.record = decode_submission_record(request.body());
-    if (!call.record)
+    auto record = decode_submission_record(request.body());
+    if (!record)
         return std::nullopt;
+    call.record = std::make_shared<const submission_record>(std::move(*record));
     return call;
 }
 
@@ -254,9 +255,9 @@
     switch (call.kind)
     {
     case shard_call::verb::submit:
-        return owner.submit(std::move(*call.record));
+        return owner.submit(std::move(call.record));
     case shard_call::verb::find:
-        return owner.find(call.submission, std::move(call.record->terms));
+        return owner.find(call.submission, call.record->terms);
     case shard_call::verb::cancel:
         return owner.cancel(call.submission);
     case shard_call::verb::pending:
@@ -413,6 +414,8 @@
     auto call = decode_call(request);
     if (!call)
         co_return malformed_call();
+    // The decoded form takes its place.
+    std::string().swap(request.body());
     shard_answer answer{shard_outcome::not_owner, {}};
     const auto local = owners_.find(call->shard);
     if (call->kind == shard_call::verb::announce && announcement_store_)
--- a/src/libnode/tack_node.cpp
+++ b/src/libnode/tack_node.cpp
@@ -77,6 +77,8 @@
     limits.shared_connections = connections;
     limits.guaranteed_connections = std::max<std::size_t>(most / part, 1);
     limits.buffered_bytes = buffered_bytes_of(settings.limits);
+    // Decoded, encoded for the store or another node, and in the call there.
+    limits.request_copies = 3;
     limits.server = std::move(server);
     return limits;
 }
@@ -206,6 +208,7 @@
           admin_pages(context.metrics, [this] { return is_ready(); }, {})),
       announce_now_(context.executor)
 {
+    context_.kept->limit = kept_bytes_of(context_.settings.limits);
     router_.set_announcement_store([this](std::string record) {
         return store_announcement(std::move(record));
     });
--- a/src/libnode/tack_node_settings.cpp
+++ b/src/libnode/tack_node_settings.cpp
@@ -212,11 +212,13 @@
            move_overhead;
 }
 
-std::uint64_t max_tasks_of(const tack_node_settings& settings)
+std::uint64_t kept_bytes_of(const machine_limits& limits)
 {
-    // Half of the memory is left to everything else.
-    constexpr std::uint64_t bytes_per_task = 512;
-    return settings.limits.memory_mb * bytes_per_mb / 2 / bytes_per_task;
+    // What the process uses before it serves anyone, at most a half.
+    constexpr std::uint64_t process_mb = 16;
+    const auto rest =
+        limits.memory_mb - std::min(process_mb, limits.memory_mb / 2);
+    return rest * bytes_per_mb * 3 / 8;
 }
 
 std::uint64_t decoded_bytes_of(const machine_limits& limits)
--- a/src/libsched/pool_engine.cpp
+++ b/src/libsched/pool_engine.cpp
@@ -260,7 +260,7 @@
 }
 
 pool_engine::pool_engine(pool_terms terms, std::uint64_t epoch)
-    : terms_(terms), epoch_(epoch)
+    : terms_(std::move(terms)), kept_(terms_.memory), epoch_(epoch)
 {}
 
 void pool_engine::restore(
@@ -271,6 +271,7 @@
     const auto id = record.id;
     auto& s = active_[id];
     s.record = std::move(record);
+    s.memory = memory_of(s.record);
     s.arrived = now.steady;
     s.work = work_of(s.record.spec);
     // Time that it has waited under previous owners counts towards its
@@ -293,12 +294,16 @@
                 task.inherited = task.phase != task_phase::done;
     if (s.started)
         s.phase = submission_phase::running;
+    count_memory(s);
 }
 
 void pool_engine::restore_finished(
     std::uint64_t submission, submission_phase phase, moment now)
 {
-    finished_[submission] = {phase, now.steady, 0, 0};
+    if (finished_
+            .insert_or_assign(submission, finished{phase, now.steady, 0, 0})
+            .second)
+        kept_.replace(0, finished_submission_bytes);
 }
 
 void pool_engine::restore_host(const host_use& use, moment now)
@@ -355,6 +360,7 @@
     auto& s = active_[e.record.id];
     s.record = e.record;
     s.record.epoch = epoch_;
+    s.memory = memory_of(s.record);
     s.arrived = now_.steady;
     s.work = work_of(s.record.spec);
     s.accepted_in = next_batch_;
@@ -364,6 +370,7 @@
             backlogs_[s.record.terms.pool], s,
             remaining_work(s, typical_host(s.record.terms.pool)));
     count_arrival(s.record);
+    count_memory(s);
     changes_.accepted.push_back(e.record.id);
 }
 
@@ -387,7 +394,8 @@
     {
         const auto due = spec.first_due + spec.interval * k;
         if ((spec.repetitions > 0 && due > now_.wall) ||
-            s.occurrences.size() >= most_open)
+            s.occurrences.size() >= most_open ||
+            (!s.occurrences.empty() && !kept_.has_room(s.memory.occurrence)))
             break;
         if (!s.occurrences.contains(k) && !s.occurrences_done.contains(k))
             open_occurrence(s, k);
@@ -408,6 +416,31 @@
         for (std::uint32_t j = 0; j < tasks.size(); ++j)
             tasks[j].inherited = may_be_inherited({s.record.id, k, i, j});
     }
+    count_memory(s);
+}
+
+// An occurrence is counted from the acceptance on, before it is due.
+void pool_engine::count_memory(submission_state& s)
+{
+    const auto occurrences = std::max<std::uint64_t>(s.occurrences.size(), 1);
+    const auto bytes = s.memory.fixed + occurrences * s.memory.occurrence;
+    kept_.replace(std::exchange(s.kept_bytes, bytes), bytes);
+}
+
+void pool_engine::count_runs()
+{
+    std::size_t runs = 0;
+    for (const auto& [id, h] : hosts_)
+        runs += h.runs.size();
+    const auto bytes = memory_of_runs(runs);
+    kept_.replace(std::exchange(run_bytes_, bytes), bytes);
+}
+
+void pool_engine::erase_active(submission_state& s)
+{
+    kept_.replace(s.kept_bytes, 0);
+    const auto id = s.record.id;
+    active_.erase(id);
 }
 
 void pool_engine::open_reported_occurrence(const task_ref& task)
@@ -686,7 +719,7 @@
             std::erase_if(changes_.progressed, [&](const progress_part& part) {
                 return part.submission == id;
             });
-            active_.erase(id);
+            erase_active(*s);
         }
         else
         {
@@ -849,9 +882,13 @@
         const bool old =
             now_.steady - item.second.since > terms_.finished_retention;
         if (old)
+        {
             changes_.forgotten.push_back(item.first);
+            kept_.replace(finished_submission_bytes, 0);
+        }
         return old;
     });
+    count_runs();
     update_takeover();
     if (now_.steady - tasks_checked_ >= task_check_interval)
         check_tasks();
@@ -1469,6 +1506,7 @@
         note_progress(progress_part{s.record.id, 0, 0});
         drop_stored(s, k);
         at = s.occurrences.erase(at);
+        count_memory(s);
     }
     return false;
 }
@@ -1500,7 +1538,10 @@
     effects_.emplace_back(pool_effect::finished{
         id, to_string(phase), s.record.terms.route, s.record.terms.pool,
         delays_of(s, estimate_factor(s), now_.steady)});
-    finished_[id] = {phase, now_.steady, next_batch_, 0};
+    if (finished_
+            .insert_or_assign(id, finished{phase, now_.steady, next_batch_, 0})
+            .second)
+        kept_.replace(0, finished_submission_bytes);
     changes_.finished.push_back(id);
     std::ranges::copy(
         s.stored_parts, std::back_inserter(changes_.dropped_parts));
@@ -1509,7 +1550,7 @@
     std::erase_if(changes_.progressed, [&](const progress_part& part) {
         return part.submission == id;
     });
-    active_.erase(id);
+    erase_active(s);
 }
 
 void pool_engine::stop_all_runs(submission_state& s, std::string_view reason)
@@ -1927,6 +1968,15 @@
         }));
 }
 
+std::map<std::string, std::size_t> pool_engine::pending_by_route() const
+{
+    std::map<std::string, std::size_t> out;
+    for (const auto& [id, s] : active_)
+        if (!s.started && s.cancelled_in == 0)
+            ++out[s.record.terms.route];
+    return out;
+}
+
 const std::map<std::string, host_state>& pool_engine::hosts() const
 {
     return hosts_;
@@ -2162,15 +2212,6 @@
     });
 }
 
-std::uint64_t pool_engine::tasks_in_memory() const
-{
-    std::uint64_t sum = 0;
-    for (const auto& [id, s] : active_)
-        sum += tasks_of(s.record.spec) *
-               std::max<std::uint64_t>(s.occurrences.size(), 1);
-    return sum;
-}
-
 std::size_t pool_engine::waiting_tasks() const
 {
     std::size_t sum = 0;
--- a/src/libutil/http_server.cpp
+++ b/src/libutil/http_server.cpp
@@ -414,7 +414,7 @@
     s.share.complete();
     if (s.buffer.capacity() > read_bytes)
         s.buffer.shrink_to_fit();
-    reserve(s, bytes_of(s.buffer) + bytes_of(request));
+    reserve(s, bytes_of(s.buffer) + limits.request_copies * bytes_of(request));
     const bool keep_alive = request.keep_alive();
     s.stream.expires_never();
     auto response = co_await answer(std::move(request));
@@ -518,7 +518,8 @@
         if (parser.is_done())
             co_return std::nullopt;
         if (!reserve(
-                s, header_bytes + bytes_of(s.buffer) + growing_bytes(body)))
+                s, header_bytes + bytes_of(s.buffer) +
+                       limits.request_copies * growing_bytes(body)))
             co_await wait_for_room(s);
         if (s.share.has_given_up())
             co_return read_failure{};
--- a/testsuite/submission_flood/submission_flood_test.cpp
+++ b/testsuite/submission_flood/submission_flood_test.cpp
@@ -142,6 +142,36 @@
     std::cout << "\n";
 }
 
+// What is kept fills its share first; then unfinished requests come to two
+// addresses, and whole ones beside them.
+TEST(crowds_at_once, leave_the_node_within_its_bounds)
+{
+    flooded_node node;
+    const auto kept = kept_crowds();
+    send_requests(node.callers(), kept.front());
+    const std::string head =
+        "POST /checks/0123456789abcdef HTTP/1.1\r\nhost: reg.example\r\n";
+    attack bodies{
+        .name = "bodies_that_stop",
+        .connections = 200,
+        .opening = head + "content-length: " + std::to_string(largest_body) +
+                   "\r\n\r\n",
+        .repeated = std::string(largest_body / 16, 'x'),
+        .bytes = largest_body - 1};
+    crowd to_callers(node.callers(), bodies);
+    crowd to_peers(node.address_of("peers"), bodies);
+    to_callers.send();
+    to_peers.send();
+    for (const auto& whole : decoded_crowds())
+        send_requests(node.callers(), whole);
+    node.settle();
+    const auto used = node.used();
+    EXPECT_LE(used.peak_bytes, node.most_bytes()) << to_string(used);
+    EXPECT_LE(node.most_descriptors(), flooded_node::descriptors);
+    EXPECT_TRUE(node.serves()) << "while the crowds stay";
+    std::cout << to_string(used) << "\n";
+}
+
 INSTANTIATE_TEST_SUITE_P(
     of, submission_flood, testing::ValuesIn(crowds()),
     [](const auto& crowd) { return crowd.param.name; });
