Labels, log lines and waits don't grow with what callers send

What callers saw: 8,000 requests with methods of their own brought a node to 146 MB of 64. Cause: the method was a label of a counter and of a summary, whatever it was, and the end of the path went into the log, up to 16 KB a line. A request was held for as long as its deadline said. The library that decodes records wrote a line for each text that is not UTF-8 (seen in a run of decoder_fuzz). Change: methods that are not known count as "other", a log line takes 32 characters of the path, no request is held for over a minute, and the library's lines are left out: decoders report what they can't read.

--- a/src/libnode/caller_front.cpp
+++ b/src/libnode/caller_front.cpp
@@ -22,6 +22,8 @@
 // Part of a caller's timeout that is reserved for the response.
 constexpr auto answer_margin = 150ms;
 constexpr auto default_timeout = 3000ms;
+// The longest that a request is held, whatever its caller would wait.
+constexpr auto longest_timeout = 60s;
 // Shortest time in which a submission can be stored: batching for 10 ms, an
 // append of 4 ms, and a round trip to another data centre. With less time left,
 // the caller could only be told that the outcome is unknown.
@@ -86,6 +88,8 @@
     return text;
 }
 
+constexpr std::size_t longest_logged_id = 32;
+
 void count_request(
     metric_registry& metrics, const std::string& method,
     const http_response& response, std::chrono::nanoseconds took)
@@ -197,7 +201,10 @@
         *layout,
         0,
         path.substr(queue->path_prefix.size()),
-        platform::decode_request_deadline(request).value_or(default_timeout) -
+        std::min<std::chrono::milliseconds>(
+            platform::decode_request_deadline(request).value_or(
+                default_timeout),
+            longest_timeout) -
             answer_margin};
     scope.timeout = std::max<std::chrono::milliseconds>(scope.timeout, 1ms);
     http_response response;
@@ -215,13 +222,18 @@
             http::status::method_not_allowed, outcome::not_run,
             "method not allowed", "use GET, POST or DELETE");
     const auto took = read_clocks().steady - began;
-    const std::string method_name(request.method_string());
+    // Labels and log lines are of a bounded number and length.
+    const std::string method_name(
+        method == http::verb::unknown ? std::string_view("other")
+                                      : std::string_view(to_string(method)));
     count_request(context_.metrics, method_name, response, took);
     if (method != http::verb::get || response.result() != http::status::ok)
         context_.log.write(
             "front", "request_answered",
             log_line()
-                .add("submission", scope.path_suffix)
+                .add(
+                    "submission", std::string_view(scope.path_suffix)
+                                      .substr(0, longest_logged_id))
                 .add("method", method_name)
                 .add("route", queue->terms.route)
                 .add("configuration", held->version)
--- a/src/libutil/program.cpp
+++ b/src/libutil/program.cpp
@@ -4,7 +4,7 @@
 #include <absl/flags/usage.h>
 #include <absl/flags/usage_config.h>
 #include <boost/asio.hpp>
-
+#include <google/protobuf/stubs/logging.h>
 #include <algorithm>
 #include <csignal>
 #include <iostream>
@@ -31,6 +31,8 @@
 
 int run_guarded(const std::function<int()>& body)
 {
+    // Its lines about malformed input have no bound; decoders report that.
+    google::protobuf::SetLogHandler(nullptr);
     try
     {
         return body();
