Large blocks go back to the system when they are freed

What callers saw: with all buffers within their bounds, crowds that come one after the other still brought a node to 66 MB of 64. Cause: each large block that is freed raises the size up to which the allocator keeps blocks in its heap, where small ones that live longer hold them. Change: a fixed threshold of 128 KB, for all programs.

--- a/src/libutil/program.cpp
+++ b/src/libutil/program.cpp
@@ -5,6 +5,8 @@
 #include <absl/flags/usage_config.h>
 #include <boost/asio.hpp>
 #include <google/protobuf/stubs/logging.h>
+#include <malloc.h>
+
 #include <algorithm>
 #include <csignal>
 #include <iostream>
@@ -12,6 +14,13 @@
 namespace dandeliontack
 {
 
+namespace
+{
+
+constexpr int largest_pooled_block = 128 * 1024;
+
+} // namespace
+
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 
@@ -31,6 +40,9 @@
 
 int run_guarded(const std::function<int()>& body)
 {
+    // A fixed threshold: large blocks go back to the system when they are
+    // freed, where the allocator would come to keep them among small ones.
+    ::mallopt(M_MMAP_THRESHOLD, largest_pooled_block);
     // Its lines about malformed input have no bound; decoders report that.
     google::protobuf::SetLogHandler(nullptr);
     try
