The operators' limits hold for callers

What callers saw: a header or a body beyond the configuration's limits was served up to the defaults, and a connection could be idle for a minute whatever idleTimeoutMs said. Cause: the limits were decoded, but for the time of a header, and used nowhere. Change: each configuration sets the limits of the requests that begin from then on, within what the machine allows of one request.

--- a/src/include/dandeliontack/http_server.hpp
+++ b/src/include/dandeliontack/http_server.hpp
@@ -19,6 +19,16 @@
 namespace dandeliontack
 {
 
+/// Bounds on one request and the wait for it.
+struct http_request_limits
+{
+    std::uint64_t header_bytes = 0;
+    std::uint64_t body_bytes = 0;
+    /// From the first byte of a header to its last.
+    std::chrono::milliseconds header{0};
+    std::chrono::milliseconds idle{0};
+};
+
 /// Bounds on what one connection, and all of them together, may cost.
 struct http_limits
 {
@@ -32,6 +42,8 @@
     std::size_t guaranteed_connections = 0;
     /// How long a connection may stay open without a request.
     std::chrono::milliseconds idle = std::chrono::seconds(60);
+    /// How long a header may take from its first byte to its last.
+    std::chrono::milliseconds header = std::chrono::seconds(10);
     /// How long reading one request, or writing one response, may take.
     std::chrono::milliseconds transfer = std::chrono::seconds(10);
     /// What all connections may hold together of requests and responses, in
@@ -80,6 +92,11 @@
     /// Takes the place of the log lines about refusals.
     void set_refusal_observer(refusal_observer observer);
 
+    /// Bounds the requests that begin from now on. Sizes are at least 1 KiB,
+    /// and at most what `buffered_bytes` holds of one request; times are at
+    /// least 100 ms, and that of a header at most `transfer`.
+    void set_request_limits(const http_request_limits& limits);
+
     /// Binds, listens and begins to accept. Returns the endpoint with its
     /// real port. Throws `boost::system::system_error` if binding fails.
     endpoint listen(const endpoint& where);
--- a/src/include/dandeliontack/queue_table.hpp
+++ b/src/include/dandeliontack/queue_table.hpp
@@ -46,6 +46,7 @@
     /// Limits for callers' requests and their connections.
     std::uint64_t header_bytes = 16 * 1024;
     std::uint64_t body_bytes = 256 * 1024;
+    std::chrono::milliseconds header_timeout{3'000};
     std::chrono::milliseconds idle_timeout{15'000};
 };
 
--- a/src/libnode/tack_node.cpp
+++ b/src/libnode/tack_node.cpp
@@ -485,6 +485,10 @@
             });
     }
     front_.set_table(std::make_shared<const queue_table>(std::move(table)));
+    const auto& in_force = *front_.table();
+    callers_.set_request_limits(
+        {in_force.header_bytes, in_force.body_bytes, in_force.header_timeout,
+         in_force.idle_timeout});
     auto pools = pools_of(*front_.table());
     hosts_changed_ = hosts_changed_ || pools != known_pools_;
     known_pools_ = std::move(pools);
--- a/src/libutil/http_server.cpp
+++ b/src/libutil/http_server.cpp
@@ -13,6 +13,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 #include <list>
 #include <optional>
 #include <utility>
@@ -373,6 +374,7 @@
             co_return read_failure{};
         found = scan_header(view_of(s.buffer));
     }
+    s.stream.expires_after(limits.transfer);
     if (const auto ec = error_of(found))
         co_return failure_of(ec);
     co_return std::nullopt;
@@ -395,7 +397,7 @@
         parser.header_limit(limits.header_bytes);
         parser.body_limit(limits.body_bytes);
         s.buffer.max_size(limits.header_bytes + chunk_line_bytes);
-        s.stream.expires_after(limits.transfer);
+        s.stream.expires_after(std::min(limits.header, limits.transfer));
         failure = co_await read_message(s, parser);
         if (!failure)
             read = parser.release();
@@ -575,6 +577,22 @@
     return {where.address, core_->acceptor.local_endpoint().port()};
 }
 
+void http_server::set_request_limits(const http_request_limits& limits)
+{
+    constexpr std::uint64_t least_bytes = 1024;
+    constexpr std::chrono::milliseconds least_time(100);
+    auto& own = core_->limits;
+    const auto most_bytes = std::clamp<std::uint64_t>(
+        own.buffered_bytes / own.request_copies, least_bytes,
+        std::numeric_limits<std::uint32_t>::max());
+    own.header_bytes = static_cast<std::uint32_t>(
+        std::clamp(limits.header_bytes, least_bytes, most_bytes));
+    own.body_bytes = std::clamp(limits.body_bytes, least_bytes, most_bytes);
+    own.header = std::clamp(
+        limits.header, least_time, std::max(own.transfer, least_time));
+    own.idle = std::max(limits.idle, least_time);
+}
+
 void http_server::close_after_responses()
 {
     core_->closing = true;
--- a/testsuite/harness/flooded_node.cpp
+++ b/testsuite/harness/flooded_node.cpp
@@ -22,12 +22,12 @@
 
 } // namespace
 
-flooded_node::flooded_node()
+flooded_node::flooded_node(const std::string& limits)
     : platform_(
           "testsuite/standins/fleet/standin-fleet", {},
           folder_.path() / "platform.err"),
       platform_address_(platform_.address_of("platform")),
-      node_(start_node()),
+      node_(start_node(limits)),
       callers_(node_.address_of("callers"))
 {
     if (!serves())
@@ -35,7 +35,7 @@
     machine_.emplace(node_.pid());
 }
 
-child_process flooded_node::start_node() const
+child_process flooded_node::start_node(const std::string& limits) const
 {
     post(platform_address_, "/configuration", std::string(configuration));
     const auto platform = dandeliontack::to_string(platform_address_);
@@ -45,7 +45,7 @@
                     "metrics = 127.0.0.1:0\npeers = 127.0.0.1:0\n"
                     "[store]\naddress = " +
                         platform + "\n[machines]\naddress = " + platform +
-                        "\n" + small_machine::limits_section());
+                        "\n" + limits);
     return {
         "src/tack-node/tack-node",
         {"--settings", path},
--- a/testsuite/harness/flooded_node.hpp
+++ b/testsuite/harness/flooded_node.hpp
@@ -18,8 +18,9 @@
     static constexpr std::size_t descriptors = small_machine::descriptors;
 
     /// Starts the node and waits until it serves; throws
-    /// `std::runtime_error` if it doesn't.
-    flooded_node();
+    /// `std::runtime_error` if it doesn't. `limits` ends its settings.
+    explicit flooded_node(
+        const std::string& limits = small_machine::limits_section());
 
     /// What the node announced under a name of section `[listen]`.
     endpoint address_of(const std::string& name)
@@ -63,7 +64,7 @@
     }
 
 private:
-    child_process start_node() const;
+    child_process start_node(const std::string& limits) const;
 
     temporary_folder folder_;
     child_process platform_;
