--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 JOBS ?= $(shell nproc)
 BUILD = build/$(PRESET)
 
-.PHONY: all build deps test demo bench capacity proofs format check-format lint generated check-generated clean
+.PHONY: all build deps test demo bench capacity fuzz proofs format check-format lint generated check-generated clean
 
 all: build
 
@@ -32,6 +32,13 @@
 capacity: build
 	testsuite/capacity/update-page.sh $(BUILD)
 
+# Decoders of what clients send, with sanitizers; FUZZ_ROUNDS and FUZZ_SEED
+# choose a longer run.
+fuzz: deps
+	@$(MAKE) --no-print-directory PRESET=sanitize build/sanitize/build.ninja
+	cmake --build --preset sanitize -j $(JOBS) --target tack_node_parts_test
+	build/sanitize/src/libnode/tack_node_parts_test --gtest_filter='decoder_fuzz.*'
+
 # Checks that the tests which docs/PROOFS.md names exist.
 proofs: build
 	testsuite/check-proofs.sh $(BUILD)
