--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,8 @@
 fuzz: deps
 	@$(MAKE) --no-print-directory PRESET=sanitize build/sanitize/build.ninja
 	cmake --build --preset sanitize -j $(JOBS) --target tack_node_parts_test
-	build/sanitize/src/libnode/tack_node_parts_test --gtest_filter='decoder_fuzz.*'
+	UBSAN_OPTIONS=halt_on_error=1:print_stacktrace=1 \
+		build/sanitize/src/libnode/tack_node_parts_test --gtest_filter='decoder_fuzz.*'
 
 # Checks that the tests which docs/PROOFS.md names exist.
 proofs: build
