Calls of peers are bounded before they are decoded

Cause: each step of two bytes became an object of some hundred, twice, before their number was checked, and a body could be four times the largest record. Change: the steps of a record are counted in its bytes first, and a call of a peer is at most a record and 16 KB.

--- a/src/libnode/stored_records.cpp
+++ b/src/libnode/stored_records.cpp
@@ -1,6 +1,9 @@
 #include "submission.pb.h"
 #include <dandeliontack/stored_records.hpp>
 
+#include <google/protobuf/io/coded_stream.h>
+#include <google/protobuf/wire_format_lite.h>
+
 #include <algorithm>
 #include <array>
 #include <limits>
@@ -34,6 +37,24 @@
     return message;
 }
 
+// How often a field of a message occurs; a step of no bytes would otherwise
+// become an object of some hundred.
+std::size_t count_fields(std::string_view bytes, int number)
+{
+    using google::protobuf::internal::WireFormatLite;
+    google::protobuf::io::CodedInputStream in(
+        reinterpret_cast<const std::uint8_t*>(bytes.data()),
+        static_cast<int>(bytes.size()));
+    std::size_t count = 0;
+    for (auto tag = in.ReadTag(); tag != 0; tag = in.ReadTag())
+    {
+        count += WireFormatLite::GetTagFieldNumber(tag) == number ? 1 : 0;
+        if (!WireFormatLite::SkipField(&in, tag))
+            break;
+    }
+    return count;
+}
+
 void put(const step_spec& step, stored::Step& out)
 {
     out.set_count(step.count);
@@ -196,6 +217,8 @@
 std::optional<submission_record>
 decode_submission_record(std::string_view bytes)
 {
+    if (count_fields(bytes, stored::Submission::kStepsFieldNumber) > max_steps)
+        return std::nullopt;
     const auto in = parse<stored::Submission>(bytes);
     if (!in)
         return std::nullopt;
--- a/src/libnode/tack_node.cpp
+++ b/src/libnode/tack_node.cpp
@@ -95,6 +95,17 @@
     return limits;
 }
 
+// A call holds a record, or less.
+http_limits peer_limits(
+    const tack_node_settings& settings,
+    const std::shared_ptr<connection_budget>& connections)
+{
+    constexpr std::uint64_t beside_record = 16 * 1024;
+    auto limits = limits_of(settings, connections, peer_part, "peers");
+    limits.body_bytes = settings.store.record_bytes + beside_record;
+    return limits;
+}
+
 // For pages that are asked for without a body.
 http_limits page_limits(
     const tack_node_settings& settings,
@@ -195,8 +206,7 @@
                   "text/plain", is_ready() ? "ready\n" : "not ready\n");
           }),
       peers_(
-          context.executor,
-          limits_of(context.settings, connections_, peer_part, "peers"),
+          context.executor, peer_limits(context.settings, connections_),
           context.metrics,
           [this](http_request request) {
               return router_.serve(std::move(request));
--- a/testsuite/address_flood/address_flood_test.cpp
+++ b/testsuite/address_flood/address_flood_test.cpp
@@ -3,9 +3,12 @@
 
 #include "harness/crowd.hpp"
 #include "harness/flooded_node.hpp"
+#include <dandeliontack/submission.hpp>
 
+#include <boost/beast/http.hpp>
 #include <gtest/gtest.h>
 
+#include <array>
 #include <iostream>
 #include <tuple>
 
@@ -59,6 +62,11 @@
     flooded_node node;
 };
 
+struct peer_flood : testing::Test
+{
+    flooded_node node;
+};
+
 } // namespace
 
 TEST_P(address_flood, leaves_the_node_within_its_bounds)
@@ -75,6 +83,35 @@
               << " at most\n";
 }
 
+// Whole calls as of another node, whose records are nothing but empty steps, or
+// a name as long as a body may be.
+TEST_F(peer_flood, leaves_the_node_within_its_bounds)
+{
+    constexpr std::size_t largest_body = 1024 * 1024;
+    constexpr std::string_view empty_step("\x1a\0", 2);
+    constexpr std::array verbs{"submit",   "find",    "demands",
+                               "announce", "pending", "owner-changed"};
+    const auto steps =
+        repeat(std::string(empty_step), largest_body / empty_step.size());
+    const request_crowd calls{
+        "", 20, 30, [&](std::size_t number) {
+            http_request request(
+                boost::beast::http::verb::post,
+                "/" + std::string(verbs.at(number % verbs.size())) + "/1/" +
+                    submission_name(number),
+                11);
+            request.body() = steps;
+            request.set(boost::beast::http::field::host, "a");
+            return request;
+        }};
+    send_requests(node.address_of("peers"), calls);
+    node.settle();
+    const auto used = node.used();
+    EXPECT_LE(used.peak_bytes, node.most_bytes()) << to_string(used);
+    EXPECT_TRUE(node.serves());
+    std::cout << to_string(used) << "\n";
+}
+
 INSTANTIATE_TEST_SUITE_P(
     of, address_flood,
     testing::Combine(
