Slow readers of responses give way to new connections

Cause: a connection whose response is not read counted as being served, and held its place until its time for writing had passed; responses that had to give way were not freed yet when the next ones were made. Change: connections that write a response are the last that give way to a new one; a request waits, within bounds, until responses that gave way are freed.

--- a/src/include/dandeliontack/connection_table.hpp
+++ b/src/include/dandeliontack/connection_table.hpp
@@ -23,6 +23,8 @@
     idle,
     /// A request is incomplete.
     reading,
+    /// A response is being written, and its reader may be slow.
+    responding,
     /// A request is being answered; it doesn't give way.
     serving,
     /// It has given way, and its coroutine has not ended yet.
@@ -62,7 +64,7 @@
     {
         constexpr std::array order{
             connection_phase::ending, connection_phase::idle,
-            connection_phase::reading};
+            connection_phase::reading, connection_phase::responding};
         const auto* found =
             std::ranges::find_if(order, [this](connection_phase phase) {
                 return !list_of(phase).empty();
@@ -91,7 +93,7 @@
     }
 
 private:
-    static constexpr std::size_t phases = 5;
+    static constexpr std::size_t phases = 6;
 
     std::list<pointer>& list_of(connection_phase phase)
     {
--- a/src/libutil/http_server.cpp
+++ b/src/libutil/http_server.cpp
@@ -419,16 +419,22 @@
     reserve(s, bytes_of(s.buffer) + limits.request_copies * bytes_of(request));
     const bool keep_alive = request.keep_alive();
     s.stream.expires_never();
+    // Responses that had to give way are freed before there are more.
+    if (!s.share.has_room())
+        co_await wait_for_room(s);
     auto response = co_await answer(std::move(request));
     if (!response)
         co_return false;
     reserve(s, bytes_of(s.buffer) + response->body().size());
     s.share.respond(std::chrono::steady_clock::now());
+    sessions.move(at, connection_phase::responding);
     const bool written = co_await write_response(
         s, std::move(*response), keep_alive && !closing);
     s.busy = false;
     s.share.release();
     held_bytes.set(static_cast<std::int64_t>(budget->held()));
+    if (s.phase == connection_phase::displaced)
+        co_return false;
     sessions.move(at, connection_phase::idle);
     co_return written&& keep_alive && !closing;
 }
