gRPC: answers that nobody reads count with their connection

What was seen: 400 connections with 4 calls each that read nothing, and a table of 2,000 services: 104 MB of 64, together with a crowd on the pages. Cause: an answer is kept for each call until it is read; connections were bounded as if answers were small, and nothing ended a client that doesn't read. gRPC's threads had heaps of their own. Change: the gate accepts fewer connections the larger the answers are, 4 calls each; a relay's reply is at most 32 KB a stream; a client that takes nothing for 10 s is closed, and the longest of those that are being written to give way to new ones, one in 50 ms; one heap for all threads.

--- a/src/include/dandeliontack/grpc_gate.hpp
+++ b/src/include/dandeliontack/grpc_gate.hpp
@@ -46,6 +46,10 @@
     /// Throws `boost::system::system_error` if binding fails.
     endpoint listen(const endpoint& where);
 
+    /// How large an answer may be from now on; fewer connections are accepted
+    /// the more their unread answers would hold. Safe to call from any thread.
+    void set_answer_bytes(std::size_t bytes);
+
     /// Closes all connections and stops accepting.
     void stop();
 
--- a/src/include/dandeliontack/http2_frame_scan.hpp
+++ b/src/include/dandeliontack/http2_frame_scan.hpp
@@ -49,7 +49,7 @@
     /// One block of fields with the frames that it is cut into.
     std::uint32_t header_bytes = 16 * 1024;
     /// Requests of one connection that may be under way at once.
-    std::size_t requests = 8;
+    std::size_t requests = 4;
 };
 
 /// Follows the frames that a client sends on one connection, and keeps none of
--- a/src/include/dandeliontack/relay_buffer.hpp
+++ b/src/include/dandeliontack/relay_buffer.hpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <deque>
+#include <limits>
 #include <mutex>
 #include <string>
 #include <vector>
@@ -24,9 +25,11 @@
     /// Notes when the state was last known to be current.
     void confirm(std::chrono::steady_clock::time_point when);
 
-    /// The records of a stream from an offset on, as far as they are held.
-    std::vector<std::string>
-    read(log_stream stream, std::uint64_t from, std::size_t most) const;
+    /// The records of a stream from an offset on, as far as they are held: at
+    /// most so many, and of `most_bytes` together unless the first is longer.
+    std::vector<std::string> read(
+        log_stream stream, std::uint64_t from, std::size_t most,
+        std::size_t most_bytes = std::numeric_limits<std::size_t>::max()) const;
 
     /// The offset behind the newest record held.
     std::uint64_t end(log_stream stream) const;
--- a/src/libpeer/control_server.cpp
+++ b/src/libpeer/control_server.cpp
@@ -7,6 +7,7 @@
 #include <grpcpp/resource_quota.h>
 #include <grpcpp/server_posix.h>
 
+#include <algorithm>
 #include <mutex>
 #include <set>
 #include <stdexcept>
@@ -22,6 +23,7 @@
 
 // The most records of one stream in a reply to a peer.
 constexpr std::size_t largest_relay = 256;
+constexpr std::size_t largest_relay_bytes = 32 * 1024;
 
 using shared_table = std::shared_ptr<const wire::routing_table>;
 
@@ -152,11 +154,12 @@
             std::chrono::ceil<std::chrono::milliseconds>(age).count()));
         reply->set_system_end(records_.end(log_stream::system));
         for (auto& record : records_.read(
-                 log_stream::system, request->system_from(), largest_relay))
+                 log_stream::system, request->system_from(), largest_relay,
+                 largest_relay_bytes))
             reply->add_system(std::move(record));
         for (auto& record : records_.read(
                  log_stream::operators, request->operators_from(),
-                 largest_relay))
+                 largest_relay, largest_relay_bytes))
             reply->add_operators(std::move(record));
         auto* reactor = context->DefaultReactor();
         reactor->Finish(grpc::Status::OK);
@@ -228,6 +231,8 @@
 void control_server::publish(const routing_table& table)
 {
     auto message = std::make_shared<const wire::routing_table>(to_wire(table));
+    core_->gate.set_answer_bytes(
+        std::max(message->ByteSizeLong(), 2 * largest_relay_bytes));
     const std::scoped_lock lock(core_->shared.mutex);
     core_->shared.newest = std::move(message);
     ++core_->shared.version;
--- a/src/libpeer/grpc_gate.cpp
+++ b/src/libpeer/grpc_gate.cpp
@@ -8,6 +8,8 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
+#include <list>
 #include <thread>
 #include <utility>
 
@@ -25,6 +27,12 @@
 constexpr auto accept_retry = std::chrono::milliseconds(50);
 constexpr auto reader_check = std::chrono::seconds(1);
 constexpr std::size_t read_bytes = 16 * 1024;
+constexpr std::size_t window_bytes = 64 * 1024;
+constexpr std::size_t least_connections = 8;
+// gRPC frees what a closed connection held some time later.
+constexpr auto displacing_pause = std::chrono::milliseconds(50);
+// A client that reads nothing for so long is given up.
+constexpr auto longest_write = std::chrono::seconds(10);
 
 // What a client may cost in a second, and at once after a pause, in ordinary
 // frames. Beyond the second it is read slowly, far beyond it its connection
@@ -74,7 +82,8 @@
         : client(std::move(from)),
           server(std::move(to)),
           scan(limits),
-          written(client.get_executor())
+          written(client.get_executor()),
+          write_limit(client.get_executor())
     {}
 
     void close()
@@ -88,19 +97,25 @@
     local::socket server;
     http2_frame_scan scan;
     connection_phase phase = connection_phase::idle;
+    std::list<std::shared_ptr<gated_connection>>::iterator place;
+    // Whether it has left the table.
+    bool is_over = false;
     // Whether something is being written to the client.
     bool writing = false;
     wake_signal written;
+    asio::steady_timer write_limit;
 };
 
 using table = connection_table<gated_connection>;
 
-connection_phase phase_of(const http2_frame_scan& scan)
+connection_phase phase_of(const gated_connection& c)
 {
-    if (scan.is_incomplete())
+    if (c.scan.is_incomplete())
         return connection_phase::reading;
-    return scan.requests() != 0 ? connection_phase::serving
-                                : connection_phase::idle;
+    if (c.writing)
+        return connection_phase::responding;
+    return c.scan.requests() != 0 ? connection_phase::serving
+                                  : connection_phase::idle;
 }
 
 } // namespace
@@ -118,12 +133,12 @@
 
     asio::awaitable<void> accept_loop();
     void start(tcp::socket client);
+    std::size_t most_connections() const;
     bool make_place();
     asio::awaitable<void> serve(std::shared_ptr<gated_connection> c);
-    asio::awaitable<void>
-    pass_requests(std::shared_ptr<gated_connection> c, table::place at);
-    static asio::awaitable<void>
-    pass_responses(std::shared_ptr<gated_connection> c);
+    asio::awaitable<void> pass_requests(std::shared_ptr<gated_connection> c);
+    asio::awaitable<void> pass_responses(std::shared_ptr<gated_connection> c);
+    void update_phase(gated_connection& c);
 
     grpc_limits limits;
     adopt_function adopt;
@@ -132,6 +147,8 @@
     tcp::acceptor acceptor;
     table connections;
     std::size_t open = 0;
+    std::chrono::steady_clock::time_point last_displaced;
+    std::atomic<std::size_t> answer_bytes{0};
     std::thread thread;
 };
 
@@ -152,18 +169,39 @@
     }
 }
 
+// As many as may hold the answers to all their calls, beside their windows.
+std::size_t grpc_gate::core::most_connections() const
+{
+    const auto each = window_bytes + limits.frames.requests * answer_bytes;
+    return std::clamp(
+        limits.buffered_bytes / each,
+        std::min(least_connections, limits.connections), limits.connections);
+}
+
+void grpc_gate::core::update_phase(gated_connection& c)
+{
+    const auto phase = phase_of(c);
+    if (!c.is_over && c.phase != connection_phase::displaced &&
+        c.phase != phase)
+        connections.move(c.place, phase);
+}
+
 // Whether there is a connection left for a new one, if need be by closing
 // another.
 bool grpc_gate::core::make_place()
 {
-    if (open < limits.connections)
+    if (open < most_connections())
     {
         ++open;
         return true;
     }
+    const auto now = std::chrono::steady_clock::now();
+    if (now - last_displaced < displacing_pause)
+        return false;
     const auto displaced = connections.displace();
     if (!displaced)
         return false;
+    last_displaced = now;
     refusals.count(http_refusal::displaced);
     displaced->close();
     return true;
@@ -197,8 +235,10 @@
 grpc_gate::core::serve(std::shared_ptr<gated_connection> c)
 {
     const auto place = connections.insert(c);
+    c->place = place;
     asio::co_spawn(context, pass_responses(c), asio::detached);
-    co_await pass_requests(c, place);
+    co_await pass_requests(c);
+    c->is_over = true;
     c->close();
     // A displaced one has left its place to another.
     if (c->phase != connection_phase::displaced)
@@ -208,8 +248,8 @@
 
 // Reads no more of a client that doesn't read: gRPC keeps its answers to
 // control frames without a bound.
-asio::awaitable<void> grpc_gate::core::pass_requests(
-    std::shared_ptr<gated_connection> c, table::place at)
+asio::awaitable<void>
+grpc_gate::core::pass_requests(std::shared_ptr<gated_connection> c)
 {
     std::vector<char> bytes(read_bytes);
     frame_pace pace;
@@ -230,11 +270,9 @@
             refusals.count(*refusal);
             co_return;
         }
-        const auto phase = phase_of(c->scan);
         if (c->phase == connection_phase::displaced)
             co_return;
-        if (phase != c->phase)
-            connections.move(at, phase);
+        update_phase(*c);
         auto [write_ec, written] = co_await asio::async_write(
             c->server, asio::buffer(bytes.data(), count), no_throw);
         if (write_ec)
@@ -262,10 +300,18 @@
             if (head->ends_stream())
                 c->scan.end(head->stream);
         c->writing = true;
+        update_phase(*c);
+        c->write_limit.expires_after(longest_write);
+        c->write_limit.async_wait([c](boost::system::error_code ec) {
+            if (!ec)
+                c->close();
+        });
         auto [write_ec, written] = co_await asio::async_write(
             c->client, asio::buffer(bytes.data(), count), no_throw);
+        c->write_limit.cancel();
         failure = write_ec;
         c->writing = false;
+        update_phase(*c);
         c->written.notify();
     }
     c->close();
@@ -294,6 +340,11 @@
     return {where.address, port};
 }
 
+void grpc_gate::set_answer_bytes(std::size_t bytes)
+{
+    core_->answer_bytes = bytes;
+}
+
 void grpc_gate::stop()
 {
     if (!core_->thread.joinable())
--- a/src/libpeer/relay_buffer.cpp
+++ b/src/libpeer/relay_buffer.cpp
@@ -1,6 +1,7 @@
 #include <dandeliontack/relay_buffer.hpp>
 
 #include <algorithm>
+#include <ranges>
 #include <utility>
 
 namespace dandeliontack
@@ -46,17 +47,25 @@
 }
 
 std::vector<std::string> relay_buffer::read(
-    log_stream stream, std::uint64_t from, std::size_t most) const
+    log_stream stream, std::uint64_t from, std::size_t most,
+    std::size_t most_bytes) const
 {
     const std::scoped_lock lock(mutex_);
     const auto& held = lanes_.at(number_of(stream));
     if (from < held.first || from >= held.first + held.records.size())
         return {};
     const auto begin = from - held.first;
-    const auto count = std::min(most, held.records.size() - begin);
-    const auto first =
-        held.records.begin() + static_cast<std::ptrdiff_t>(begin);
-    return {first, first + static_cast<std::ptrdiff_t>(count)};
+    std::vector<std::string> out;
+    std::size_t bytes = 0;
+    for (const auto& record :
+         held.records | std::views::drop(begin) | std::views::take(most))
+    {
+        bytes += record.size();
+        if (bytes > most_bytes && !out.empty())
+            break;
+        out.push_back(record);
+    }
+    return out;
 }
 
 std::uint64_t relay_buffer::end(log_stream stream) const
--- a/src/libutil/program.cpp
+++ b/src/libutil/program.cpp
@@ -43,6 +43,9 @@
     // A fixed threshold: large blocks go back to the system when they are
     // freed, where the allocator would come to keep them among small ones.
     ::mallopt(M_MMAP_THRESHOLD, largest_pooled_block);
+    // With a heap for each thread, what one of gRPC's threads frees would not
+    // serve the others.
+    ::mallopt(M_ARENA_MAX, 1);
     // Its lines about malformed input have no bound; decoders report that.
     google::protobuf::SetLogHandler(nullptr);
     try
--- a/testsuite/harness/flooded_system.cpp
+++ b/testsuite/harness/flooded_system.cpp
@@ -43,6 +43,22 @@
     control_.emplace(control.process.pid());
 }
 
+void flooded_system::publish_services(unsigned count)
+{
+    std::string configuration;
+    for (unsigned i = 0; i < count; ++i)
+        configuration += "[service s" + std::to_string(i) +
+                         std::string(50, 'x') + "]\npool = a\n";
+    system_.publish(control_address("admin"), configuration);
+    if (!eventually([&] {
+            return get_json(control_address("admin"), "/v1/status")
+                       .at("services")
+                       .as_array()
+                       .size() > count;
+        }))
+        throw std::runtime_error("the services don't come into force");
+}
+
 endpoint flooded_system::entry_address(const std::string& name)
 {
     return system_.entries.at("entry-1").process.address_of(name);
--- a/testsuite/harness/flooded_system.hpp
+++ b/testsuite/harness/flooded_system.hpp
@@ -18,6 +18,9 @@
     /// `std::runtime_error` if it doesn't.
     flooded_system();
 
+    /// Publishes so many services, so that what is told of them all is large.
+    void publish_services(unsigned count);
+
     /// `callers` or `admin` of the entry process, `grpc` or `admin` of the
     /// control process.
     endpoint entry_address(const std::string& name);
