--- a/src/include/dandeliontack/grpc_gate.hpp
+++ b/src/include/dandeliontack/grpc_gate.hpp
@@ -26,8 +26,9 @@
 /// number nor the fields of a request, and passes on what keeps within the
 /// bounds. Where there are as many connections as may be, a new one takes the
 /// place of that which has been without a call for longest, or else of that
-/// whose call has been incomplete for longest. A client that sends many small
-/// frames, or gives up many calls, is read slowly. Runs on a thread of its own.
+/// whose call has been incomplete, or its answer unread, for longest. A client
+/// that sends many small frames, or gives up many calls, is read slowly. Runs
+/// on a thread of its own.
 class grpc_gate
 {
 public:
--- a/src/include/dandeliontack/http_server.hpp
+++ b/src/include/dandeliontack/http_server.hpp
@@ -64,8 +64,9 @@
 
 /// A HTTP/1.1 server on one executor. Where it may hold no more connections,
 /// a new one takes the place of one whose sender is in no hurry: one that has
-/// been refused, the one that has been idle for longest, or that whose request
-/// has been incomplete for longest. If there is none, the new one is closed.
+/// been refused, the one that has been idle for longest, that whose request has
+/// been incomplete for longest, or that whose response has been written for
+/// longest. If there is none, the new one is closed.
 /// Requests that can't be parsed or
 /// exceed a limit are refused with a problem document and counted as
 /// `tack_http_rejected_total`, and all refusals as
--- a/testsuite/harness/http2_frames.hpp
+++ b/testsuite/harness/http2_frames.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+// Frames of HTTP/2 as a client of the control process sends them.
+
 #include "crowd.hpp"
 
 #include <cstdint>
@@ -10,8 +12,6 @@
 namespace dandeliontack::harness
 {
 
-/// Frames of HTTP/2 as a client of the control process sends them.
-
 // Types and flags of HTTP/2 frames (RFC 9113, section 6).
 inline constexpr std::uint8_t data_frame = 0;
 inline constexpr std::uint8_t headers_frame = 1;
