--- a/src/libnode/caller_front.cpp
+++ b/src/libnode/caller_front.cpp
@@ -103,6 +103,24 @@
         .record(took);
 }
 
+// Labels and log lines are of a bounded number and length.
+std::string method_label(http::verb method)
+{
+    return method == http::verb::unknown ? std::string("other")
+                                         : std::string(to_string(method));
+}
+
+// How long the request may take, so that its response still comes in time.
+std::chrono::milliseconds timeout_of(const http_request& request)
+{
+    const auto wanted =
+        platform::decode_request_deadline(request).value_or(default_timeout);
+    return std::max<std::chrono::milliseconds>(
+        std::min<std::chrono::milliseconds>(wanted, longest_timeout) -
+            answer_margin,
+        1ms);
+}
+
 // In whose name a request is made.
 struct caller_identity
 {
@@ -201,12 +219,7 @@
         *layout,
         0,
         path.substr(queue->path_prefix.size()),
-        std::min<std::chrono::milliseconds>(
-            platform::decode_request_deadline(request).value_or(
-                default_timeout),
-            longest_timeout) -
-            answer_margin};
-    scope.timeout = std::max<std::chrono::milliseconds>(scope.timeout, 1ms);
+        timeout_of(request)};
     http_response response;
     const auto method = request.method();
     if (method == http::verb::get && scope.path_suffix.empty())
@@ -222,10 +235,7 @@
             http::status::method_not_allowed, outcome::not_run,
             "method not allowed", "use GET, POST or DELETE");
     const auto took = read_clocks().steady - began;
-    // Labels and log lines are of a bounded number and length.
-    const std::string method_name(
-        method == http::verb::unknown ? std::string_view("other")
-                                      : std::string_view(to_string(method)));
+    const auto method_name = method_label(method);
     count_request(context_.metrics, method_name, response, took);
     if (method != http::verb::get || response.result() != http::status::ok)
         context_.log.write(
--- a/src/libsched/kept_memory.cpp
+++ b/src/libsched/kept_memory.cpp
@@ -29,7 +29,7 @@
 {}
 
 kept_share::kept_share(kept_share&& other) noexcept
-    : memory_(other.memory_), held_(std::exchange(other.held_, 0))
+    : memory_(std::move(other.memory_)), held_(std::exchange(other.held_, 0))
 {}
 
 kept_share& kept_share::operator=(kept_share&& other) noexcept
@@ -41,7 +41,9 @@
 
 kept_share::~kept_share()
 {
-    memory_->held -= held_;
+    // Nothing is left of one that was moved from.
+    if (memory_)
+        memory_->held -= held_;
 }
 
 void kept_share::replace(std::uint64_t before, std::uint64_t now)
