A request that had to give way is refused, also if it was complete by then

What was seen: 400 callers that send 20 requests at once for a page of 450 KB and read nothing held 38 MB of responses in a budget of 8 MB (the phases of all connections, printed at the peak of answer_flood: 71 of 125 had given way and were served nevertheless). Cause: a request that gives way was only noticed where reading failed. One that was whole in the connection's buffer was served, and what a share holds after it has given way is not counted. Likewise a response that gave way between two of its writes had nothing to cancel, and went on. Change: after reading, a request that has given way is refused with 503, not-run, which is certain there. A response that gives way closes its connection.

--- a/src/libutil/http_server.cpp
+++ b/src/libutil/http_server.cpp
@@ -53,9 +53,19 @@
 {
     session(tcp::socket socket, std::shared_ptr<buffer_budget> budget)
         : stream(std::move(socket)),
-          share(std::move(budget), [this] { stream.cancel(); })
+          share(std::move(budget), [this] { give_way(); })
     {}
 
+    // A request is still answered with a refusal. A response ends: between two
+    // of its writes there is nothing to cancel.
+    void give_way()
+    {
+        if (phase == connection_phase::responding)
+            stream.close();
+        else
+            stream.cancel();
+    }
+
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     buffer_share share;
@@ -404,6 +414,10 @@
     }
     if (s.phase == connection_phase::displaced)
         co_return false;
+    // It may have been complete in the buffer when it had to give way. What it
+    // holds from then on would not be counted.
+    if (s.share.has_given_up() && !failure)
+        failure.emplace();
     if (failure)
     {
         if (s.share.has_given_up())
