gRPC: a client that grants no window counts as one that doesn't read

What callers saw: while a crowd kept its calls open and granted no windows, a new entry process got no table, however long it tried (answer_flood). Cause: the gate knew a slow reader only by its own write. With HTTP/2 the server stops before, at the window of 64 KB, and the connection counted as one whose calls are being served, which never gives way. Change: the scan follows the windows of the connection and of the streams under way; a connection that is stalled counts as responding: it gives way to a new one and ends after 10 s. Until the first table is known, answers count as large as a request may be, so the bound by bytes stands in one place.

--- a/src/include/dandeliontack/http2_frame_scan.hpp
+++ b/src/include/dandeliontack/http2_frame_scan.hpp
@@ -5,8 +5,10 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <string_view>
 
 namespace dandeliontack
@@ -22,10 +24,12 @@
 
     /// Whether its sender sends nothing more on the stream.
     bool ends_stream() const;
+    /// What it takes of the windows of its stream and its connection, in bytes.
+    std::uint32_t window_bytes() const;
 };
 
 /// Finds the heads of frames in a sequence of bytes, in whatever pieces these
-/// come, and keeps no payload.
+/// come.
 class http2_frame_heads
 {
 public:
@@ -33,10 +37,18 @@
     /// nothing if the head is not complete.
     std::optional<http2_frame_head> next(std::string_view& bytes);
 
+    /// The next bytes of the payload of the last head, as far as `bytes` has
+    /// them, which are removed from it.
+    std::string_view payload(std::string_view& bytes);
+    bool has_payload_left() const
+    {
+        return payload_left_ > 0;
+    }
+
 private:
     static constexpr std::size_t head_bytes = 9;
 
-    std::array<unsigned char, head_bytes> head_{};
+    std::array<char, head_bytes> head_{};
     std::size_t taken_ = 0;
     std::uint32_t payload_left_ = 0;
 };
@@ -50,6 +62,8 @@
     std::uint32_t header_bytes = 16 * 1024;
     /// Requests of one connection that may be under way at once.
     std::size_t requests = 4;
+    /// The largest payload of a frame of settings.
+    std::uint32_t settings_bytes = 1024;
 };
 
 /// Follows the frames that a client sends on one connection, and keeps none of
@@ -63,8 +77,12 @@
     /// once and for all, if it must.
     std::optional<http_refusal> take(std::string_view bytes);
 
-    /// The server has ended the stream.
-    void end(std::uint32_t stream);
+    /// The server sends a frame.
+    void answer(const http2_frame_head& head);
+
+    /// Whether the server may send nothing more on the connection, or on a
+    /// stream of it, until the client has read.
+    bool is_stalled() const;
 
     std::uint64_t requests() const
     {
@@ -82,8 +100,13 @@
     }
 
 private:
+    static constexpr std::int64_t initial_window_bytes = 65'535;
+
+    void end(std::uint32_t stream);
     std::optional<http_refusal> take_head(const http2_frame_head& head);
     std::optional<http_refusal> take_fields(const http2_frame_head& head);
+    void take_payload();
+    void take_settings();
 
     http2_limits limits_;
     std::size_t preface_taken_ = 0;
@@ -95,8 +118,14 @@
     std::uint64_t cost_ = 0;
     std::uint64_t requests_ = 0;
     std::uint32_t last_stream_ = 0;
-    // The streams that neither side has ended for good.
-    std::set<std::uint32_t> open_;
+    // Of a frame whose payload matters here.
+    http2_frame_head kept_head_;
+    std::string kept_payload_;
+    // What the server may send, by RFC 9113, section 6.9; may be negative.
+    std::int64_t stream_window_ = initial_window_bytes;
+    std::int64_t connection_window_ = initial_window_bytes;
+    // The windows of the streams that neither side has ended for good.
+    std::map<std::uint32_t, std::int64_t> open_;
     // Those of them whose client has not ended its side.
     std::set<std::uint32_t> incomplete_;
 };
--- a/src/libpeer/grpc_gate.cpp
+++ b/src/libpeer/grpc_gate.cpp
@@ -32,7 +32,7 @@
 // gRPC frees what a closed connection held some time later.
 constexpr auto displacing_pause = std::chrono::milliseconds(50);
 // A client that reads nothing for so long is given up.
-constexpr auto longest_write = std::chrono::seconds(10);
+constexpr auto longest_response = std::chrono::seconds(10);
 
 // What a client may cost in a second, and at once after a pause, in ordinary
 // frames. Beyond the second it is read slowly, far beyond it its connection
@@ -76,14 +76,14 @@
 };
 
 // A client's connection, and the one over which gRPC serves it.
-struct gated_connection
+struct gated_connection : std::enable_shared_from_this<gated_connection>
 {
     gated_connection(tcp::socket from, local::socket to, http2_limits limits)
         : client(std::move(from)),
           server(std::move(to)),
           scan(limits),
           written(client.get_executor()),
-          write_limit(client.get_executor())
+          read_limit(client.get_executor())
     {}
 
     void close()
@@ -103,7 +103,7 @@
     // Whether something is being written to the client.
     bool writing = false;
     wake_signal written;
-    asio::steady_timer write_limit;
+    asio::steady_timer read_limit;
 };
 
 using table = connection_table<gated_connection>;
@@ -112,7 +112,7 @@
 {
     if (c.scan.is_incomplete())
         return connection_phase::reading;
-    if (c.writing)
+    if (c.writing || c.scan.is_stalled())
         return connection_phase::responding;
     return c.scan.requests() != 0 ? connection_phase::serving
                                   : connection_phase::idle;
@@ -128,7 +128,8 @@
         : limits(bounds),
           adopt(std::move(take_over)),
           refusals(registry, "grpc"),
-          acceptor(context)
+          acceptor(context),
+          answer_bytes(static_cast<std::size_t>(bounds.request_bytes))
     {}
 
     asio::awaitable<void> accept_loop();
@@ -148,7 +149,7 @@
     table connections;
     std::size_t open = 0;
     std::chrono::steady_clock::time_point last_displaced;
-    std::atomic<std::size_t> answer_bytes{0};
+    std::atomic<std::size_t> answer_bytes;
     std::thread thread;
 };
 
@@ -181,9 +182,18 @@
 void grpc_gate::core::update_phase(gated_connection& c)
 {
     const auto phase = phase_of(c);
-    if (!c.is_over && c.phase != connection_phase::displaced &&
-        c.phase != phase)
-        connections.move(c.place, phase);
+    if (c.is_over || c.phase == connection_phase::displaced || c.phase == phase)
+        return;
+    connections.move(c.place, phase);
+    c.read_limit.cancel();
+    if (phase != connection_phase::responding)
+        return;
+    c.read_limit.expires_after(longest_response);
+    c.read_limit.async_wait(
+        [held = c.shared_from_this()](boost::system::error_code ec) {
+            if (!ec)
+                held->close();
+        });
 }
 
 // Whether there is a connection left for a new one, if need be by closing
@@ -239,6 +249,7 @@
     asio::co_spawn(context, pass_responses(c), asio::detached);
     co_await pass_requests(c);
     c->is_over = true;
+    c->read_limit.cancel();
     c->close();
     // A displaced one has left its place to another.
     if (c->phase != connection_phase::displaced)
@@ -297,18 +308,11 @@
             break;
         std::string_view rest(bytes.data(), count);
         while (const auto head = heads.next(rest))
-            if (head->ends_stream())
-                c->scan.end(head->stream);
+            c->scan.answer(*head);
         c->writing = true;
         update_phase(*c);
-        c->write_limit.expires_after(longest_write);
-        c->write_limit.async_wait([c](boost::system::error_code ec) {
-            if (!ec)
-                c->close();
-        });
         auto [write_ec, written] = co_await asio::async_write(
             c->client, asio::buffer(bytes.data(), count), no_throw);
-        c->write_limit.cancel();
         failure = write_ec;
         c->writing = false;
         update_phase(*c);
--- a/src/libutil/http2_frame_scan_test.cpp
+++ b/src/libutil/http2_frame_scan_test.cpp
@@ -107,13 +107,48 @@
         return headers(end_of_headers | end_of_stream, stream, 1);
     };
     EXPECT_EQ(scan.take(preface + request(1) + request(3)), std::nullopt);
-    scan.end(1);
+    scan.answer({.type = 0, .flags = end_of_stream, .stream = 1});
     EXPECT_EQ(scan.take(request(5)), std::nullopt);
     // The client gives one up.
     EXPECT_EQ(scan.take(frame(3, 0, 3, 4) + request(7)), std::nullopt);
     EXPECT_EQ(scan.take(request(9)), http_refusal::no_room);
 }
 
+TEST(http2_frame_scan, a_client_that_grants_no_window_stalls)
+{
+    constexpr std::uint32_t window = 65'535;
+    auto scan = make_scan();
+    EXPECT_EQ(
+        scan.take(preface + headers(end_of_headers | end_of_stream, 1, 1)),
+        std::nullopt);
+    scan.answer({.length = window - 1, .type = 0, .stream = 1});
+    EXPECT_FALSE(scan.is_stalled());
+    scan.answer({.length = 1, .type = 0, .stream = 1});
+    EXPECT_TRUE(scan.is_stalled());
+    // Of the stream alone, in two pieces, and then of the connection.
+    const auto update = [](char stream) {
+        return std::string("\0\0\x04\x08\0\0\0\0", 8) + stream +
+               std::string("\0\0\0\x0a", 4);
+    };
+    const auto of_stream = update(1);
+    EXPECT_EQ(scan.take(of_stream.substr(0, 11)), std::nullopt);
+    EXPECT_EQ(scan.take(of_stream.substr(11)), std::nullopt);
+    EXPECT_TRUE(scan.is_stalled());
+    EXPECT_EQ(scan.take(update(0)), std::nullopt);
+    EXPECT_FALSE(scan.is_stalled());
+    scan.answer({.length = 10, .type = 0, .stream = 1});
+    EXPECT_TRUE(scan.is_stalled());
+    // Settings: an initial window of 65,545 bytes.
+    EXPECT_EQ(
+        scan.take(
+            update(0) +
+            std::string("\0\0\x06\x04\0\0\0\0\0\0\x04\0\x01\0\x09", 15)),
+        std::nullopt);
+    EXPECT_FALSE(scan.is_stalled());
+    scan.answer({.type = 0, .flags = end_of_stream, .stream = 1});
+    EXPECT_FALSE(scan.is_stalled());
+}
+
 RC_GTEST_PROP(http2_frame_scan, pieces_change_nothing, ())
 {
     std::string bytes = preface;
