The page of all values is rendered once for each position of the log

Cause: each request rendered the whole configuration on the one thread, so work grew with its size for the same few bytes that asked. Change: the text is kept for each team with a token until the state moves on.

--- a/src/libcontrol/control_api.cpp
+++ b/src/libcontrol/control_api.cpp
@@ -5,6 +5,9 @@
 #include <boost/json.hpp>
 
 #include <charconv>
+#include <map>
+#include <memory>
+#include <utility>
 
 namespace dandeliontack
 {
@@ -252,11 +255,43 @@
          {"findings", to_json(known->found)}});
 }
 
+// The page of all values by who asks. Rendering goes through the whole
+// configuration, so a crowd that asks gets what was rendered last.
+class values_page
+{
+public:
+    explicit values_page(const control_node& node) : node_(node) {}
+
+    const std::string& text_for(const api_access& access)
+    {
+        const auto& order = node_.current().order;
+        const std::pair at(order.system_end, order.operators_end);
+        if (at != rendered_at_)
+            texts_.clear();
+        rendered_at_ = at;
+        auto& text = texts_[access.team];
+        if (text.empty())
+            text =
+                json::serialize(json::object{
+                    {"values", values_json(node_.current().config, access)}}) +
+                "\n";
+        return text;
+    }
+
+private:
+    const control_node& node_;
+    std::pair<std::uint64_t, std::uint64_t> rendered_at_;
+    // By team; there are as many as tokens.
+    std::map<std::string, std::string> texts_;
+};
+
 } // namespace
 
 http_server::handler make_control_api(const control_node& node)
 {
-    return [&node](http_request request) -> asio::awaitable<http_response> {
+    const auto values = std::make_shared<values_page>(node);
+    return [&node,
+            values](http_request request) -> asio::awaitable<http_response> {
         const std::string target(request.target());
         const auto path = target_path(target);
         // Whoever has no access was refused before; see with_tokens.
@@ -265,8 +300,8 @@
         if (path == "/v1/status")
             co_return answer_json(status_json(node, access));
         if (path == "/v1/values")
-            co_return answer_json(
-                {{"values", values_json(node.current().config, access)}});
+            co_return make_response(
+                http::status::ok, "application/json", values->text_for(access));
         if (path == "/v1/outcome")
             co_return outcome_page(node, target);
         co_return make_problem(
