--- a/src/libutil/http_server_test.cpp
+++ b/src/libutil/http_server_test.cpp
@@ -97,4 +97,42 @@
     EXPECT_LT(s.send_and_wait("GET / HTTP/1.1\r\n\r\n"), big_body);
 }
 
+// With a bound of one connection, whether a newcomer is served while another
+// connection has sent `first` and reads nothing.
+bool serves_beside(const std::string& first)
+{
+    const std::string request = "GET / HTTP/1.1\r\nhost: a\r\n\r\n";
+    http_limits limits;
+    limits.connections = 1;
+    limits.idle = limits.transfer = long_bound;
+    limits.buffered_bytes = 4 * big_body;
+    running_server running(limits);
+    asio::io_context own;
+    asio::ip::tcp::socket other(own);
+    other.connect(
+        {asio::ip::make_address(running.where.address), running.where.port});
+    asio::write(other, asio::buffer(first));
+    while (running.open_connections() == 0)
+        std::this_thread::yield();
+    // What the server answers at first fills what the system holds for it.
+    if (first == request)
+        other.wait(asio::ip::tcp::socket::wait_read);
+    asio::ip::tcp::socket newcomer(own);
+    newcomer.connect(
+        {asio::ip::make_address(running.where.address), running.where.port});
+    boost::system::error_code ec;
+    asio::write(newcomer, asio::buffer(request), ec);
+    std::string status(std::string("HTTP/1.1 200").size(), ' ');
+    asio::read(newcomer, asio::buffer(status), ec);
+    return status == "HTTP/1.1 200";
+}
+
+TEST(http_server, at_the_bound_connections_that_hold_others_up_give_way)
+{
+    EXPECT_TRUE(serves_beside("")) << "idle";
+    EXPECT_TRUE(serves_beside("GET / HTT")) << "incomplete";
+    EXPECT_TRUE(serves_beside("GET / HTTP/1.1\r\nhost: a\r\n\r\n"))
+        << "slow to read";
+}
+
 } // namespace
