Limits of an address in one function, and of a machine in one table

Three programs derived the same bounds from section [limits], and tack-node had its table a second time. A header has no time of its own unless the operators' limits give one: entry processes with a longer callers.transfer had got 10 s.

--- a/src/include/dandeliontack/http_server.hpp
+++ b/src/include/dandeliontack/http_server.hpp
@@ -5,6 +5,7 @@
 #include <dandeliontack/http.hpp>
 #include <dandeliontack/http_refusal.hpp>
 #include <dandeliontack/metrics.hpp>
+#include <dandeliontack/settings.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -42,8 +43,9 @@
     std::size_t guaranteed_connections = 0;
     /// How long a connection may stay open without a request.
     std::chrono::milliseconds idle = std::chrono::seconds(60);
-    /// How long a header may take from its first byte to its last.
-    std::chrono::milliseconds header = std::chrono::seconds(10);
+    /// How long a header may take from its first byte to its last, within
+    /// `transfer`.
+    std::chrono::milliseconds header = std::chrono::milliseconds::max();
     /// How long reading one request, or writing one response, may take.
     std::chrono::milliseconds transfer = std::chrono::seconds(10);
     /// What all connections may hold together of requests and responses, in
@@ -62,6 +64,13 @@
     }
 };
 
+/// The bounds of one address of a process on a machine. It shares
+/// `connections` with the others and is guaranteed a part of 1 in `divisor`.
+http_limits http_limits_of(
+    const machine_limits& machine,
+    std::shared_ptr<connection_budget> connections, std::size_t divisor,
+    std::string server = {});
+
 /// A HTTP/1.1 server on one executor. Where it may hold no more connections,
 /// a new one takes the place of one whose sender is in no hurry: one that has
 /// been refused, the one that has been idle for longest, that whose request has
--- a/src/include/dandeliontack/settings.hpp
+++ b/src/include/dandeliontack/settings.hpp
@@ -9,6 +9,8 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <type_traits>
+#include <variant>
 #include <vector>
 
 namespace dandeliontack
@@ -67,6 +69,24 @@
 std::span<const field<logging_settings>> logging_fields();
 std::span<const field<machine_limits>> machine_limits_fields();
 
+/// The fields of a base class as those of `Derived`. None may be a choice.
+template <class Derived, class Base>
+std::vector<field<Derived>> inherited_fields(std::span<const field<Base>> rows)
+{
+    std::vector<field<Derived>> out;
+    for (const auto& row : rows)
+        std::visit(
+            [&](const auto& member) {
+                if constexpr (std::is_member_pointer_v<
+                                  std::remove_cvref_t<decltype(member)>>)
+                    out.push_back(
+                        {row.key, member, row.required, row.least, row.most,
+                         row.choices});
+            },
+            row.member);
+    return out;
+}
+
 /// Reads a section into a member of a program's settings by a table of
 /// fields. Used through `read_member`.
 template <auto Member, auto Fields>
--- a/src/libnode/tack_node.cpp
+++ b/src/libnode/tack_node.cpp
@@ -71,15 +71,10 @@
     const std::shared_ptr<connection_budget>& connections, std::size_t part,
     std::string server)
 {
-    const auto most = client_connections_of(settings.limits);
-    http_limits limits;
-    limits.connections = most;
-    limits.shared_connections = connections;
-    limits.guaranteed_connections = std::max<std::size_t>(most / part, 1);
-    limits.buffered_bytes = buffered_bytes_of(settings.limits);
+    auto limits =
+        http_limits_of(settings.limits, connections, part, std::move(server));
     // Decoded, encoded for the store or another node, and in the call there.
     limits.request_copies = 3;
-    limits.server = std::move(server);
     return limits;
 }
 
--- a/src/libnode/tack_node_settings.cpp
+++ b/src/libnode/tack_node_settings.cpp
@@ -124,26 +124,18 @@
 
 std::span<const field<node_limits_settings>> limits_fields()
 {
-    using row = field<node_limits_settings>;
     using s = node_limits_settings;
-    static const std::array table{
-        row{.key = "cpu_share",
-            .member = &s::cpu_share,
-            .least = 0.001,
-            .most = 1},
-        row{.key = "cores", .member = &s::cores, .least = 1, .most = 4096},
-        row{.key = "descriptors",
-            .member = &s::descriptors,
-            .least = 64,
-            .most = 10'000'000},
-        row{.key = "memory_mb",
-            .member = &s::memory_mb,
-            .least = 16,
-            .most = 1'000'000},
-        row{.key = "buffer_share",
-            .member = &s::buffer_share,
-            .least = 0.01,
-            .most = 0.25}};
+    static const auto table = [] {
+        auto rows = inherited_fields<s>(machine_limits_fields());
+        rows.push_back(
+            {.key = "cpu_share",
+             .member = &s::cpu_share,
+             .least = 0.001,
+             .most = 1});
+        rows.push_back(
+            {.key = "cores", .member = &s::cores, .least = 1, .most = 4096});
+        return rows;
+    }();
     return table;
 }
 
@@ -223,10 +215,11 @@
 
 std::uint64_t decoded_bytes_of(const machine_limits& limits)
 {
-    // Holds the largest request that can be run.
-    constexpr std::uint64_t least = 2 * bytes_per_mb;
+    constexpr std::uint64_t largest_submission_bytes = 2 * bytes_per_mb;
     constexpr std::uint64_t memory_divisor = 32;
-    return std::max(least, limits.memory_mb * bytes_per_mb / memory_divisor);
+    return std::max(
+        largest_submission_bytes,
+        limits.memory_mb * bytes_per_mb / memory_divisor);
 }
 
 pool_terms pool_terms_of(const tack_node_settings& settings)
--- a/src/libutil/http_server.cpp
+++ b/src/libutil/http_server.cpp
@@ -183,6 +183,21 @@
 
 } // namespace
 
+http_limits http_limits_of(
+    const machine_limits& machine,
+    std::shared_ptr<connection_budget> connections, std::size_t divisor,
+    std::string server)
+{
+    http_limits limits;
+    limits.connections = client_connections_of(machine);
+    limits.guaranteed_connections =
+        std::max<std::size_t>(limits.connections / divisor, 1);
+    limits.shared_connections = std::move(connections);
+    limits.buffered_bytes = buffered_bytes_of(machine);
+    limits.server = std::move(server);
+    return limits;
+}
+
 struct http_server::core : std::enable_shared_from_this<core>
 {
     core(
--- a/src/tack-control/main.cpp
+++ b/src/tack-control/main.cpp
@@ -9,8 +9,6 @@
 #include <absl/flags/flag.h>
 #include <boost/asio.hpp>
 
-#include <algorithm>
-
 ABSL_FLAG(
     std::string, settings, "/etc/dandeliontack/control.ini",
     "The settings file (INI).");
@@ -32,11 +30,10 @@
 
 http_limits page_limits_of(const machine_limits& machine)
 {
-    http_limits limits;
+    const auto connections = client_connections_of(machine) / page_part;
+    auto limits = http_limits_of(
+        machine, std::make_shared<connection_budget>(connections), page_part);
     limits.body_bytes = 4 * 1024;
-    limits.connections =
-        std::max<std::size_t>(client_connections_of(machine) / page_part, 1);
-    limits.buffered_bytes = buffered_bytes_of(machine);
     return limits;
 }
 
@@ -44,14 +41,10 @@
 {
     // The client's and the two between the gate and gRPC.
     constexpr std::size_t descriptors_per_connection = 3;
-    // Its window and its calls.
-    constexpr std::size_t bytes_per_connection = 128 * 1024;
     grpc_limits limits;
     limits.buffered_bytes = buffered_bytes_of(machine);
     const auto all = client_connections_of(machine);
-    limits.connections = std::clamp<std::size_t>(
-        (all - all / page_part) / descriptors_per_connection, 1,
-        std::max<std::size_t>(limits.buffered_bytes / bytes_per_connection, 1));
+    limits.connections = (all - all / page_part) / descriptors_per_connection;
     return limits;
 }
 
--- a/src/tack-entry/main.cpp
+++ b/src/tack-entry/main.cpp
@@ -28,25 +28,13 @@
 constexpr std::size_t caller_part = 2;
 constexpr std::size_t page_part = 8;
 
-http_limits limits_of(
-    const machine_limits& machine,
-    const std::shared_ptr<connection_budget>& connections, std::size_t part)
-{
-    http_limits limits;
-    limits.connections = client_connections_of(machine);
-    limits.shared_connections = connections;
-    limits.guaranteed_connections =
-        std::max<std::size_t>(limits.connections / part, 1);
-    limits.buffered_bytes = buffered_bytes_of(machine);
-    return limits;
-}
-
 http_limits caller_limits(
     const entry_settings& settings,
     const std::shared_ptr<connection_budget>& connections)
 {
     const auto& callers = settings.callers;
-    auto limits = limits_of(settings.limits, connections, caller_part);
+    auto limits =
+        http_limits_of(settings.limits, connections, caller_part, "callers");
     limits.header_bytes = static_cast<std::uint32_t>(callers.header_bytes);
     limits.body_bytes = callers.body_bytes;
     limits.connections =
@@ -55,7 +43,6 @@
     limits.transfer = callers.transfer;
     limits.buffered_bytes =
         std::min(limits.buffered_bytes, callers.buffered_bytes);
-    limits.server = "callers";
     return limits;
 }
 
@@ -63,7 +50,7 @@
     const entry_settings& settings,
     const std::shared_ptr<connection_budget>& connections)
 {
-    auto limits = limits_of(settings.limits, connections, page_part);
+    auto limits = http_limits_of(settings.limits, connections, page_part);
     limits.body_bytes = 4 * 1024;
     return limits;
 }
