What hosts report of tasks counts as kept

Checkpoints of up to a quarter of a record, failed runs and hosts were left out of kept_memory. They are counted each second, where all tasks are checked anyway.

--- a/src/include/dandeliontack/kept_memory.hpp
+++ b/src/include/dandeliontack/kept_memory.hpp
@@ -56,6 +56,11 @@
 /// The bytes that runs on hosts take.
 std::uint64_t memory_of_runs(std::size_t runs);
 
+struct task_state;
+/// The bytes of what hosts have reported of a task, beyond those that are
+/// counted for every task.
+std::uint64_t memory_of_reports(const task_state& task);
+
 /// The bytes that are kept of a submission that has finished.
 inline constexpr std::uint64_t finished_submission_bytes = 128;
 
--- a/src/include/dandeliontack/pool_engine.hpp
+++ b/src/include/dandeliontack/pool_engine.hpp
@@ -334,8 +334,10 @@
     std::map<std::string, pool_backlog> backlogs_;
     std::map<std::string, return_schedule> returns_;
     kept_share kept_;
-    /// What is counted there for runs on hosts.
+    /// What is counted there for runs on hosts, and for what hosts have
+    /// reported of tasks.
     std::uint64_t run_bytes_ = 0;
+    std::uint64_t report_bytes_ = 0;
     std::map<std::uint64_t, submission_state> active_;
     std::map<std::uint64_t, finished> finished_;
     std::map<std::string, host_state> hosts_;
--- a/src/libsched/kept_memory.cpp
+++ b/src/libsched/kept_memory.cpp
@@ -1,6 +1,7 @@
 #include <dandeliontack/kept_memory.hpp>
 #include <dandeliontack/pool_state.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace dandeliontack
@@ -57,6 +58,15 @@
     return runs * (sizeof(host_run) + sizeof(task_ref) + node_bytes);
 }
 
+std::uint64_t memory_of_reports(const task_state& task)
+{
+    const auto checkpoint = bytes_of(task.checkpoint);
+    return checkpoint - std::min(checkpoint, short_text_bytes) +
+           bytes_of(task.host) +
+           task.failed_runs.size() * (sizeof(std::uint32_t) + node_bytes) +
+           task.failed_on.size() * (sizeof(std::string) + node_bytes);
+}
+
 submission_memory memory_of(const submission_record& record)
 {
     submission_memory out;
--- a/src/libsched/kept_memory_test.cpp
+++ b/src/libsched/kept_memory_test.cpp
@@ -57,6 +57,17 @@
     EXPECT_LE(memory->held, memory->limit);
 }
 
+TEST(kept_memory, what_hosts_report_of_tasks_counts)
+{
+    task_state task;
+    EXPECT_EQ(memory_of_reports(task), 0U);
+    task.checkpoint = std::string(16, 'c');
+    EXPECT_EQ(memory_of_reports(task), 0U);
+    task.checkpoint = std::string(60'000, 'c');
+    task.failed_runs = {1, 2, 3};
+    EXPECT_GE(memory_of_reports(task), 59'000U + 3 * sizeof(std::uint32_t));
+}
+
 TEST(kept_memory, what_ends_is_given_back)
 {
     const auto memory = std::make_shared<kept_memory>();
--- a/src/libsched/pool_engine.cpp
+++ b/src/libsched/pool_engine.cpp
@@ -1437,15 +1437,20 @@
         t.host.clear();
         t.percent = 0;
     };
+    std::uint64_t report_bytes = 0;
     for (auto& [id, s] : active_)
         for (auto& [k, occurrence] : s.occurrences)
             for (std::uint32_t i = 0; i < occurrence.steps.size(); ++i)
             {
                 auto& tasks = occurrence.steps[i].tasks;
                 for (std::uint32_t j = 0; j < tasks.size(); ++j)
+                {
+                    report_bytes += memory_of_reports(tasks[j]);
                     if (tasks[j].holders > 0 || is_in_progress(tasks[j]))
                         check({id, k, i, j}, tasks[j]);
+                }
             }
+    kept_.replace(std::exchange(report_bytes_, report_bytes), report_bytes);
 }
 
 void pool_engine::order_stop(
