--- a/src/libnode/shard_owner.cpp
+++ b/src/libnode/shard_owner.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <array>
+#include <ranges>
 #include <utility>
 
 namespace dandeliontack
@@ -58,9 +59,33 @@
 // Longest wait for a queue that the registry does not list yet.
 constexpr auto queues_check_interval = 10s;
 
+constexpr std::size_t most_logged_steps = 16;
 // Pause between counts of the submissions that have not begun.
 constexpr auto pending_interval = 100ms;
 
+// The first steps of a submission, and how many more there are.
+std::string summarize_steps(const std::vector<step_spec>& all)
+{
+    std::string steps;
+    for (const auto& step : all | std::views::take(most_logged_steps))
+    {
+        steps += (steps.empty() ? "" : " ") + std::to_string(step.count) + "x" +
+                 std::to_string(step.need.cpu_milli) + "m/" +
+                 std::to_string(step.estimate.count()) + "ms";
+        for (const auto& [flag, name] :
+             {std::pair(step.long_running, "lasting"),
+              std::pair(step.best_effort, "fills"),
+              std::pair(step.gang, "gang"),
+              std::pair(step.checkpoints, "checkpoints"),
+              std::pair(step.latency_objective.count() > 0, "serves")})
+            if (flag)
+                steps += std::string(",") + name;
+    }
+    if (all.size() > most_logged_steps)
+        steps += " +" + std::to_string(all.size() - most_logged_steps);
+    return steps;
+}
+
 pool_terms terms_of(const node_context& context)
 {
     auto terms = pool_terms_of(context.settings);
@@ -459,22 +484,7 @@
         .add("pool", record.terms.pool)
         .add("priority", record.terms.priority)
         .add("repetitions", record.spec.repetitions);
-    std::string steps;
-    for (const auto& step : record.spec.steps)
-    {
-        steps += (steps.empty() ? "" : " ") + std::to_string(step.count) + "x" +
-                 std::to_string(step.need.cpu_milli) + "m/" +
-                 std::to_string(step.estimate.count()) + "ms";
-        for (const auto& [flag, name] :
-             {std::pair(step.long_running, "lasting"),
-              std::pair(step.best_effort, "fills"),
-              std::pair(step.gang, "gang"),
-              std::pair(step.checkpoints, "checkpoints"),
-              std::pair(step.latency_objective.count() > 0, "serves")})
-            if (flag)
-                steps += std::string(",") + name;
-    }
-    line.add("steps", steps);
+    line.add("steps", summarize_steps(record.spec.steps));
     if (!record.account.empty())
     {
         const auto* s = engine_->state_of(record.id);
