--- a/testsuite/address_flood/address_flood_test.cpp
+++ b/testsuite/address_flood/address_flood_test.cpp
@@ -2,6 +2,7 @@
 // the addresses that it listens on, and goes on to serve beside it.
 
 #include "harness/crowd.hpp"
+#include "harness/expect_bounds.hpp"
 #include "harness/flooded_node.hpp"
 #include <dandeliontack/submission.hpp>
 
@@ -9,7 +10,6 @@
 #include <gtest/gtest.h>
 
 #include <array>
-#include <iostream>
 #include <tuple>
 
 namespace dandeliontack::harness
@@ -18,41 +18,21 @@
 namespace
 {
 
-constexpr std::size_t many = 400;
-constexpr std::size_t more_than_descriptors = 1500;
-constexpr std::size_t bytes_per_mb = 1024 * 1024;
-
 std::vector<attack> attacks()
 {
-    const std::string head = "POST /metrics HTTP/1.1\r\nhost: a\r\n";
-    const std::string get = "GET /metrics HTTP/1.1\r\nhost: a\r\n\r\n";
+    const std::string target = "/metrics";
     return {
-        {.name = "connections_that_stay",
-         .connections = more_than_descriptors,
-         .opening = "",
-         .repeated = "G",
-         .bytes = 0},
-        {.name = "heads_that_stop",
-         .connections = more_than_descriptors,
-         .opening = "GET /metrics HTTP/1.1\r\n",
-         .repeated = "a: b\r\n",
-         .bytes = 60},
-        {.name = "large_bodies_that_stop",
-         .connections = many,
-         .opening = head + "content-length: 1048576\r\n\r\n",
-         .repeated = std::string(bytes_per_mb / 16, 'x'),
-         .bytes = bytes_per_mb - 1},
+        connections_that_stay(),
+        heads_that_stop(target),
+        bodies_that_stop("large_bodies_that_stop", "POST " + target),
         {.name = "small_bodies_that_stop",
          .connections = many,
-         .opening = head + "content-length: 4096\r\n\r\n",
+         .opening = "POST /metrics HTTP/1.1\r\nhost: a\r\n"
+                    "content-length: 4096\r\n\r\n",
          .repeated = "x",
          .bytes = 4095,
          .step = 4095},
-        {.name = "responses_that_are_never_read",
-         .connections = many,
-         .opening = get,
-         .repeated = repeat(get, 20),
-         .bytes = bytes_per_mb / 8}};
+        responses_that_are_never_read(target)};
 }
 
 using where_and_what = std::tuple<std::string, attack>;
@@ -75,12 +55,8 @@
     crowd senders(node.address_of(address), what);
     senders.send();
     node.settle();
-    const auto used = node.used();
-    EXPECT_LE(used.peak_bytes, node.most_bytes()) << to_string(used);
-    EXPECT_LE(node.most_descriptors(), flooded_node::descriptors);
+    expect_within_bounds(node.machine());
     EXPECT_TRUE(node.serves()) << "while the crowd stays";
-    std::cout << to_string(used) << ", " << node.most_descriptors()
-              << " at most\n";
 }
 
 // Whole calls as of another node, whose records are nothing but empty steps, or
@@ -106,10 +82,8 @@
         }};
     send_requests(node.address_of("peers"), calls);
     node.settle();
-    const auto used = node.used();
-    EXPECT_LE(used.peak_bytes, node.most_bytes()) << to_string(used);
+    expect_within_bounds(node.machine());
     EXPECT_TRUE(node.serves());
-    std::cout << to_string(used) << "\n";
 }
 
 INSTANTIATE_TEST_SUITE_P(
--- a/testsuite/control_flood/control_flood_test.cpp
+++ b/testsuite/control_flood/control_flood_test.cpp
@@ -2,13 +2,13 @@
 // to its pages or its gRPC address, and goes on to serve beside it.
 
 #include "harness/crowd.hpp"
+#include "harness/expect_bounds.hpp"
 #include "harness/flooded_system.hpp"
 #include "harness/http2_frames.hpp"
 
 #include <gtest/gtest.h>
 
 #include <cstdint>
-#include <iostream>
 #include <string_view>
 #include <tuple>
 
@@ -18,8 +18,6 @@
 namespace
 {
 
-constexpr std::size_t many = 400;
-constexpr std::size_t more_than_descriptors = 1500;
 constexpr std::size_t bytes_per_mb = 1024 * 1024;
 constexpr std::size_t endless = 40 * bytes_per_mb;
 constexpr std::size_t largest_frame = 16 * 1024;
@@ -91,11 +89,7 @@
 std::vector<attack> connection_attacks()
 {
     return {
-        {.name = "connections_that_stay",
-         .connections = more_than_descriptors,
-         .opening = "",
-         .repeated = "P",
-         .bytes = 0},
+        connections_that_stay(),
         {.name = "prefaces_without_calls",
          .connections = more_than_descriptors,
          .opening = preface,
@@ -128,29 +122,10 @@
 
 std::vector<attack> page_attacks()
 {
-    const std::string head = "POST /v1/status HTTP/1.1\r\nhost: a\r\n";
-    const std::string get = "GET /v1/values HTTP/1.1\r\nhost: a\r\n\r\n";
     return {
-        {.name = "connections_that_stay",
-         .connections = more_than_descriptors,
-         .opening = "",
-         .repeated = "G",
-         .bytes = 0},
-        {.name = "heads_that_stop",
-         .connections = more_than_descriptors,
-         .opening = "GET /v1/status HTTP/1.1\r\n",
-         .repeated = "a: b\r\n",
-         .bytes = 60},
-        {.name = "bodies_that_stop",
-         .connections = many,
-         .opening = head + "content-length: 1048576\r\n\r\n",
-         .repeated = std::string(bytes_per_mb / 16, 'x'),
-         .bytes = bytes_per_mb - 1},
-        {.name = "responses_that_are_never_read",
-         .connections = many,
-         .opening = get,
-         .repeated = repeat(get, 20),
-         .bytes = bytes_per_mb / 8}};
+        connections_that_stay(), heads_that_stop("/v1/status"),
+        bodies_that_stop("bodies_that_stop", "POST /v1/status"),
+        responses_that_are_never_read("/v1/values")};
 }
 
 struct control_flood : testing::TestWithParam<attack>
@@ -161,12 +136,8 @@
         senders.send();
         auto& control = system.control();
         control.settle();
-        const auto used = control.used();
-        EXPECT_LE(used.peak_bytes, control.most_bytes()) << to_string(used);
-        EXPECT_LE(control.most_descriptors(), small_machine::descriptors);
+        expect_within_bounds(control);
         EXPECT_TRUE(system.control_serves()) << "while the crowd stays";
-        std::cout << to_string(used) << ", " << control.most_descriptors()
-                  << " at most\n";
     }
 
     flooded_system system;
--- a/testsuite/entry_flood/entry_flood_test.cpp
+++ b/testsuite/entry_flood/entry_flood_test.cpp
@@ -2,6 +2,7 @@
 // to any of the addresses that it listens on, and goes on to serve beside it.
 
 #include "harness/crowd.hpp"
+#include "harness/expect_bounds.hpp"
 #include "harness/flooded_system.hpp"
 
 #include <boost/beast/http.hpp>
@@ -18,48 +19,27 @@
 
 namespace http = boost::beast::http;
 
-constexpr std::size_t many = 400;
-constexpr std::size_t more_than_descriptors = 1500;
-constexpr std::size_t largest_body = 1024 * 1024;
 constexpr std::size_t bytes_per_mb = 1024 * 1024;
+constexpr std::size_t largest_body = bytes_per_mb;
 
 std::vector<attack> attacks()
 {
-    const std::string head =
-        "PUT /services/citations/x HTTP/1.1\r\nhost: a\r\n";
-    const auto length = std::to_string(largest_body);
-    const std::string get = "GET /metrics HTTP/1.1\r\nhost: a\r\n\r\n";
+    const std::string put = "PUT /services/citations/x";
+    auto large_responses =
+        bodies_that_stop("large_responses_that_are_never_read", put);
+    large_responses.bytes = largest_body;
     return {
-        {.name = "connections_that_stay",
-         .connections = more_than_descriptors,
-         .opening = "",
-         .repeated = "G",
-         .bytes = 0},
-        {.name = "heads_that_stop",
-         .connections = more_than_descriptors,
-         .opening = "GET /services/citations/x HTTP/1.1\r\n",
-         .repeated = "a: b\r\n",
-         .bytes = 60},
-        {.name = "bodies_that_stop",
-         .connections = many,
-         .opening = head + "content-length: " + length + "\r\n\r\n",
-         .repeated = std::string(largest_body / 16, 'x'),
-         .bytes = largest_body - 1},
+        connections_that_stay(),
+        heads_that_stop("/services/citations/x"),
+        bodies_that_stop("bodies_that_stop", put),
         {.name = "trailers_without_end",
          .connections = 4,
-         .opening = head + "transfer-encoding: chunked\r\n\r\n0\r\n",
+         .opening = put + " HTTP/1.1\r\nhost: a\r\n"
+                          "transfer-encoding: chunked\r\n\r\n0\r\n",
          .repeated = repeat("trailer: of a body\r\n", 4000),
          .bytes = 32 * bytes_per_mb},
-        {.name = "responses_that_are_never_read",
-         .connections = many,
-         .opening = get,
-         .repeated = repeat(get, 20),
-         .bytes = bytes_per_mb / 8},
-        {.name = "large_responses_that_are_never_read",
-         .connections = many,
-         .opening = head + "content-length: " + length + "\r\n\r\n",
-         .repeated = std::string(largest_body / 16, 'x'),
-         .bytes = largest_body}};
+        responses_that_are_never_read("/metrics"),
+        large_responses};
 }
 
 using where_and_what = std::tuple<std::string, attack>;
@@ -74,15 +54,6 @@
     flooded_system system;
 };
 
-void expect_within_bounds(const small_machine& entry)
-{
-    const auto used = entry.used();
-    EXPECT_LE(used.peak_bytes, entry.most_bytes()) << to_string(used);
-    EXPECT_LE(entry.most_descriptors(), small_machine::descriptors);
-    std::cout << to_string(used) << ", " << entry.most_descriptors()
-              << " at most\n";
-}
-
 std::vector<request_crowd> request_crowds()
 {
     const auto large = [](http::verb method, std::size_t number) {
--- a/testsuite/harness/crowd.cpp
+++ b/testsuite/harness/crowd.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <string_view>
+#include <utility>
 
 namespace dandeliontack::harness
 {
@@ -17,6 +18,7 @@
 namespace
 {
 
+constexpr std::size_t bytes_per_mb = 1024 * 1024;
 // After this a crowd stops sending, whatever the other side does.
 constexpr auto crowd_patience = std::chrono::seconds(20);
 constexpr auto request_patience = std::chrono::seconds(5);
@@ -50,6 +52,49 @@
     return out;
 }
 
+attack connections_that_stay()
+{
+    return {
+        .name = "connections_that_stay",
+        .connections = more_than_descriptors,
+        .opening = "",
+        .repeated = "G",
+        .bytes = 0};
+}
+
+attack heads_that_stop(const std::string& target)
+{
+    return {
+        .name = "heads_that_stop",
+        .connections = more_than_descriptors,
+        .opening = "GET " + target + " HTTP/1.1\r\n",
+        .repeated = "a: b\r\n",
+        .bytes = 60};
+}
+
+attack bodies_that_stop(std::string name, const std::string& method_and_target)
+{
+    return {
+        .name = std::move(name),
+        .connections = many,
+        .opening = method_and_target +
+                   " HTTP/1.1\r\nhost: a\r\ncontent-length: " +
+                   std::to_string(bytes_per_mb) + "\r\n\r\n",
+        .repeated = std::string(bytes_per_mb / 16, 'x'),
+        .bytes = bytes_per_mb - 1};
+}
+
+attack responses_that_are_never_read(const std::string& target)
+{
+    const auto get = "GET " + target + " HTTP/1.1\r\nhost: a\r\n\r\n";
+    return {
+        .name = "responses_that_are_never_read",
+        .connections = many,
+        .opening = get,
+        .repeated = repeat(get, 20),
+        .bytes = bytes_per_mb / 8};
+}
+
 class crowd::member
 {
 public:
--- a/testsuite/harness/crowd.hpp
+++ b/testsuite/harness/crowd.hpp
@@ -40,6 +40,18 @@
 
 std::string repeat(const std::string& text, std::size_t times);
 
+/// So many connections that each may hold a large message, and more than a
+/// small machine has descriptors.
+inline constexpr std::size_t many = 400;
+inline constexpr std::size_t more_than_descriptors = 1500;
+
+/// Crowds on any server of HTTP.
+attack connections_that_stay();
+attack heads_that_stop(const std::string& target);
+/// The line names method and target. All but the last byte of a body of 1 MB.
+attack bodies_that_stop(std::string name, const std::string& method_and_target);
+attack responses_that_are_never_read(const std::string& target);
+
 /// Connections that send without reading. They stay open until the object
 /// goes.
 class crowd
--- a/testsuite/harness/flooded_node.hpp
+++ b/testsuite/harness/flooded_node.hpp
@@ -51,6 +51,11 @@
         return machine_->most_bytes();
     }
 
+    const small_machine& machine() const
+    {
+        return *machine_;
+    }
+
     /// Throws `std::runtime_error` if the node has ended.
     process_usage used() const
     {
