--- a/src/include/dandeliontack/buffer_budget.hpp
+++ b/src/include/dandeliontack/buffer_budget.hpp
@@ -11,12 +11,17 @@
 
 class buffer_share;
 
+/// What a connection holds its bytes for.
 enum class buffer_share_state
 {
     idle,
+    /// A message is arriving.
     incomplete,
+    /// The message is being served.
     complete,
+    /// The response is being written.
     responding,
+    /// It had to give way, and its bytes are not free yet.
     given_up
 };
 
--- a/src/include/dandeliontack/http_refusal.hpp
+++ b/src/include/dandeliontack/http_refusal.hpp
@@ -32,7 +32,8 @@
     too_slow,
     no_room_for_connection,
     too_many_connections,
-    /// A new connection has taken the place of an idle or incomplete one.
+    /// A new connection has taken the place of one that was idle, incomplete or
+    /// slow to read.
     displaced
 };
 
--- a/src/libentry/ticket_service.cpp
+++ b/src/libentry/ticket_service.cpp
@@ -60,7 +60,6 @@
 
 ticket_limits limits_of(const entry_settings& settings)
 {
-    // A sixteenth of the memory for tickets, and an eighth for answers.
     constexpr std::uint64_t bytes_per_mb = 1024 * 1024;
     constexpr std::uint64_t tickets_divisor = 16;
     constexpr std::uint64_t answers_divisor = 8;
--- a/src/libsched/submission.cpp
+++ b/src/libsched/submission.cpp
@@ -18,7 +18,7 @@
 constexpr std::uint32_t max_tasks_per_step = 100'000;
 constexpr std::uint64_t max_tasks = 100'000;
 constexpr std::size_t max_text = 4000;
-// Far more than a host has, and small enough for sums over all tasks.
+// Sums over all tasks of a submission stay within their types.
 constexpr std::int64_t max_need = 1'000'000'000'000;
 constexpr std::chrono::milliseconds max_duration = std::chrono::years(10);
 // The time from the first to the last occurrence.
