Log each configuration that arrives, and responses that are cut off

The logs of the incident could not tell a link that is too narrow from a store that does not answer, nor a version that was read and not applied: store_lost names neither the call nor its bytes, and questions to other nodes left no line.

configuration_received: version, source (list, log, node), bytes, for how long changes may have been missed, outcome. configuration_asked: a round of questions and what it brought. response_cut_off: a call of the store that ended after a part of its bytes. Metrics tack_configurations_received_total and tack_store_partial_bytes_total. Each is bounded by the pauses of the readers and by the log's lines a second. No behaviour changes.

--- a/src/include/dandeliontack/configuration_relay.hpp
+++ b/src/include/dandeliontack/configuration_relay.hpp
@@ -43,6 +43,9 @@
     void keep(std::uint64_t version, std::string encoded);
     /// Notes that the operator's topic was read to its end.
     void mark_read(boot_time now);
+    /// For how long changes may have been missed: the time since the operator's
+    /// topic was last read to its end.
+    std::chrono::milliseconds age(boot_time now) const;
     /// Whether other nodes should be asked now. False while no configuration is
     /// kept.
     bool is_stale(boot_time now) const;
--- a/src/include/dandeliontack/http_connection.hpp
+++ b/src/include/dandeliontack/http_connection.hpp
@@ -23,6 +23,8 @@
     /// Whether the request may have been received and carried out.
     outcome result = outcome::unknown;
     std::string reason;
+    /// Bytes of the response's body that had arrived.
+    std::uint64_t received = 0;
 };
 
 using exchange_result = std::variant<http_response, exchange_error>;
--- a/src/include/dandeliontack/shard_router.hpp
+++ b/src/include/dandeliontack/shard_router.hpp
@@ -51,6 +51,17 @@
     std::shared_ptr<const submission_record> record;
 };
 
+/// What a node answered to a question about the configuration.
+struct peer_configuration
+{
+    std::string node;
+    /// In the operator's encoding; empty if the node has no newer one, or gave
+    /// no whole answer.
+    std::string encoded;
+    /// Set if there was no whole answer.
+    std::optional<exchange_error> error;
+};
+
 /// Finds the owner of a shard, in this process or on another node, and calls
 /// it.
 class shard_router
@@ -91,9 +102,8 @@
     using configuration_source =
         std::function<std::optional<std::string>(std::uint64_t)>;
     void set_configuration_source(configuration_source source);
-    /// Asks nodes for a configuration newer than `version`; the answers of
-    /// those that have one, in the operator's encoding.
-    boost::asio::awaitable<std::vector<std::string>> ask_configuration(
+    /// Asks nodes for a configuration newer than `version`.
+    boost::asio::awaitable<std::vector<peer_configuration>> ask_configuration(
         std::vector<node_announcement> nodes, std::uint64_t version);
 
     /// Handles a call from another node.
@@ -123,9 +133,8 @@
     boost::asio::awaitable<shard_answer> ask_remote(
         const owner_record& owner, const shard_call& call,
         std::chrono::milliseconds timeout);
-    /// Empty if the node has no newer one, or does not answer in time.
-    boost::asio::awaitable<std::string>
-    ask_node(std::string address, shard_call call);
+    boost::asio::awaitable<peer_configuration>
+    ask_node(node_announcement node, shard_call call);
     shard_answer answer_configuration(const std::string& version) const;
     boost::asio::awaitable<void>
     tell_node(std::string address, shard_call call);
--- a/src/include/dandeliontack/store_client.hpp
+++ b/src/include/dandeliontack/store_client.hpp
@@ -44,6 +44,9 @@
     boost::asio::awaitable<exchange_result>
     call(http_request request, std::chrono::milliseconds timeout);
     void record_result(bool answered, const std::string& reason);
+    void log_partial_response(
+        std::string_view call, const topic_partition& place,
+        std::chrono::milliseconds took, const exchange_error& error);
 
     node_context& context_;
     std::string address_;
--- a/src/include/dandeliontack/tack_node.hpp
+++ b/src/include/dandeliontack/tack_node.hpp
@@ -63,7 +63,14 @@
     boost::asio::awaitable<void> hand_over(std::shared_ptr<fleet_duty> duty);
     boost::asio::awaitable<void> hand_over_all(std::shared_ptr<bool> done);
     void apply_operator_record(const keyed_record& record);
-    void apply_configuration(std::string_view encoded, std::string_view source);
+    /// Puts a configuration into force if it is newer. `source` is where it was
+    /// read, `from` the node that sent it, if any.
+    void apply_configuration(
+        std::string_view encoded, std::string_view source,
+        std::string_view from = {});
+    void put_in_force(queue_table table, std::string_view encoded);
+    void
+    log_round(const std::vector<peer_configuration>& answers, boot_time now);
     /// Asks other nodes for the configuration while the store turns this one
     /// away.
     boost::asio::awaitable<void> relay_configuration();
--- a/src/include/dandeliontack/topic_follower.hpp
+++ b/src/include/dandeliontack/topic_follower.hpp
@@ -52,6 +52,9 @@
     /// Runs until `stop` is called.
     boost::asio::awaitable<void> run();
     void stop();
+    /// Whether the records that are being delivered come from a list of the
+    /// newest ones rather than from the log.
+    bool is_loading() const;
 
 private:
     boost::asio::awaitable<void> load();
@@ -68,6 +71,7 @@
     /// The size of the last load; added to that of the next read that returns
     /// records.
     std::size_t loaded_bytes_ = 0;
+    bool loaded_ = false;
     bool stopped_ = false;
 };
 
--- a/src/libnode/configuration_relay.cpp
+++ b/src/libnode/configuration_relay.cpp
@@ -49,9 +49,14 @@
     last_read_ = now;
 }
 
+std::chrono::milliseconds configuration_relay::age(boot_time now) const
+{
+    return now - last_read_;
+}
+
 bool configuration_relay::is_stale(boot_time now) const
 {
-    return version_ > 0 && now - last_read_ >= terms_.stale_after;
+    return version_ > 0 && age(now) >= terms_.stale_after;
 }
 
 std::vector<node_announcement>
--- a/src/libnode/shard_router.cpp
+++ b/src/libnode/shard_router.cpp
@@ -195,44 +195,48 @@
     configuration_source_ = std::move(source);
 }
 
-asio::awaitable<std::string>
-shard_router::ask_node(std::string address, shard_call call)
+asio::awaitable<peer_configuration>
+shard_router::ask_node(node_announcement node, shard_call call)
 {
-    const auto peer = parse_endpoint(address);
+    peer_configuration answer{node.name, {}, {}};
+    const auto peer = parse_endpoint(node.address);
     if (!peer)
-        co_return std::string();
+        co_return answer;
     auto result = co_await context_.connections.exchange(
-        *peer, encode_call(address, call), configuration_timeout);
-    auto* response = std::get_if<http_response>(&result);
-    if (!response || response->result() != http::status::ok)
-        co_return std::string();
-    co_return std::move(response->body());
+        *peer, encode_call(node.address, call), configuration_timeout);
+    if (const auto* error = std::get_if<exchange_error>(&result))
+        answer.error = *error;
+    else if (auto& response = std::get<http_response>(result);
+             response.result() == http::status::ok)
+        answer.encoded = std::move(response.body());
+    co_return answer;
 }
 
-asio::awaitable<std::vector<std::string>> shard_router::ask_configuration(
+asio::awaitable<std::vector<peer_configuration>>
+shard_router::ask_configuration(
     std::vector<node_announcement> nodes, std::uint64_t version)
 {
-    std::vector<std::string> newer;
+    std::vector<peer_configuration> answers;
     std::size_t unanswered = nodes.size();
     wake_signal done(context_.executor);
     for (const auto& node : nodes)
         asio::co_spawn(
             context_.executor,
             ask_node(
-                node.address, {shard_call::verb::configuration,
-                               0,
-                               0,
-                               std::to_string(version),
-                               {}}),
-            [&](const std::exception_ptr& error, std::string answer) {
-                if (!error && !answer.empty())
-                    newer.push_back(std::move(answer));
+                node, {shard_call::verb::configuration,
+                       0,
+                       0,
+                       std::to_string(version),
+                       {}}),
+            [&](const std::exception_ptr& error, peer_configuration answer) {
+                if (!error)
+                    answers.push_back(std::move(answer));
                 --unanswered;
                 done.notify();
             });
     while (unanswered > 0)
         co_await done.wait(configuration_timeout);
-    co_return newer;
+    co_return answers;
 }
 
 shard_answer
--- a/src/libnode/store_client.cpp
+++ b/src/libnode/store_client.cpp
@@ -99,6 +99,27 @@
             .add("last_success_age_ms", (now - last_success_).count()));
 }
 
+// A response that was cut off tells a narrow link from a store that does not
+// answer, which `store_lost` reports.
+void store_client::log_partial_response(
+    std::string_view call, const topic_partition& place,
+    std::chrono::milliseconds took, const exchange_error& error)
+{
+    if (error.received == 0)
+        return;
+    context_.metrics.get_counter("tack_store_partial_bytes_total")
+        .add(error.received);
+    context_.log.write(
+        "store", "response_cut_off",
+        log_line()
+            .add("call", call)
+            .add("topic", place.topic)
+            .add("partition", place.partition)
+            .add("received_bytes", error.received)
+            .add("took_ms", took.count())
+            .add("reason", error.reason));
+}
+
 asio::awaitable<exchange_result>
 store_client::call(http_request request, std::chrono::milliseconds timeout)
 {
@@ -143,10 +164,14 @@
     topic_partition place, std::uint64_t from, std::chrono::milliseconds wait)
 {
     auto request = platform::encode_read(address_, place, from, wait);
+    const auto sent = now_steady();
     auto result = co_await call(std::move(request), call_timeout + wait);
     read_answer answer;
     if (const auto* error = std::get_if<exchange_error>(&result))
+    {
         answer.reason = error->reason;
+        log_partial_response("read", place, now_steady() - sent, *error);
+    }
     else
         answer = platform::decode_read(std::get<http_response>(result));
     record_result(answer.answered, answer.reason);
@@ -157,10 +182,14 @@
 store_client::newest(topic_partition place, std::string after)
 {
     auto request = platform::encode_newest(address_, place, after);
+    const auto sent = now_steady();
     auto result = co_await call(std::move(request), call_timeout);
     newest_page page;
     if (const auto* error = std::get_if<exchange_error>(&result))
+    {
         page.reason = error->reason;
+        log_partial_response("newest", place, now_steady() - sent, *error);
+    }
     else
         page = platform::decode_newest(std::get<http_response>(result));
     record_result(page.answered, page.reason);
--- a/src/libnode/tack_node.cpp
+++ b/src/libnode/tack_node.cpp
@@ -470,17 +470,37 @@
 }
 
 void tack_node::apply_configuration(
-    std::string_view encoded, std::string_view source)
+    std::string_view encoded, std::string_view source, std::string_view from)
 {
     auto decoded = platform::decode_configuration(encoded);
+    auto* table = std::get_if<queue_table>(&decoded);
+    const auto in_force = front_.table() ? front_.table()->version : 0;
+    std::string_view outcome = "unreadable";
+    if (table)
+        outcome = table->version > in_force ? "in force" : "not newer";
+    context_.metrics
+        .get_counter(
+            "tack_configurations_received_total{source=\"" +
+            std::string(source) + "\",outcome=\"" + std::string(outcome) +
+            "\"}")
+        .add();
+    auto line = log_line()
+                    .add("source", source)
+                    .add("from", from)
+                    .add("version", table ? table->version : 0)
+                    .add("in_force", in_force)
+                    .add("bytes", std::uint64_t{encoded.size()})
+                    .add("age_ms", relay_.age(read_clocks().steady).count())
+                    .add("outcome", outcome);
     if (const auto* wrong = std::get_if<findings>(&decoded))
-    {
-        context_.log.write(
-            "node", "configuration_unreadable",
-            log_line().add("source", source).add("reason", to_string(*wrong)));
-        return;
-    }
-    auto& table = std::get<queue_table>(decoded);
+        line.add("reason", to_string(*wrong));
+    context_.log.write("node", "configuration_received", line);
+    if (table)
+        put_in_force(std::move(*table), encoded);
+}
+
+void tack_node::put_in_force(queue_table table, std::string_view encoded)
+{
     if (table.accounts)
     {
         relay_.keep(table.version, std::string(encoded));
@@ -515,20 +535,46 @@
                 return node.process_incarnation == context_.process_incarnation;
             });
             auto peers = relay_.next_peers(std::move(others));
-            const auto newer = co_await router_.ask_configuration(
+            const auto answers = co_await router_.ask_configuration(
                 std::move(peers), relay_.version());
-            for (const auto& encoded : newer)
-                apply_configuration(encoded, "peer");
+            log_round(answers, now);
+            for (const auto& answer : answers)
+                if (!answer.encoded.empty())
+                    apply_configuration(answer.encoded, "node", answer.node);
         }
         co_await pause_for(context_.executor, relay_.terms().interval);
     }
 }
 
+void tack_node::log_round(
+    const std::vector<peer_configuration>& answers, boot_time now)
+{
+    std::uint64_t unanswered = 0;
+    std::uint64_t newer = 0;
+    std::uint64_t cut_off_bytes = 0;
+    for (const auto& answer : answers)
+    {
+        unanswered += answer.error ? 1 : 0;
+        newer += answer.encoded.empty() ? 0 : 1;
+        cut_off_bytes += answer.error ? answer.error->received : 0;
+    }
+    context_.log.write(
+        "node", "configuration_asked",
+        log_line()
+            .add("in_force", relay_.version())
+            .add("age_ms", relay_.age(now).count())
+            .add("asked", std::uint64_t{answers.size()})
+            .add("unanswered", unanswered)
+            .add("newer", newer)
+            .add("cut_off_bytes", cut_off_bytes));
+}
+
 void tack_node::apply_operator_record(const keyed_record& record)
 {
     if (record.key == platform::configuration_key)
     {
-        apply_configuration(record.value, "store");
+        apply_configuration(
+            record.value, operator_records_.is_loading() ? "list" : "log");
         return;
     }
     if (!record.key.starts_with(platform::wave_prefix) || record.value.empty())
--- a/src/libnode/topic_follower.cpp
+++ b/src/libnode/topic_follower.cpp
@@ -60,6 +60,11 @@
     stopped_ = true;
 }
 
+bool topic_follower::is_loading() const
+{
+    return !loaded_;
+}
+
 void topic_follower::deliver(const keyed_record& record)
 {
     if (record.key.empty())
@@ -117,13 +122,13 @@
 
 asio::awaitable<void> topic_follower::run()
 {
-    bool loaded = false;
+    loaded_ = false;
     while (!stopped_)
     {
-        if (!loaded)
+        if (!loaded_)
         {
             co_await load();
-            loaded = true;
+            loaded_ = true;
             if (!stopped_)
                 on_caught_up_();
             continue;
@@ -137,7 +142,7 @@
         }
         if (answer.trimmed)
         {
-            loaded = false;
+            loaded_ = false;
             continue;
         }
         for (auto& record : answer.records)
@@ -154,7 +159,7 @@
             options_);
         if (pause > 0ms)
             co_await pause_for(context_.executor, pause);
-        loaded = pause == options_.interval || pause < reload_after_pause;
+        loaded_ = pause == options_.interval || pause < reload_after_pause;
     }
 }
 
--- a/src/libutil/http_connection.cpp
+++ b/src/libutil/http_connection.cpp
@@ -33,10 +33,11 @@
 
 using response_parser = http::response_parser<http::string_body>;
 
-exchange_error
-failed(outcome result, std::string_view step, beast::error_code ec)
+exchange_error failed(
+    outcome result, std::string_view step, beast::error_code ec,
+    std::uint64_t received = 0)
 {
-    return {result, std::string(step) + ": " + ec.message()};
+    return {result, std::string(step) + ": " + ec.message(), received};
 }
 
 } // namespace
@@ -123,7 +124,8 @@
             co_return exchange_error{
                 outcome::unknown, "read: no room for the response"};
         if (ec)
-            co_return failed(outcome::unknown, "read", ec);
+            co_return failed(
+                outcome::unknown, "read", ec, parser.get().body().size());
     }
     co_return parser.release();
 }
