Tests: configurations on a narrow link, which fail

Four tests with a node behind a link of 2 Mbit/s to the stand-in of the store, bounds in bytes that the link carries: a large configuration, a series, versions missed in a cut, and a large one at the start. All four fail on this code; on the link the node repeats calls that are cut off after their first second, from the first byte.

The relay that counts bytes moves from the capacity tool to the harness and learns a rate and a cut; the stand-in of the store honours maxKb, as the platform does.

--- a/testsuite/capacity/process_slopes.cpp
+++ b/testsuite/capacity/process_slopes.cpp
@@ -1,7 +1,7 @@
 #include "process_slopes.hpp"
 
-#include "counting_relay.hpp"
 #include "harness/cluster.hpp"
+#include "harness/counting_relay.hpp"
 #include "usage.hpp"
 
 #include <boost/asio.hpp>
@@ -22,6 +22,7 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 using harness::cluster;
+using harness::counting_relay;
 using std::chrono::steady_clock;
 
 constexpr auto settle_time = std::chrono::seconds(1);
--- /dev/null
+++ b/testsuite/configuration_link/configuration_link_test.cpp
@@ -0,0 +1,206 @@
+// Nodes behind a narrow link to the store, and configurations that take long on
+// it. Bounds are in bytes that the link carries, never in time.
+
+#include "harness/cluster.hpp"
+#include "harness/counting_relay.hpp"
+
+#include <boost/beast/http.hpp>
+#include <boost/json.hpp>
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+
+namespace dandeliontack::harness
+{
+
+namespace
+{
+
+namespace http = boost::beast::http;
+namespace json = boost::json;
+
+constexpr std::uint64_t kilobyte = 1024;
+// 2 Mbit/s.
+constexpr std::uint64_t narrow_link_bytes_per_second = 250'000;
+// One node's part of the store's 80 MB a second among 40 nodes.
+constexpr unsigned node_read_mb_per_second = 2;
+constexpr unsigned large_queues = 4'250;
+constexpr unsigned medium_queues = 1'400;
+// What the registry and the other topics need while a configuration is on its
+// way.
+constexpr std::uint64_t other_traffic_bytes = 192 * kilobyte;
+
+json::object route(unsigned number)
+{
+    const auto text = std::to_string(number);
+    return {
+        {"name", "route-" + text},
+        {"host", "reg" + text + ".example"},
+        {"pathPrefix", "/checks-" + text + "/"},
+        {"type", "unsafe"},
+        {"timeoutMs", 3000},
+        {"targetLatencyMs", 600},
+        {"priority", 0},
+        {"service", "pool"},
+        {"maxAttempts", 3},
+        {"stretch", 1.6},
+        {"public", false}};
+}
+
+std::string configuration(std::uint64_t version, unsigned queues)
+{
+    json::array routes;
+    for (unsigned i = 0; i < queues; ++i)
+        routes.push_back(route(i));
+    return json::serialize(json::object{
+        {"version", version},
+        {"routes", std::move(routes)},
+        {"services",
+         json::array{
+             {{"name", "pool"}, {"admissionCheck", true}, {"standby", false}}}},
+        {"limits", json::object{}}});
+}
+
+class configuration_link : public testing::Test
+{
+protected:
+    configuration_link()
+        : platform_(
+              "testsuite/standins/fleet/standin-fleet", {},
+              folder_.path() / "platform.err"),
+          platform_address_(platform_.address_of("platform")),
+          link_(platform_address_, narrow_link_bytes_per_second)
+    {}
+
+    void start_node()
+    {
+        const auto path = folder_.write(
+            "n1.ini",
+            "[node]\nname = n1\ndata_centre = dc-1\n"
+            "[listen]\ncallers = 127.0.0.1:0\nreadiness = 127.0.0.1:0\n"
+            "metrics = 127.0.0.1:0\npeers = 127.0.0.1:0\n"
+            "[store]\naddress = " +
+                to_string(link_.address()) + "\nread_mb_per_second = " +
+                std::to_string(node_read_mb_per_second) +
+                "\n"
+                "[machines]\naddress = " +
+                to_string(platform_address_) +
+                "\n[advice]\naddress = " + to_string(platform_address_) +
+                "\n[bounds]\ngrace_seconds = 4\nconfig_ms = 3000\n");
+        node_.emplace(
+            "src/tack-node/tack-node",
+            std::vector<std::string>{"--settings", path},
+            folder_.path() / "n1.err");
+        metrics_ = node_->address_of("metrics");
+    }
+
+    // Puts a configuration into force; its size in bytes.
+    std::uint64_t configure(std::uint64_t version, unsigned queues)
+    {
+        const auto text = configuration(version, queues);
+        EXPECT_EQ(
+            post(platform_address_, "/configuration", text).result(),
+            http::status::ok);
+        return text.size();
+    }
+
+    // The version in force, which must never go back.
+    std::uint64_t version()
+    {
+        const auto page = get(metrics_, "/metrics").body();
+        constexpr std::string_view name = "\ntack_configuration_version ";
+        const auto at = page.find(name);
+        std::uint64_t found = 0;
+        if (at != std::string::npos)
+            std::from_chars(
+                page.data() + at + name.size(), page.data() + page.size(),
+                found);
+        EXPECT_GE(found, newest_seen_);
+        newest_seen_ = std::max(newest_seen_, found);
+        return found;
+    }
+
+    // Whether the version comes into force before the link has carried so many
+    // bytes more.
+    bool reaches(std::uint64_t wanted, std::uint64_t bytes)
+    {
+        const auto before = link_.bytes();
+        const auto carried = [&] { return link_.bytes() - before; };
+        eventually(
+            [&] { return version() >= wanted || carried() > bytes; },
+            std::chrono::seconds(60));
+        return version() >= wanted && carried() <= bytes;
+    }
+
+    temporary_folder folder_;
+    child_process platform_;
+    endpoint platform_address_;
+    counting_relay link_;
+    std::optional<child_process> node_;
+    endpoint metrics_;
+    std::uint64_t newest_seen_ = 0;
+};
+
+} // namespace
+
+// Guards against a configuration that never arrives over a narrow link: its
+// bytes took longer than the time of a call, and each retry began with the
+// first one.
+TEST_F(configuration_link, large_configuration_arrives_without_repeats)
+{
+    configure(1, 1);
+    start_node();
+    ASSERT_TRUE(reaches(1, kilobyte * kilobyte));
+    const auto bytes = configure(2, large_queues);
+    EXPECT_TRUE(reaches(2, bytes * 3 / 2 + other_traffic_bytes));
+}
+
+// Guards against reading a version again once it is in force: beside the next
+// version there was no room for the second copy.
+TEST_F(configuration_link, each_version_of_a_series_is_read_once)
+{
+    configure(1, 1);
+    start_node();
+    ASSERT_TRUE(reaches(1, kilobyte * kilobyte));
+    const auto before = link_.bytes();
+    std::uint64_t bytes = 0;
+    for (std::uint64_t next = 2; next <= 4; ++next)
+    {
+        bytes += configure(next, medium_queues);
+        ASSERT_TRUE(reaches(next, 8 * bytes));
+    }
+    // What follows the last one counts too.
+    configure(5, 1);
+    ASSERT_TRUE(reaches(5, 8 * bytes));
+    EXPECT_LE(link_.bytes() - before, bytes * 3 / 2 + 2 * other_traffic_bytes);
+}
+
+// Guards against a node that stays on an old version after a cut: it read all
+// versions that it had missed, which did not fit the time of a call.
+TEST_F(configuration_link, versions_missed_in_a_cut_do_not_hold_up_the_newest)
+{
+    configure(1, 1);
+    start_node();
+    ASSERT_TRUE(reaches(1, kilobyte * kilobyte));
+    link_.set_cut(true);
+    std::uint64_t bytes = 0;
+    for (std::uint64_t next = 2; next <= 5; ++next)
+        bytes = configure(next, medium_queues);
+    link_.set_cut(false);
+    // The one that was on its way, the newest one in base64, and half of one
+    // for the calls that the cut broke off.
+    EXPECT_TRUE(reaches(5, 3 * bytes + other_traffic_bytes));
+}
+
+// Guards against a start that never ends: the first list of the newest records
+// has the same time as any other call.
+TEST_F(configuration_link, large_configuration_is_read_at_the_start)
+{
+    const auto bytes = configure(7, large_queues);
+    start_node();
+    EXPECT_TRUE(reaches(7, bytes * 2 + other_traffic_bytes));
+}
+
+} // namespace dandeliontack::harness
--- a/testsuite/capacity/counting_relay.cpp
+++ b/testsuite/harness/counting_relay.cpp
@@ -2,11 +2,13 @@
 
 #include <boost/asio.hpp>
 
-#include <array>
+#include <algorithm>
 #include <atomic>
+#include <chrono>
 #include <thread>
+#include <vector>
 
-namespace dandeliontack::capacity
+namespace dandeliontack::harness
 {
 
 namespace asio = boost::asio;
@@ -16,13 +18,33 @@
 {
 
 constexpr std::size_t buffer_bytes = 64 * 1024;
+// What a narrow link passes on at once, so that connections share it.
+constexpr std::size_t packet_bytes = 2 * 1024;
+constexpr auto cut_poll_interval = std::chrono::milliseconds(5);
 constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
 using shared_socket = std::shared_ptr<tcp::socket>;
+using steady_time = std::chrono::steady_clock::time_point;
 
-asio::awaitable<void>
-copy(shared_socket from, shared_socket to, std::atomic<std::uint64_t>& bytes)
+// One direction of the link.
+struct direction
 {
-    std::vector<char> buffer(buffer_bytes);
+    std::uint64_t bytes_per_second = 0;
+    /// When the link has passed on all that it took.
+    steady_time free_at{};
+};
+
+asio::awaitable<void> wait_until(steady_time when)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, when);
+    co_await timer.async_wait(no_throw);
+}
+
+asio::awaitable<void> copy(
+    shared_socket from, shared_socket to, direction& way,
+    std::atomic<std::uint64_t>& bytes, const std::atomic<bool>& is_cut)
+{
+    std::vector<char> buffer(
+        way.bytes_per_second > 0 ? packet_bytes : buffer_bytes);
     for (;;)
     {
         const auto [read_error, count] =
@@ -30,6 +52,19 @@
         if (read_error)
             break;
         bytes += count;
+        while (is_cut)
+            co_await wait_until(
+                std::chrono::steady_clock::now() + cut_poll_interval);
+        if (way.bytes_per_second > 0)
+        {
+            const std::chrono::duration<double> taken(
+                static_cast<double>(count) /
+                static_cast<double>(way.bytes_per_second));
+            way.free_at =
+                std::max(way.free_at, std::chrono::steady_clock::now()) +
+                std::chrono::duration_cast<steady_time::duration>(taken);
+            co_await wait_until(way.free_at);
+        }
         const auto [write_error, written] = co_await asio::async_write(
             *to, asio::buffer(buffer.data(), count), no_throw);
         if (write_error)
@@ -49,9 +84,10 @@
 
 struct counting_relay::core
 {
-    explicit core(const endpoint& to)
+    core(const endpoint& to, std::uint64_t bytes_per_second)
         : target(to_tcp(to)),
-          acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+          acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+          to_caller{bytes_per_second, {}}
     {}
 
     asio::awaitable<void> accept()
@@ -76,19 +112,27 @@
             co_return;
         caller->set_option(tcp::no_delay(true));
         upstream->set_option(tcp::no_delay(true));
-        asio::co_spawn(context, copy(caller, upstream, bytes), asio::detached);
-        asio::co_spawn(context, copy(upstream, caller, bytes), asio::detached);
+        asio::co_spawn(
+            context, copy(caller, upstream, to_target, bytes, is_cut),
+            asio::detached);
+        asio::co_spawn(
+            context, copy(upstream, caller, to_caller, bytes, is_cut),
+            asio::detached);
     }
 
     asio::io_context context{1};
     tcp::endpoint target;
     tcp::acceptor acceptor;
+    direction to_target;
+    direction to_caller;
     std::atomic<std::uint64_t> bytes{0};
+    std::atomic<bool> is_cut{false};
     std::thread thread;
 };
 
-counting_relay::counting_relay(const endpoint& target)
-    : core_(std::make_unique<core>(target))
+counting_relay::counting_relay(
+    const endpoint& target, std::uint64_t bytes_per_second)
+    : core_(std::make_unique<core>(target, bytes_per_second))
 {
     asio::co_spawn(core_->context, core_->accept(), asio::detached);
     core_->thread = std::thread([this] { core_->context.run(); });
@@ -105,9 +149,14 @@
     return {"127.0.0.1", core_->acceptor.local_endpoint().port()};
 }
 
+void counting_relay::set_cut(bool is_cut)
+{
+    core_->is_cut = is_cut;
+}
+
 std::uint64_t counting_relay::bytes() const
 {
     return core_->bytes;
 }
 
-} // namespace dandeliontack::capacity
+} // namespace dandeliontack::harness
--- a/testsuite/standins/fleet/keyed_store.cpp
+++ b/testsuite/standins/fleet/keyed_store.cpp
@@ -18,6 +18,7 @@
 constexpr std::size_t remembered_answers = 5;
 constexpr std::size_t max_record_bytes = 256 * 1024;
 constexpr std::size_t max_call_bytes = 2 * 1024 * 1024;
+constexpr std::uint64_t default_read_kb = 1024;
 
 std::uint64_t number(const std::string& target, std::string_view name)
 {
@@ -157,12 +158,17 @@
     const auto from = number(target, "from");
     if (from >= part.records.size() && number(target, "waitMs") > 0)
         return std::nullopt;
+    const auto max_kb = number(target, "maxKb");
+    const auto max_bytes = (max_kb > 0 ? max_kb : default_read_kb) * 1024;
     std::string body;
     put_number(body, std::uint64_t{part.records.size()});
     put_number(body, std::uint64_t{0});
     for (auto i = from; i < part.records.size(); ++i)
     {
         const auto& item = part.records[i];
+        // A record that is larger than that comes alone.
+        if (i > from && body.size() + item.value.size() > max_bytes)
+            break;
         put_number(
             body, static_cast<std::uint32_t>(
                       1 + item.key.size() + item.value.size()));
