Responses of the store may take as long as their bytes need

Cause: a list of the newest records had 1 s and a read of the log 1.8 s for the whole response, whatever its size. A version of 4,250 queues is a page of 1 MB, 0.84 s of such a link if nothing else uses it. Beside anything else the page was thrown away after its last second and asked for again from its first byte, which kept the link full: a state that nothing ended but a restart.

The time of a call now ends with the head of the response. Its body may go on while bytes arrive: 1 s without any gives up, and so do 15 s in all. This holds for all that nodes read from the store: configurations, hosts, announcements, and the records of a shard or of the fleet duty at a takeover.

--- a/src/include/dandeliontack/http_connection.hpp
+++ b/src/include/dandeliontack/http_connection.hpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -34,6 +35,17 @@
 /// always permits.
 using send_permission = std::function<bool()>;
 
+/// Limits of the time that the body of a response takes once its head has
+/// arrived. A large body over a slow link takes long although nothing is wrong;
+/// giving up while bytes arrive would only send them again.
+struct body_time
+{
+    /// The longest pause between two parts of the body.
+    std::chrono::milliseconds stall{0};
+    /// The longest time for the whole body.
+    std::chrono::milliseconds longest{0};
+};
+
 /// A client connection that carries one request at a time. It connects when
 /// needed and reuses the connection only after a whole response to its last
 /// request. After a timeout, a cut or surplus bytes the connection is closed.
@@ -56,10 +68,11 @@
         http_request request, std::chrono::milliseconds timeout,
         send_permission may_send = {});
 
-    /// The same for a request that outlives the call.
+    /// The same for a request that outlives the call. With `body`, `timeout`
+    /// ends with the response's head.
     boost::asio::awaitable<exchange_result> exchange_in_place(
         const http_request& request, std::chrono::milliseconds timeout,
-        send_permission may_send = {});
+        send_permission may_send = {}, std::optional<body_time> body = {});
 
     /// The name that the caller has given to the process at the other end;
     /// empty for a connection that has been opened since then.
--- a/src/include/dandeliontack/http_pool.hpp
+++ b/src/include/dandeliontack/http_pool.hpp
@@ -52,10 +52,11 @@
     http_pool(boost::asio::any_io_executor executor, limits bounds);
 
     /// Sends one request, if it is still permitted once a connection stands,
-    /// and reads the whole response.
+    /// and reads the whole response. With `body`, `timeout` ends with the
+    /// response's head.
     boost::asio::awaitable<exchange_result> exchange(
         endpoint peer, http_request request, std::chrono::milliseconds timeout,
-        send_permission may_send = {});
+        send_permission may_send = {}, std::optional<body_time> body = {});
 
     /// The same for a request that only the process named by `check` may
     /// receive. If another one answers, nothing is sent to it, and the result
--- a/src/libnode/store_client.cpp
+++ b/src/libnode/store_client.cpp
@@ -21,8 +21,13 @@
 
 using namespace std::chrono_literals;
 
-// Exceeds the latency of a store that is sixty times slower than usual.
+// Until a response begins. Exceeds the latency of a store that is sixty times
+// slower than usual.
 constexpr auto call_timeout = 1000ms;
+// A page of 1 MB takes 4 s on a link of 2 Mbit/s that nothing else uses, and
+// longer beside other calls. A link that has gone silent is noticed by the
+// stall.
+constexpr body_time response_time{.stall = 1000ms, .longest = 15'000ms};
 // Exceeds the latency of a store that slows down by a factor of fifty from its
 // usual 4 ms. The store handles the appends of a partition one after the other,
 // so an earlier retry would delay the next append. Two such timeouts in a row
@@ -126,7 +131,8 @@
     context_.metrics.get_counter("tack_store_calls_total").add();
     const auto sent = now_steady();
     auto result = co_await context_.connections.exchange(
-        context_.settings.store.address, std::move(request), timeout);
+        context_.settings.store.address, std::move(request), timeout, {},
+        response_time);
     context_.metrics.get_summary("tack_store_call_seconds")
         .record(now_steady() - sent);
     co_return result;
--- a/src/libutil/http_connection.cpp
+++ b/src/libutil/http_connection.cpp
@@ -69,8 +69,10 @@
 
     bool quiet();
     asio::awaitable<beast::error_code> connect();
-    asio::awaitable<exchange_result> read_response(bool head);
-    asio::awaitable<beast::error_code> read_body(response_parser& parser);
+    asio::awaitable<exchange_result>
+    read_response(bool head, const std::optional<body_time>& limits);
+    asio::awaitable<beast::error_code>
+    read_body(response_parser& parser, const std::optional<body_time>& limits);
 };
 
 // Whether nothing has arrived on an idle connection. Bytes that nobody asked
@@ -101,7 +103,8 @@
 
 // Reads one whole response. One whose end is only the connection's end can't
 // be told from a truncated one, and an interim response was not asked for.
-asio::awaitable<exchange_result> http_connection::core::read_response(bool head)
+asio::awaitable<exchange_result> http_connection::core::read_response(
+    bool head, const std::optional<body_time>& limits)
 {
     response_parser parser;
     parser.header_limit(header_bytes);
@@ -119,7 +122,7 @@
             outcome::unknown, "read: response without a length"};
     if (!parser.is_done())
     {
-        const auto ec = co_await read_body(parser);
+        const auto ec = co_await read_body(parser, limits);
         if (share.has_given_up())
             co_return exchange_error{
                 outcome::unknown, "read: no room for the response"};
@@ -130,23 +133,28 @@
     co_return parser.release();
 }
 
-asio::awaitable<beast::error_code>
-http_connection::core::read_body(response_parser& parser)
+asio::awaitable<beast::error_code> http_connection::core::read_body(
+    response_parser& parser, const std::optional<body_time>& limits)
 {
+    using clock = std::chrono::steady_clock;
+    const auto began = clock::now();
     parser.eager(true);
     while (true)
     {
         auto failure = parse_buffered(buffer, parser);
         if (failure || parser.is_done())
             co_return failure;
-        share.hold(
-            parser.get().body().size(), std::chrono::steady_clock::now());
+        const auto now = clock::now();
+        share.hold(parser.get().body().size(), now);
         if (share.has_given_up())
             co_return asio::error::operation_aborted;
         const auto room =
             std::min(kept_bytes, buffer.max_size() - buffer.size());
         if (room == 0)
             co_return http::error::buffer_overflow;
+        if (limits)
+            stream.expires_at(
+                std::min(now + limits->stall, began + limits->longest));
         auto [ec, bytes] =
             co_await stream.async_read_some(buffer.prepare(room), no_throw);
         if (ec)
@@ -201,7 +209,7 @@
 
 asio::awaitable<exchange_result> http_connection::exchange_in_place(
     const http_request& request, std::chrono::milliseconds timeout,
-    send_permission may_send)
+    send_permission may_send, std::optional<body_time> body)
 {
     auto& c = *core_;
     if (c.open && !c.quiet())
@@ -236,7 +244,7 @@
     }
     c.share.begin(std::chrono::steady_clock::now());
     auto result =
-        co_await c.read_response(request.method() == http::verb::head);
+        co_await c.read_response(request.method() == http::verb::head, body);
     c.share.release();
     if (c.buffer.capacity() > kept_bytes)
         c.buffer.shrink_to_fit();
--- a/src/libutil/http_pool.cpp
+++ b/src/libutil/http_pool.cpp
@@ -66,11 +66,11 @@
 
 asio::awaitable<exchange_result> http_pool::exchange(
     endpoint peer, http_request request, std::chrono::milliseconds timeout,
-    send_permission may_send)
+    send_permission may_send, std::optional<body_time> body)
 {
     auto connection = take(peer);
     auto result = co_await connection.exchange_in_place(
-        request, timeout, std::move(may_send));
+        request, timeout, std::move(may_send), body);
     give_back(peer, std::move(connection), result);
     co_return result;
 }
