A configuration in force is not listed again

The pause no longer counts the time that the read itself took.

topic_follower_test.record_in_force_is_not_read_again: 5 records sent of 4 before, 4 now. limited_read_rate_skips_superseded_versions still holds.

--- a/src/include/dandeliontack/store_calls.hpp
+++ b/src/include/dandeliontack/store_calls.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -74,6 +75,15 @@
     std::string reason;
 };
 
+/// How much a read of a log returns, and when.
+struct read_terms
+{
+    /// How long the store waits for a record (long poll).
+    std::chrono::milliseconds wait{0};
+    /// The most that it returns, in KB; 0 for the store's own limit.
+    std::uint32_t most_kb = 0;
+};
+
 /// The records from an offset on.
 struct read_answer
 {
--- a/src/include/dandeliontack/store_client.hpp
+++ b/src/include/dandeliontack/store_client.hpp
@@ -27,9 +27,8 @@
     /// timeout grows with each.
     boost::asio::awaitable<append_answer>
     append(append_call call, unsigned attempts = 0);
-    boost::asio::awaitable<read_answer> read(
-        topic_partition place, std::uint64_t from,
-        std::chrono::milliseconds wait);
+    boost::asio::awaitable<read_answer>
+    read(topic_partition place, std::uint64_t from, read_terms terms);
     /// One page of the newest record of each key, starting after the key
     /// `after`.
     boost::asio::awaitable<newest_page>
--- a/src/include/dandeliontack/topic_follower.hpp
+++ b/src/include/dandeliontack/topic_follower.hpp
@@ -16,8 +16,9 @@
 struct follow_options
 {
     topic_partition place;
-    /// How long the store waits for a record before it responds (long poll).
-    std::chrono::milliseconds wait{0};
+    /// With a limit, whatever a read leaves is not read: the newest records are
+    /// listed instead, as most of it is superseded.
+    read_terms reads;
     /// The minimum pause between two reads.
     std::chrono::milliseconds interval{0};
     /// The maximum pause after a large read.
@@ -27,16 +28,16 @@
 };
 
 /// The pause that keeps a follower within its read rate after a read of `bytes`
-/// bytes.
-std::chrono::milliseconds
-pause_after(std::size_t bytes, const follow_options& options);
+/// bytes that took `spent`.
+std::chrono::milliseconds pause_after(
+    std::size_t bytes, std::chrono::milliseconds spent,
+    const follow_options& options);
 
 /// Follows a compacted topic: loads the newest record of each key, then reads
 /// the records that are appended. If the next offset was trimmed, it loads the
 /// topic again and reports keys that no longer exist as deleted (empty value).
-/// If a large record is rewritten many times in a row, the read rate imposes a
-/// pause; afterwards the newest version is loaded instead of every version
-/// written in between.
+/// If a record is rewritten faster than this follower may read, the newest
+/// version is loaded instead of every version written in between.
 class topic_follower
 {
 public:
@@ -58,6 +59,11 @@
 
 private:
     boost::asio::awaitable<void> load();
+    /// Reads the log once, and pauses.
+    boost::asio::awaitable<void> read();
+    /// Delivers the records of a read; whether some of them, or of those that
+    /// the read left, were superseded already.
+    bool deliver_all(read_answer answer);
     void deliver(const keyed_record& record);
 
     node_context& context_;
@@ -71,6 +77,8 @@
     /// The size of the last load; added to that of the next read that returns
     /// records.
     std::size_t loaded_bytes_ = 0;
+    /// When the last read began.
+    boot_time read_began_;
     bool loaded_ = false;
     bool stopped_ = false;
 };
--- a/src/libnode/store_client.cpp
+++ b/src/libnode/store_client.cpp
@@ -166,12 +166,12 @@
     co_return answer;
 }
 
-asio::awaitable<read_answer> store_client::read(
-    topic_partition place, std::uint64_t from, std::chrono::milliseconds wait)
+asio::awaitable<read_answer>
+store_client::read(topic_partition place, std::uint64_t from, read_terms terms)
 {
-    auto request = platform::encode_read(address_, place, from, wait);
+    auto request = platform::encode_read(address_, place, from, terms);
     const auto sent = now_steady();
-    auto result = co_await call(std::move(request), call_timeout + wait);
+    auto result = co_await call(std::move(request), call_timeout + terms.wait);
     read_answer answer;
     if (const auto* error = std::get_if<exchange_error>(&result))
     {
--- a/src/libnode/tack_node.cpp
+++ b/src/libnode/tack_node.cpp
@@ -50,6 +50,9 @@
 // How long a read of the operator's topic waits for new records. A dead
 // connection is detected within this and the call's own timeout.
 constexpr auto operator_read_wait = 800ms;
+// What a read of the operator's topic returns beside its first record: small
+// records come together, a large configuration alone.
+constexpr std::uint32_t operator_read_kb = 64;
 constexpr auto registry_interval = 250ms;
 constexpr auto hosts_interval = 100ms;
 constexpr auto log_interval = 100ms;
@@ -159,7 +162,7 @@
       operator_records_(
           context, store_,
           {{std::string(platform::operator_topic), 0},
-           operator_read_wait,
+           {operator_read_wait, operator_read_kb},
            0ms,
            configuration_pause(context.settings),
            [this] { return operator_read_limit(); }},
@@ -167,7 +170,7 @@
           [this] { relay_.mark_read(read_clocks().steady); }),
       registry_(
           context, store_,
-          {registry_partition(), 0ms, registry_interval, 0ms, {}},
+          {registry_partition(), {}, registry_interval, 0ms, {}},
           [this](const keyed_record& r) {
               shards_.apply(r, read_clocks());
               router_.notify_owner_change();
@@ -176,7 +179,7 @@
       host_records_(
           context, store_,
           {{std::string(platform::hosts_topic), 0},
-           0ms,
+           {},
            hosts_interval,
            0ms,
            {}},
--- a/src/libnode/topic_follower.cpp
+++ b/src/libnode/topic_follower.cpp
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <functional>
 #include <numeric>
+#include <set>
+#include <string_view>
 #include <utility>
 
 namespace dandeliontack
@@ -18,9 +20,6 @@
 
 // Pause after a failed call, so as not to load a store that is unavailable.
 constexpr auto failure_pause = 250ms;
-// After a pause of at least this length the topic is loaded again instead of
-// read, which skips the versions of a record written meanwhile.
-constexpr auto reload_after_pause = 100ms;
 
 std::size_t size_of(const std::vector<keyed_record>& records)
 {
@@ -31,8 +30,9 @@
 
 } // namespace
 
-std::chrono::milliseconds
-pause_after(std::size_t bytes, const follow_options& options)
+std::chrono::milliseconds pause_after(
+    std::size_t bytes, std::chrono::milliseconds spent,
+    const follow_options& options)
 {
     const double rate =
         options.bytes_per_second ? options.bytes_per_second() : 0;
@@ -41,7 +41,7 @@
     const std::chrono::duration<double> required(
         static_cast<double>(bytes) / rate);
     return std::clamp<std::chrono::milliseconds>(
-        std::chrono::round<std::chrono::milliseconds>(required),
+        std::chrono::round<std::chrono::milliseconds>(required) - spent,
         options.interval, std::max(options.interval, options.max_pause));
 }
 
@@ -125,42 +125,61 @@
     loaded_ = false;
     while (!stopped_)
     {
-        if (!loaded_)
+        if (loaded_)
         {
-            co_await load();
-            loaded_ = true;
-            if (!stopped_)
-                on_caught_up_();
+            co_await read();
             continue;
         }
-        auto answer =
-            co_await store_.read(options_.place, next_, options_.wait);
-        if (!answer.answered)
-        {
-            co_await pause_for(context_.executor, failure_pause);
-            continue;
-        }
-        if (answer.trimmed)
-        {
-            loaded_ = false;
-            continue;
-        }
-        for (auto& record : answer.records)
-        {
-            record.offset = next_++;
-            deliver(record);
-        }
-        const bool at_end = next_ >= answer.end;
-        if (at_end)
+        read_began_ = read_clocks().steady;
+        co_await load();
+        loaded_ = true;
+        if (!stopped_)
             on_caught_up_();
-        const auto bytes = size_of(answer.records);
-        const auto pause = pause_after(
-            bytes + (bytes > 0 ? std::exchange(loaded_bytes_, 0) : 0),
-            options_);
-        if (pause > 0ms)
-            co_await pause_for(context_.executor, pause);
-        loaded_ = pause == options_.interval || pause < reload_after_pause;
     }
 }
 
+asio::awaitable<void> topic_follower::read()
+{
+    // A load belongs to the read that follows it.
+    if (loaded_bytes_ == 0)
+        read_began_ = read_clocks().steady;
+    auto answer = co_await store_.read(options_.place, next_, options_.reads);
+    if (!answer.answered)
+    {
+        co_await pause_for(context_.executor, failure_pause);
+        co_return;
+    }
+    if (answer.trimmed)
+    {
+        loaded_ = false;
+        co_return;
+    }
+    const auto bytes = size_of(answer.records);
+    const bool is_behind = deliver_all(std::move(answer));
+    const auto spent = read_clocks().steady - read_began_;
+    const auto pause = pause_after(
+        bytes + (bytes > 0 ? std::exchange(loaded_bytes_, 0) : 0), spent,
+        options_);
+    if (pause > 0ms)
+        co_await pause_for(context_.executor, pause);
+    const bool may_skip =
+        options_.reads.most_kb > 0 || pause > options_.interval;
+    loaded_ = !is_behind || !may_skip;
+}
+
+bool topic_follower::deliver_all(read_answer answer)
+{
+    std::set<std::string_view> keys;
+    for (auto& record : answer.records)
+    {
+        record.offset = next_++;
+        deliver(record);
+        keys.insert(record.key);
+    }
+    if (next_ >= answer.end)
+        on_caught_up_();
+    const bool several_left = answer.end > next_ + 1;
+    return several_left || keys.size() < answer.records.size();
+}
+
 } // namespace dandeliontack
--- a/src/libnode/topic_follower_test.cpp
+++ b/src/libnode/topic_follower_test.cpp
@@ -10,6 +10,9 @@
 #include <boost/json.hpp>
 #include <gtest/gtest.h>
 
+#include <map>
+#include <optional>
+
 namespace dandeliontack
 {
 
@@ -24,6 +27,25 @@
 constexpr std::size_t record_bytes = 100'000;
 constexpr int versions = 40;
 
+void put_number(std::string& out, std::uint64_t value, int bytes)
+{
+    for (int i = bytes - 1; i >= 0; --i)
+        out += static_cast<char>(value >> (8U * static_cast<unsigned>(i)));
+}
+
+void put_record(
+    std::string& out, const std::string& key, const std::string& value)
+{
+    put_number(out, 1 + key.size() + value.size(), 4);
+    put_number(out, key.size(), 1);
+    out += key + value;
+}
+
+std::uint64_t offset_in(const std::string& target)
+{
+    return std::stoull(target.substr(target.find("from=") + 5));
+}
+
 // Holds one key that is rewritten with each request, so that a follower is
 // always behind until the last version.
 class rewriting_store
@@ -49,12 +71,6 @@
         return value;
     }
 
-    static void put(std::string& out, std::uint64_t value, int bytes)
-    {
-        for (int i = bytes - 1; i >= 0; --i)
-            out += static_cast<char>(value >> (8U * static_cast<unsigned>(i)));
-    }
-
     asio::awaitable<http_response> answer(http_request request)
     {
         auto response = answer_to(std::string(request.target()));
@@ -79,17 +95,11 @@
                     {"hasMore", false},
                     {"endOffset", end}}));
         }
-        const auto from = std::stoi(target.substr(target.find("from=") + 5));
         std::string body;
-        put(body, static_cast<std::uint64_t>(end), 8);
-        put(body, 0, 8);
-        for (int i = from; i < end; ++i, ++sent)
-        {
-            const auto value = value_of(i);
-            put(body, 1 + 6 + value.size(), 4);
-            put(body, 6, 1);
-            body += "config" + value;
-        }
+        put_number(body, static_cast<std::uint64_t>(end), 8);
+        put_number(body, 0, 8);
+        for (int i = static_cast<int>(offset_in(target)); i < end; ++i, ++sent)
+            put_record(body, "config", value_of(i));
         return make_response(
             http::status::ok, "application/octet-stream", std::move(body));
     }
@@ -145,6 +155,79 @@
     endpoint address;
 };
 
+// Holds these records; the list of the newest says that it ends at
+// `listed_end`, as if later records had been written while it was made.
+class recorded_store
+{
+public:
+    explicit recorded_store(asio::io_context& context)
+        : server_(
+              context.get_executor(), {}, metrics_,
+              [this](http_request request) {
+                  return answer(std::move(request));
+              }),
+          address(server_.listen({"127.0.0.1", 0}))
+    {}
+
+    std::vector<keyed_record> records;
+    std::optional<std::uint64_t> listed_end;
+    int sent = 0;
+    /// Reads that returned nothing.
+    int idle_reads = 0;
+
+private:
+    asio::awaitable<http_response> answer(http_request request)
+    {
+        const std::string target(request.target());
+        auto response =
+            target.starts_with("/log-newest") ? list() : read(target);
+        co_return response;
+    }
+
+    http_response list()
+    {
+        std::map<std::string, keyed_record> newest;
+        for (const auto& record : records)
+            newest[record.key] = record;
+        json::array items;
+        for (const auto& [key, record] : newest)
+        {
+            if (record.value.empty())
+                continue;
+            ++sent;
+            items.push_back(
+                {{"key", key},
+                 {"value", absl::Base64Escape(record.value)},
+                 {"offset", record.offset}});
+        }
+        return make_response(
+            http::status::ok, "application/json",
+            json::serialize(json::object{
+                {"items", std::move(items)},
+                {"hasMore", false},
+                {"endOffset", listed_end.value_or(records.size())}}));
+    }
+
+    http_response read(const std::string& target)
+    {
+        std::string body;
+        put_number(body, records.size(), 8);
+        put_number(body, 0, 8);
+        const auto from = offset_in(target);
+        idle_reads += from >= records.size() ? 1 : 0;
+        for (auto i = from; i < records.size(); ++i, ++sent)
+            put_record(body, records[i].key, records[i].value);
+        return make_response(
+            http::status::ok, "application/octet-stream", std::move(body));
+    }
+
+    metric_registry metrics_;
+    http_server server_;
+
+public:
+    endpoint address;
+};
+
 class topic_follower_test : public test::node_fixture
 {
 protected:
@@ -191,13 +274,13 @@
 // read capacity. Found on bench day trouble-2 of teranga-jobs-large.
 TEST_F(topic_follower_test, limited_read_rate_skips_superseded_versions)
 {
-    const auto all = follow({{"keyed.op", 0}, 0ms, 0ms, 0ms, {}});
+    const auto all = follow({{"keyed.op", 0}, {}, 0ms, 0ms, {}});
     EXPECT_EQ(all, versions - 5);
     const int sent_without_limit = store.sent;
     store.end = 1;
     store.sent = 0;
     const auto limited =
-        follow({{"keyed.op", 0}, 0ms, 0ms, 150ms, [] { return 1e5; }});
+        follow({{"keyed.op", 0}, {}, 0ms, 150ms, [] { return 1e5; }});
     EXPECT_LT(limited, all);
     EXPECT_LT(store.sent, sent_without_limit);
 }
@@ -212,7 +295,7 @@
     std::vector<std::string> keys;
     bool caught_up = false;
     topic_follower follower(
-        node_, client, {{"keyed.servers", 0}, 0ms, 0ms, 0ms, {}},
+        node_, client, {{"keyed.servers", 0}, {}, 0ms, 0ms, {}},
         [&](const keyed_record& record) { keys.push_back(record.key); },
         [&] {
             caught_up = true;
@@ -229,12 +312,54 @@
     EXPECT_EQ(paged.requests, 6);
 }
 
+// Guards against reading a record again that is in force already: after each
+// large record the whole topic was listed, more bytes than the record itself.
+TEST_F(topic_follower_test, record_in_force_is_not_read_again)
+{
+    recorded_store recorded(context_);
+    recorded.records = {{"config", "1", 0}};
+    settings_.store.address = recorded.address;
+    store_client client(node_);
+    std::vector<std::string> values;
+    topic_follower follower(
+        node_, client, {{"keyed.op", 0}, {}, 0ms, 150ms, [] { return 1e5; }},
+        [&](const keyed_record& record) {
+            values.push_back(record.value.substr(0, 1));
+            if (recorded.records.size() < 4)
+                recorded.records.push_back(
+                    {"config",
+                     std::to_string(recorded.records.size() + 1) +
+                         std::string(record_bytes, 'x'),
+                     recorded.records.size()});
+        },
+        [] {});
+    bool ended = false;
+    asio::co_spawn(context_, follower.run(), [&](const std::exception_ptr&) {
+        ended = true;
+    });
+    while (recorded.idle_reads < 3)
+        context_.run_one();
+    follower.stop();
+    while (!ended)
+        context_.run_one();
+    EXPECT_EQ(values, (std::vector<std::string>{"1", "2", "3", "4"}));
+    EXPECT_EQ(recorded.sent, 4);
+}
+
+TEST(pause_after, time_of_the_read_counts)
+{
+    const follow_options options{{}, {}, 10ms, 600ms, [] { return 1e6; }};
+    EXPECT_EQ(pause_after(200'000, 150ms, options), 50ms);
+    EXPECT_EQ(pause_after(200'000, 300ms, options), 10ms);
+    EXPECT_EQ(pause_after(5'000'000, 150ms, options), 600ms);
+}
+
 TEST(pause_after, pause_grows_with_bytes_up_to_maximum)
 {
-    const follow_options options{{}, 0ms, 10ms, 600ms, [] { return 1e6; }};
-    EXPECT_EQ(pause_after(0, options), 10ms);
-    EXPECT_EQ(pause_after(200'000, options), 200ms);
-    EXPECT_EQ(pause_after(5'000'000, options), 600ms);
+    const follow_options options{{}, {}, 10ms, 600ms, [] { return 1e6; }};
+    EXPECT_EQ(pause_after(0, 0ms, options), 10ms);
+    EXPECT_EQ(pause_after(200'000, 0ms, options), 200ms);
+    EXPECT_EQ(pause_after(5'000'000, 0ms, options), 600ms);
 }
 
 } // namespace dandeliontack
