Topics: a deletion older than what was listed is passed over

Found while looking for ways back to an older state. The log from there on deleted the key once more until its record was read again; a host that had left and come back was taken for gone, one more time, by an owner that had just listed it.

Deletions are compared by offset like other records. Keys that a list no longer has are removed apart.

--- a/src/include/dandeliontack/topic_follower.hpp
+++ b/src/include/dandeliontack/topic_follower.hpp
@@ -64,7 +64,10 @@
     /// Delivers the records of a read; whether some of them, or of those that
     /// the read left, were superseded already.
     bool deliver_all(read_answer answer);
+    /// Passes a record on unless it is older than what is known of its key.
     void deliver(const keyed_record& record);
+    /// Reports a key that the topic no longer has.
+    void remove(const std::string& key);
 
     node_context& context_;
     store_client& store_;
--- a/src/libnode/topic_follower.cpp
+++ b/src/libnode/topic_follower.cpp
@@ -69,20 +69,24 @@
 {
     if (record.key.empty())
         return;
+    // A page of a load may hold an older version than one read before, and the
+    // log from its end on may hold older ones than the page.
+    const auto known = keys_.find(record.key);
+    if (known != keys_.end() && record.offset <= known->second)
+        return;
     if (record.value.empty())
-    {
         keys_.erase(record.key);
-        on_record_(record);
-        return;
-    }
-    const auto [known, added] = keys_.try_emplace(record.key, record.offset);
-    // A page of a load may hold an older version than one read before.
-    if (!added && record.offset <= known->second)
-        return;
-    known->second = record.offset;
+    else
+        keys_[record.key] = record.offset;
     on_record_(record);
 }
 
+void topic_follower::remove(const std::string& key)
+{
+    keys_.erase(key);
+    on_record_({key, {}, 0});
+}
+
 // Loads the newest record of each key. The pages are not a consistent snapshot,
 // so reading resumes at the end offset that the first page reported.
 asio::awaitable<void> topic_follower::load()
@@ -116,7 +120,7 @@
     if (more)
         co_return;
     for (const auto& [key, offset] : missing)
-        deliver({key, {}, 0});
+        remove(key);
     next_ = end.value_or(next_);
 }
 
--- a/src/libnode/topic_follower_test.cpp
+++ b/src/libnode/topic_follower_test.cpp
@@ -346,6 +346,39 @@
     EXPECT_EQ(recorded.sent, 4);
 }
 
+// Guards against going back to an older state: the list held a key that had
+// been deleted and written again after the offset where the list ended, and the
+// log from there on deleted it once more.
+TEST_F(topic_follower_test, deletion_before_what_was_listed_is_passed_over)
+{
+    recorded_store recorded(context_);
+    recorded.records = {
+        {"host", "old", 0},
+        {"host", "", 1},
+        {"host", "new", 2},
+        {"end", "", 3}};
+    recorded.listed_end = 1;
+    settings_.store.address = recorded.address;
+    store_client client(node_);
+    std::vector<std::string> changes;
+    topic_follower follower(
+        node_, client, {{"keyed.servers", 0}, {}, 0ms, 0ms, {}},
+        [&](const keyed_record& record) {
+            changes.push_back(record.key + "=" + record.value);
+        },
+        [] {});
+    bool ended = false;
+    asio::co_spawn(context_, follower.run(), [&](const std::exception_ptr&) {
+        ended = true;
+    });
+    while (recorded.idle_reads < 1)
+        context_.run_one();
+    follower.stop();
+    while (!ended)
+        context_.run_one();
+    EXPECT_EQ(changes, (std::vector<std::string>{"host=new", "end="}));
+}
+
 TEST(pause_after, time_of_the_read_counts)
 {
     const follow_options options{{}, {}, 10ms, 600ms, [] { return 1e6; }};
