Another node sends a configuration once, and deflated

A node that had read no end of the operator's topic for 1.2 s asked three others for the whole configuration, each 375 ms anew, and gave them 400 ms: 2.6 MB for 4,250 queues, which no link below 52 Mbit/s carries in that time. On the narrow links of the incident this never brought a version, but kept the link full, so that the store's answers came late too; the nodes asked sent up to 4.2 MB a second.

The node now asks for versions, a few bytes each, and fetches the newest from one node, whose answer may go on while bytes arrive. It is deflated, once a version and not before it is asked for.

configuration_link.one_node_sends_a_configuration_once: 2 needless copies before, none now. zlib joins the packages; it came with protobuf before.

--- a/src/cmake/install-packages.sh
+++ b/src/cmake/install-packages.sh
@@ -9,7 +9,7 @@
     libboost1.81-dev libgrpc++-dev libprotobuf-dev
     protobuf-compiler protobuf-compiler-grpc
     libabsl-dev liblog4cxx-dev libgtest-dev librapidcheck-dev
-    libbenchmark-dev
+    libbenchmark-dev zlib1g-dev
 )
 
 missing=()
--- a/src/cmake/targets.cmake
+++ b/src/cmake/targets.cmake
@@ -10,7 +10,7 @@
 target_link_libraries(tack_network INTERFACE
   tack_options Boost::headers PkgConfig::grpcpp protobuf::libprotobuf
   absl::flags absl::flags_parse absl::flags_usage absl::strings
-  PkgConfig::log4cxx Threads::Threads)
+  PkgConfig::log4cxx Threads::Threads ZLIB::ZLIB)
 target_include_directories(tack_network INTERFACE ${CMAKE_SOURCE_DIR}/src/generated)
 target_compile_definitions(tack_network INTERFACE
   BOOST_ASIO_SEPARATE_COMPILATION BOOST_BEAST_SEPARATE_COMPILATION
--- a/src/include/dandeliontack/configuration_relay.hpp
+++ b/src/include/dandeliontack/configuration_relay.hpp
@@ -29,9 +29,16 @@
 /// force on every node.
 relay_terms relay_terms_of(std::chrono::milliseconds config_bound);
 
+/// The version of another node's configuration.
+struct peer_version
+{
+    node_announcement node;
+    std::uint64_t version = 0;
+};
+
 /// The newest configuration that a node has read, for nodes that the store
-/// turns away while others can still use it: keys that were taken away must not
-/// stay valid there. Used in deployments with client accounts only.
+/// turns away, or that can't read it in time, while others can. It is sent
+/// deflated, which makes it some ten times smaller than in the store.
 class configuration_relay
 {
 public:
@@ -54,15 +61,22 @@
     std::vector<node_announcement>
     next_peers(std::vector<node_announcement> others);
 
-    /// The kept configuration, if it is newer than `version`.
-    std::optional<std::string> newer_than(std::uint64_t version) const;
+    /// The node to fetch a configuration from: one with the newest version, if
+    /// that is newer than the kept one.
+    std::optional<node_announcement>
+    choose(const std::vector<peer_version>& answers) const;
+
+    /// The kept configuration, deflated, if it is newer than `version`.
+    const std::string* deflated_newer_than(std::uint64_t version);
     /// The version that is kept; 0 if there is none.
     std::uint64_t version() const;
 
 private:
     relay_terms terms_;
     std::uint64_t version_ = 0;
+    /// As the operator has encoded it, until it is first asked for.
     std::string encoded_;
+    std::string deflated_;
     boot_time last_read_;
     std::size_t next_ = 0;
 };
--- a/src/include/dandeliontack/shard_router.hpp
+++ b/src/include/dandeliontack/shard_router.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <dandeliontack/configuration_relay.hpp>
 #include <dandeliontack/node_context.hpp>
 #include <dandeliontack/shard_map.hpp>
 #include <dandeliontack/shard_owner.hpp>
@@ -36,6 +37,8 @@
         announce,
         /// Tells a node who owns a shard, or that its owner released it.
         owner_changed,
+        /// Asks a node for the version of its configuration.
+        configuration_version,
         /// Asks a node for a newer configuration than that of a version.
         configuration
     };
@@ -45,21 +48,21 @@
     /// The argument: a route for `pending`, a host for `evacuate`, the encoded
     /// departure for `host_ended`, the encoded host loans for `demands`, the
     /// encoded announcement for `announce`, the encoded owner record for
-    /// `owner_changed`, the version, in decimal, for `configuration`.
+    /// `owner_changed`, the known version, in decimal, for `configuration`.
     std::string name;
     /// For `submit` and `find`; shared, as a call may be repeated.
     std::shared_ptr<const submission_record> record;
 };
 
-/// What a node answered to a question about the configuration.
+/// The configuration of another node.
 struct peer_configuration
 {
-    std::string node;
-    /// In the operator's encoding; empty if the node has no newer one, or gave
-    /// no whole answer.
+    /// In the operator's encoding; empty if there is none.
     std::string encoded;
-    /// Set if there was no whole answer.
-    std::optional<exchange_error> error;
+    /// Why there is none.
+    std::string reason;
+    /// Bytes that the answer had, or that had arrived of it.
+    std::uint64_t received = 0;
 };
 
 /// Finds the owner of a shard, in this process or on another node, and calls
@@ -97,14 +100,15 @@
         std::function<boost::asio::awaitable<shard_answer>(std::string)>;
     void set_announcement_store(announcement_store store);
 
-    /// Returns the newest configuration of this node, in the operator's
-    /// encoding, if it is newer than the given version.
-    using configuration_source =
-        std::function<std::optional<std::string>(std::uint64_t)>;
-    void set_configuration_source(configuration_source source);
-    /// Asks nodes for a configuration newer than `version`.
-    boost::asio::awaitable<std::vector<peer_configuration>> ask_configuration(
-        std::vector<node_announcement> nodes, std::uint64_t version);
+    /// The configuration that other nodes may ask for; outlives this.
+    void set_configuration_source(configuration_relay& source);
+    /// Asks nodes for the versions of their configurations; the answers of
+    /// those that gave one in time.
+    boost::asio::awaitable<std::vector<peer_version>>
+    ask_versions(std::vector<node_announcement> nodes);
+    /// Fetches a configuration newer than `version` from a node.
+    boost::asio::awaitable<peer_configuration>
+    fetch_configuration(node_announcement node, std::uint64_t version);
 
     /// Handles a call from another node.
     boost::asio::awaitable<http_response> serve(http_request request);
@@ -133,9 +137,9 @@
     boost::asio::awaitable<shard_answer> ask_remote(
         const owner_record& owner, const shard_call& call,
         std::chrono::milliseconds timeout);
-    boost::asio::awaitable<peer_configuration>
-    ask_node(node_announcement node, shard_call call);
-    shard_answer answer_configuration(const std::string& version) const;
+    boost::asio::awaitable<std::optional<peer_version>>
+    ask_version(node_announcement node);
+    shard_answer answer_configuration(const shard_call& call) const;
     boost::asio::awaitable<void>
     tell_node(std::string address, shard_call call);
 
@@ -143,7 +147,7 @@
     shard_map& shards_;
     std::map<shard_id, std::shared_ptr<shard_owner>> owners_;
     announcement_store announcement_store_;
-    configuration_source configuration_source_;
+    configuration_relay* configuration_source_ = nullptr;
     wake_signal owner_changed_;
 };
 
--- a/src/include/dandeliontack/tack_node.hpp
+++ b/src/include/dandeliontack/tack_node.hpp
@@ -69,10 +69,11 @@
         std::string_view encoded, std::string_view source,
         std::string_view from = {});
     void put_in_force(queue_table table, std::string_view encoded);
-    void
-    log_round(const std::vector<peer_configuration>& answers, boot_time now);
-    /// Asks other nodes for the configuration while the store turns this one
-    /// away.
+    /// Fetches a newer configuration from one of the nodes, if any has one.
+    boost::asio::awaitable<void>
+    ask_for_configuration(std::vector<node_announcement> nodes);
+    /// Asks other nodes for the configuration while this one can't read the
+    /// store.
     boost::asio::awaitable<void> relay_configuration();
     void apply_host_record(const keyed_record& record);
     void assign_hosts();
@@ -88,7 +89,6 @@
     shard_router router_;
     caller_front front_;
     configuration_relay relay_;
-    bool relaying_ = false;
     topic_follower operator_records_;
     topic_follower registry_;
     topic_follower host_records_;
--- a/src/libnode/configuration_relay.cpp
+++ b/src/libnode/configuration_relay.cpp
@@ -1,4 +1,5 @@
 #include <dandeliontack/configuration_relay.hpp>
+#include <dandeliontack/deflated_text.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -42,6 +43,7 @@
         return;
     version_ = version;
     encoded_ = std::move(encoded);
+    deflated_.clear();
 }
 
 void configuration_relay::mark_read(boot_time now)
@@ -73,12 +75,27 @@
     return others;
 }
 
-std::optional<std::string>
-configuration_relay::newer_than(std::uint64_t version) const
+std::optional<node_announcement>
+configuration_relay::choose(const std::vector<peer_version>& answers) const
 {
-    if (version_ <= version)
+    const auto newest =
+        std::ranges::max_element(answers, {}, &peer_version::version);
+    if (newest == answers.end() || newest->version <= version_)
         return std::nullopt;
-    return encoded_;
+    return newest->node;
+}
+
+const std::string*
+configuration_relay::deflated_newer_than(std::uint64_t version)
+{
+    if (version_ <= version)
+        return nullptr;
+    if (deflated_.empty())
+    {
+        deflated_ = deflate(encoded_);
+        std::string().swap(encoded_);
+    }
+    return &deflated_;
 }
 
 std::uint64_t configuration_relay::version() const
--- a/src/libnode/configuration_relay_test.cpp
+++ b/src/libnode/configuration_relay_test.cpp
@@ -1,7 +1,10 @@
 #include <dandeliontack/configuration_relay.hpp>
+#include <dandeliontack/deflated_text.hpp>
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
+#include <algorithm>
 #include <set>
 
 namespace dandeliontack
@@ -50,15 +53,47 @@
     }
 }
 
-TEST(configuration_relay, only_a_newer_configuration_is_kept_and_told)
+std::optional<std::string> told(configuration_relay& relay, std::uint64_t known)
 {
+    constexpr std::size_t most_bytes = 1024;
+    const auto* bytes = relay.deflated_newer_than(known);
+    return bytes ? inflate(*bytes, most_bytes) : std::nullopt;
+}
+
+// Guards against going back: versions arrive from the store and from nodes in
+// any order, and nodes that know less ask for them at any time.
+RC_GTEST_PROP(
+    configuration_relay, only_a_newer_configuration_is_kept_and_told, ())
+{
+    configuration_relay relay({});
+    std::uint64_t newest = 0;
+    const auto arrivals = *rc::gen::container<std::vector<std::uint64_t>>(
+        rc::gen::inRange<std::uint64_t>(1, 20));
+    for (const auto version : arrivals)
+    {
+        relay.keep(version, "version " + std::to_string(version));
+        newest = std::max(newest, version);
+        RC_ASSERT(relay.version() == newest);
+        const auto known = *rc::gen::inRange<std::uint64_t>(0, 21);
+        const auto answer = told(relay, known);
+        RC_ASSERT(answer.has_value() == (newest > known));
+        RC_ASSERT(!answer || *answer == "version " + std::to_string(newest));
+    }
+}
+
+// Guards against fetching what is known already, and several copies of what is
+// not: three whole configurations at once did not fit a narrow link in time.
+TEST(configuration_relay, one_node_with_the_newest_version_is_chosen)
+{
+    const auto others = nodes(4);
     configuration_relay relay({});
     relay.keep(7, "seven");
-    relay.keep(5, "five");
-    EXPECT_EQ(relay.version(), 7U);
-    EXPECT_EQ(relay.newer_than(6), "seven");
-    EXPECT_FALSE(relay.newer_than(7));
-    EXPECT_FALSE(relay.newer_than(8));
+    EXPECT_FALSE(relay.choose({}));
+    EXPECT_FALSE(relay.choose({{others[0], 6}, {others[1], 7}}));
+    const auto chosen = relay.choose(
+        {{others[0], 8}, {others[1], 9}, {others[2], 9}, {others[3], 3}});
+    ASSERT_TRUE(chosen);
+    EXPECT_EQ(chosen->name, "node-1");
 }
 
 // Load pattern: the store turns a third of the nodes away, so some of those
--- a/src/libnode/shard_router.cpp
+++ b/src/libnode/shard_router.cpp
@@ -1,3 +1,4 @@
+#include <dandeliontack/deflated_text.hpp>
 #include <dandeliontack/shard_router.hpp>
 #include <dandeliontack/spawn.hpp>
 
@@ -24,8 +25,15 @@
 constexpr auto retry_delay = 60ms;
 // Timeout of a message about an owner, which is not repeated.
 constexpr auto tell_timeout = 500ms;
-// Timeout of a question to a node about the configuration, asked in rounds.
-constexpr auto configuration_timeout = 400ms;
+// Timeout of a question to a node about its version, asked in rounds.
+constexpr auto version_timeout = 400ms;
+// Until a configuration begins to arrive, which its sender may have to deflate
+// first, and for its bytes: 100 KB take 0.4 s on a link of 2 Mbit/s that
+// nothing else uses.
+constexpr auto fetch_timeout = 800ms;
+constexpr body_time fetch_time{.stall = 800ms, .longest = 5000ms};
+// Several times what the store takes in one call.
+constexpr std::size_t max_configuration_bytes = 16 * 1024 * 1024;
 constexpr int http_version = 11;
 constexpr std::size_t path_segments = 3;
 
@@ -45,6 +53,7 @@
     verb_row{shard_call::verb::demands, "demands"},
     verb_row{shard_call::verb::announce, "announce"},
     verb_row{shard_call::verb::owner_changed, "owner-changed"},
+    verb_row{shard_call::verb::configuration_version, "configuration-version"},
     verb_row{shard_call::verb::configuration, "configuration"}};
 
 struct outcome_row
@@ -109,6 +118,16 @@
     return call;
 }
 
+std::optional<std::uint64_t> parse_version(std::string_view text)
+{
+    std::uint64_t version = 0;
+    const auto* end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, version);
+    if (parsed.ec != std::errc() || parsed.ptr != end)
+        return std::nullopt;
+    return version;
+}
+
 http_response malformed_call()
 {
     return make_problem(
@@ -190,67 +209,102 @@
         *peer, encode_call(address, call), tell_timeout);
 }
 
-void shard_router::set_configuration_source(configuration_source source)
+void shard_router::set_configuration_source(configuration_relay& source)
 {
-    configuration_source_ = std::move(source);
+    configuration_source_ = &source;
 }
 
-asio::awaitable<peer_configuration>
-shard_router::ask_node(node_announcement node, shard_call call)
+asio::awaitable<std::optional<peer_version>>
+shard_router::ask_version(node_announcement node)
 {
-    peer_configuration answer{node.name, {}, {}};
     const auto peer = parse_endpoint(node.address);
     if (!peer)
-        co_return answer;
+        co_return std::nullopt;
+    const shard_call call{
+        shard_call::verb::configuration_version, 0, 0, {}, {}};
     auto result = co_await context_.connections.exchange(
-        *peer, encode_call(node.address, call), configuration_timeout);
-    if (const auto* error = std::get_if<exchange_error>(&result))
-        answer.error = *error;
-    else if (auto& response = std::get<http_response>(result);
-             response.result() == http::status::ok)
-        answer.encoded = std::move(response.body());
-    co_return answer;
+        *peer, encode_call(node.address, call), version_timeout);
+    const auto* response = std::get_if<http_response>(&result);
+    if (!response || response->result() != http::status::ok)
+        co_return std::nullopt;
+    const auto version = parse_version(response->body());
+    if (!version)
+        co_return std::nullopt;
+    co_return peer_version{std::move(node), *version};
 }
 
-asio::awaitable<std::vector<peer_configuration>>
-shard_router::ask_configuration(
-    std::vector<node_announcement> nodes, std::uint64_t version)
+asio::awaitable<std::vector<peer_version>>
+shard_router::ask_versions(std::vector<node_announcement> nodes)
 {
-    std::vector<peer_configuration> answers;
+    std::vector<peer_version> answers;
     std::size_t unanswered = nodes.size();
     wake_signal done(context_.executor);
     for (const auto& node : nodes)
         asio::co_spawn(
-            context_.executor,
-            ask_node(
-                node, {shard_call::verb::configuration,
-                       0,
-                       0,
-                       std::to_string(version),
-                       {}}),
-            [&](const std::exception_ptr& error, peer_configuration answer) {
-                if (!error)
-                    answers.push_back(std::move(answer));
+            context_.executor, ask_version(node),
+            [&](const std::exception_ptr& error,
+                std::optional<peer_version> answer) {
+                if (!error && answer)
+                    answers.push_back(std::move(*answer));
                 --unanswered;
                 done.notify();
             });
     while (unanswered > 0)
-        co_await done.wait(configuration_timeout);
+        co_await done.wait(version_timeout);
     co_return answers;
 }
 
-shard_answer
-shard_router::answer_configuration(const std::string& version) const
+asio::awaitable<peer_configuration>
+shard_router::fetch_configuration(node_announcement node, std::uint64_t version)
+{
+    peer_configuration out;
+    const auto peer = parse_endpoint(node.address);
+    if (!peer)
+    {
+        out.reason = "address \"" + node.address + "\" is malformed";
+        co_return out;
+    }
+    const shard_call call{
+        shard_call::verb::configuration, 0, 0, std::to_string(version), {}};
+    auto result = co_await context_.connections.exchange(
+        *peer, encode_call(node.address, call), fetch_timeout, {}, fetch_time);
+    if (const auto* error = std::get_if<exchange_error>(&result))
+    {
+        out.reason = error->reason;
+        out.received = error->received;
+        co_return out;
+    }
+    const auto& response = std::get<http_response>(result);
+    out.received = response.body().size();
+    if (response.result() != http::status::ok)
+    {
+        out.reason = "status " + std::to_string(response.result_int());
+        co_return out;
+    }
+    auto text = inflate(response.body(), max_configuration_bytes);
+    if (text)
+        out.encoded = std::move(*text);
+    else
+        out.reason = "the answer of " + std::to_string(out.received) +
+                     " bytes can't be inflated to at most " +
+                     std::to_string(max_configuration_bytes) + " bytes";
+    co_return out;
+}
+
+shard_answer shard_router::answer_configuration(const shard_call& call) const
 {
-    std::uint64_t known = 0;
-    const auto* end = version.data() + version.size();
-    const auto parsed = std::from_chars(version.data(), end, known);
-    if (!configuration_source_ || parsed.ec != std::errc() || parsed.ptr != end)
+    if (!configuration_source_)
         return {shard_outcome::not_found, {}};
-    auto newer = configuration_source_(known);
+    if (call.kind == shard_call::verb::configuration_version)
+        return {
+            shard_outcome::done,
+            std::to_string(configuration_source_->version())};
+    const auto known = parse_version(call.name);
+    const auto* newer =
+        known ? configuration_source_->deflated_newer_than(*known) : nullptr;
     if (!newer)
         return {shard_outcome::not_found, {}};
-    return {shard_outcome::done, std::move(*newer)};
+    return {shard_outcome::done, *newer};
 }
 
 asio::awaitable<shard_answer>
@@ -426,9 +480,11 @@
     {
         answer = co_await announcement_store_(std::move(call->name));
     }
-    else if (call->kind == shard_call::verb::configuration)
+    else if (
+        call->kind == shard_call::verb::configuration ||
+        call->kind == shard_call::verb::configuration_version)
     {
-        answer = answer_configuration(call->name);
+        answer = answer_configuration(*call);
     }
     else if (call->kind == shard_call::verb::owner_changed)
     {
--- a/src/libnode/tack_node.cpp
+++ b/src/libnode/tack_node.cpp
@@ -230,8 +230,7 @@
                         .add("cause", to_string(cause))
                         .add("count", count));
             });
-    router_.set_configuration_source(
-        [this](std::uint64_t version) { return relay_.newer_than(version); });
+    router_.set_configuration_source(relay_);
 }
 
 void tack_node::start()
@@ -251,6 +250,7 @@
     run_task("announcements", [this] { return announce_regularly(); });
     run_task("layout", [this] { return load_layout(); });
     run_task("claims", [this] { return claim_regularly(); });
+    run_task("configuration relay", [this] { return relay_configuration(); });
     run_task("log", [this] { return write_log_regularly(); });
 }
 
@@ -505,13 +505,7 @@
 void tack_node::put_in_force(queue_table table, std::string_view encoded)
 {
     if (table.accounts)
-    {
         relay_.keep(table.version, std::string(encoded));
-        if (!std::exchange(relaying_, true))
-            spawn_with_restart(context_, "configuration relay", [this] {
-                return relay_configuration();
-            });
-    }
     front_.set_table(std::make_shared<const queue_table>(std::move(table)));
     const auto& in_force = *front_.table();
     callers_.set_request_limits(
@@ -530,46 +524,51 @@
 {
     while (!leaving_)
     {
-        const auto now = read_clocks().steady;
-        if (relay_.is_stale(now))
+        if (relay_.is_stale(read_clocks().steady))
         {
-            auto others = shards_.alive_nodes(now);
+            auto others = shards_.alive_nodes(read_clocks().steady);
             std::erase_if(others, [this](const node_announcement& node) {
                 return node.process_incarnation == context_.process_incarnation;
             });
-            auto peers = relay_.next_peers(std::move(others));
-            const auto answers = co_await router_.ask_configuration(
-                std::move(peers), relay_.version());
-            log_round(answers, now);
-            for (const auto& answer : answers)
-                if (!answer.encoded.empty())
-                    apply_configuration(answer.encoded, "node", answer.node);
+            co_await ask_for_configuration(
+                relay_.next_peers(std::move(others)));
         }
         co_await pause_for(context_.executor, relay_.terms().interval);
     }
 }
 
-void tack_node::log_round(
-    const std::vector<peer_configuration>& answers, boot_time now)
+asio::awaitable<void>
+tack_node::ask_for_configuration(std::vector<node_announcement> nodes)
 {
-    std::uint64_t unanswered = 0;
-    std::uint64_t newer = 0;
-    std::uint64_t cut_off_bytes = 0;
-    for (const auto& answer : answers)
+    const auto asked = std::uint64_t{nodes.size()};
+    const auto answers = co_await router_.ask_versions(std::move(nodes));
+    const auto source = relay_.choose(answers);
+    context_.log.write(
+        "node", "configuration_asked",
+        log_line()
+            .add("in_force", relay_.version())
+            .add("age_ms", relay_.age(read_clocks().steady).count())
+            .add("asked", asked)
+            .add("answered", std::uint64_t{answers.size()})
+            .add("newer_at", source ? source->name : std::string()));
+    if (!source)
+        co_return;
+    const auto began = read_clocks().steady;
+    const auto fetched =
+        co_await router_.fetch_configuration(*source, relay_.version());
+    if (!fetched.encoded.empty())
     {
-        unanswered += answer.error ? 1 : 0;
-        newer += answer.encoded.empty() ? 0 : 1;
-        cut_off_bytes += answer.error ? answer.error->received : 0;
+        apply_configuration(fetched.encoded, "node", source->name);
+        co_return;
     }
     context_.log.write(
-        "node", "configuration_asked",
+        "node", "configuration_fetch_failed",
         log_line()
+            .add("from", source->name)
             .add("in_force", relay_.version())
-            .add("age_ms", relay_.age(now).count())
-            .add("asked", std::uint64_t{answers.size()})
-            .add("unanswered", unanswered)
-            .add("newer", newer)
-            .add("cut_off_bytes", cut_off_bytes));
+            .add("received_bytes", fetched.received)
+            .add("took_ms", (read_clocks().steady - began).count())
+            .add("reason", fetched.reason));
 }
 
 void tack_node::apply_operator_record(const keyed_record& record)
--- a/testsuite/configuration_link/configuration_link_test.cpp
+++ b/testsuite/configuration_link/configuration_link_test.cpp
@@ -10,7 +10,7 @@
 
 #include <algorithm>
 #include <charconv>
-#include <optional>
+#include <vector>
 
 namespace dandeliontack::harness
 {
@@ -49,18 +49,31 @@
         {"public", false}};
 }
 
-std::string configuration(std::uint64_t version, unsigned queues)
+json::object configuration(std::uint64_t version, unsigned queues)
 {
     json::array routes;
     for (unsigned i = 0; i < queues; ++i)
         routes.push_back(route(i));
-    return json::serialize(json::object{
+    return {
         {"version", version},
         {"routes", std::move(routes)},
         {"services",
          json::array{
              {{"name", "pool"}, {"admissionCheck", true}, {"standby", false}}}},
-        {"limits", json::object{}}});
+        {"limits", json::object{}}};
+}
+
+// A value of a page of metrics; 0 if it is not there.
+std::uint64_t metric(const endpoint& page, const std::string& name)
+{
+    const auto text = get(page, "/metrics").body();
+    const auto line = "\n" + name + " ";
+    const auto at = text.find(line);
+    std::uint64_t found = 0;
+    if (at != std::string::npos)
+        std::from_chars(
+            text.data() + at + line.size(), text.data() + text.size(), found);
+    return found;
 }
 
 class configuration_link : public testing::Test
@@ -74,54 +87,91 @@
           link_(platform_address_, narrow_link_bytes_per_second)
     {}
 
-    void start_node()
+    // Starts a node that reads the store at this address; its metrics.
+    endpoint start_node(const std::string& name, const endpoint& store)
     {
         const auto path = folder_.write(
-            "n1.ini",
-            "[node]\nname = n1\ndata_centre = dc-1\n"
-            "[listen]\ncallers = 127.0.0.1:0\nreadiness = 127.0.0.1:0\n"
-            "metrics = 127.0.0.1:0\npeers = 127.0.0.1:0\n"
-            "[store]\naddress = " +
-                to_string(link_.address()) + "\nread_mb_per_second = " +
+            name + ".ini",
+            "[node]\nname = " + name +
+                "\ndata_centre = dc-1\n"
+                "[listen]\ncallers = 127.0.0.1:0\nreadiness = 127.0.0.1:0\n"
+                "metrics = 127.0.0.1:0\npeers = 127.0.0.1:0\n"
+                "[store]\naddress = " +
+                to_string(store) + "\nread_mb_per_second = " +
                 std::to_string(node_read_mb_per_second) +
-                "\n"
-                "[machines]\naddress = " +
-                to_string(platform_address_) +
+                "\n[machines]\naddress = " + to_string(platform_address_) +
                 "\n[advice]\naddress = " + to_string(platform_address_) +
                 "\n[bounds]\ngrace_seconds = 4\nconfig_ms = 3000\n");
-        node_.emplace(
+        auto& node = nodes_.emplace_back(
             "src/tack-node/tack-node",
             std::vector<std::string>{"--settings", path},
-            folder_.path() / "n1.err");
-        metrics_ = node_->address_of("metrics");
+            folder_.path() / (name + ".err"));
+        return node.address_of("metrics");
     }
 
-    // Puts a configuration into force; its size in bytes.
-    std::uint64_t configure(std::uint64_t version, unsigned queues)
+    void start_node()
+    {
+        metrics_ = start_node("n1", link_.address());
+    }
+
+    // Starts the node behind the link and three others, and waits until it has
+    // read of them.
+    void start_nodes()
+    {
+        start_node();
+        std::vector<endpoint> others;
+        for (const auto* name : {"n2", "n3", "n4"})
+            others.push_back(start_node(name, platform_address_));
+        ASSERT_TRUE(eventually([&] {
+            return std::ranges::all_of(others, [](const endpoint& other) {
+                return metric(other, "tack_configuration_version") > 0;
+            });
+        }));
+        constexpr std::uint64_t several_reads = 20;
+        const auto calls = [this] {
+            return metric(metrics_, "tack_store_calls_total");
+        };
+        const auto before = calls();
+        ASSERT_TRUE(
+            eventually([&] { return calls() > before + several_reads; }));
+    }
+
+    void publish(const json::object& configuration)
     {
-        const auto text = configuration(version, queues);
         EXPECT_EQ(
-            post(platform_address_, "/configuration", text).result(),
+            post(
+                platform_address_, "/configuration",
+                json::serialize(configuration))
+                .result(),
             http::status::ok);
-        return text.size();
+    }
+
+    // Puts a configuration into force; its size in bytes.
+    std::uint64_t configure(std::uint64_t version, unsigned queues)
+    {
+        const auto published = configuration(version, queues);
+        publish(published);
+        return json::serialize(published).size();
     }
 
     // The version in force, which must never go back.
     std::uint64_t version()
     {
-        const auto page = get(metrics_, "/metrics").body();
-        constexpr std::string_view name = "\ntack_configuration_version ";
-        const auto at = page.find(name);
-        std::uint64_t found = 0;
-        if (at != std::string::npos)
-            std::from_chars(
-                page.data() + at + name.size(), page.data() + page.size(),
-                found);
+        const auto found = metric(metrics_, "tack_configuration_version");
         EXPECT_GE(found, newest_seen_);
         newest_seen_ = std::max(newest_seen_, found);
         return found;
     }
 
+    // How many configurations the node has got from others, by outcome.
+    std::uint64_t from_nodes(const std::string& outcome)
+    {
+        return metric(
+            metrics_,
+            "tack_configurations_received_total{source=\"node\",outcome=\"" +
+                outcome + "\"}");
+    }
+
     // Whether the version comes into force before the link has carried so many
     // bytes more.
     bool reaches(std::uint64_t wanted, std::uint64_t bytes)
@@ -138,7 +188,7 @@
     child_process platform_;
     endpoint platform_address_;
     counting_relay link_;
-    std::optional<child_process> node_;
+    std::vector<child_process> nodes_;
     endpoint metrics_;
     std::uint64_t newest_seen_ = 0;
 };
@@ -194,6 +244,24 @@
     EXPECT_TRUE(reaches(5, 3 * bytes + other_traffic_bytes));
 }
 
+// Guards against several copies of a configuration on a narrow link: each of
+// three nodes sent a whole one, and the node asked again before they arrived.
+TEST_F(configuration_link, one_node_sends_a_configuration_once)
+{
+    auto with_accounts = configuration(1, 1);
+    with_accounts["tenants"] =
+        json::array{{{"name", "acme"}, {"apiKeys", {"k1"}}, {"weight", 1}}};
+    publish(with_accounts);
+    start_nodes();
+    link_.set_cut(true);
+    auto larger = configuration(2, large_queues);
+    larger["tenants"] = with_accounts["tenants"];
+    publish(larger);
+    ASSERT_TRUE(eventually([&] { return version() == 2; }));
+    EXPECT_EQ(from_nodes("in force"), 1U);
+    EXPECT_EQ(from_nodes("not newer"), 0U);
+}
+
 // Guards against a start that never ends: the first list of the newest records
 // has the same time as any other call.
 TEST_F(configuration_link, large_configuration_is_read_at_the_start)
