Nodes of all deployments ask others for the configuration

Only deployments with client accounts did. Elsewhere a node that the store turned away, or whose read was under way for long, learned of no version from anyone.

--- a/src/libnode/tack_node.cpp
+++ b/src/libnode/tack_node.cpp
@@ -504,8 +504,7 @@
 
 void tack_node::put_in_force(queue_table table, std::string_view encoded)
 {
-    if (table.accounts)
-        relay_.keep(table.version, std::string(encoded));
+    relay_.keep(table.version, std::string(encoded));
     front_.set_table(std::make_shared<const queue_table>(std::move(table)));
     const auto& in_force = *front_.table();
     callers_.set_request_limits(
--- a/testsuite/configuration_link/configuration_link_test.cpp
+++ b/testsuite/configuration_link/configuration_link_test.cpp
@@ -244,6 +244,21 @@
     EXPECT_TRUE(reaches(5, 3 * bytes + other_traffic_bytes));
 }
 
+// Guards against a node that learns of no version while it can't reach the
+// store, though others can: only deployments with client accounts were asked.
+TEST_F(configuration_link, other_nodes_tell_what_the_store_can_not)
+{
+    configure(1, 1);
+    start_nodes();
+    link_.set_cut(true);
+    configure(2, large_queues);
+    EXPECT_TRUE(eventually([&] { return version() == 2; }));
+    // The version that was read last holds back what comes later but is older.
+    link_.set_cut(false);
+    configure(3, 1);
+    EXPECT_TRUE(eventually([&] { return version() == 3; }));
+}
+
 // Guards against several copies of a configuration on a narrow link: each of
 // three nodes sent a whole one, and the node asked again before they arrived.
 TEST_F(configuration_link, one_node_sends_a_configuration_once)
