Without the store, a node asks those that it last read of

The nodes to ask were those whose announcements had not timed out, but a node without the store reads no announcements: after 1.8 s for owners and 8 s for the others it had nobody left to ask, in losses of up to 9 s that the platform announces. It now asks those that were available when it last read the registry.

shard_map_test.nodes_of_the_last_read_stay_known_without_the_store.

--- a/src/include/dandeliontack/shard_map.hpp
+++ b/src/include/dandeliontack/shard_map.hpp
@@ -113,6 +113,9 @@
     /// store.
     bool is_alive(const owner_record& owner, boot_time now) const;
     std::vector<node_announcement> alive_nodes(boot_time now) const;
+    /// The nodes that were available when the registry was last read. Unlike
+    /// `alive_nodes`, it names them also while this node can't read it.
+    std::vector<node_announcement> last_read_nodes() const;
 
     /// Whether the registry has been read to its end once. Before that, it is
     /// not known which shards hold submissions of a queue.
--- a/src/libnode/shard_map.cpp
+++ b/src/libnode/shard_map.cpp
@@ -261,6 +261,11 @@
     return out;
 }
 
+std::vector<node_announcement> shard_map::last_read_nodes() const
+{
+    return alive_nodes(last_read_);
+}
+
 bool shard_map::has_been_read() const
 {
     return first_read_.has_value();
--- a/src/libnode/shard_map_test.cpp
+++ b/src/libnode/shard_map_test.cpp
@@ -152,6 +152,19 @@
     EXPECT_TRUE(claims({5}, a, now).empty());
 }
 
+// Guards against a node that has nobody left to ask: in a longer loss of the
+// store all others count as failed, as it can't read their announcements.
+TEST_F(shard_map_test, nodes_of_the_last_read_stay_known_without_the_store)
+{
+    advance(1s, {a, b});
+    now += 1min;
+    EXPECT_TRUE(map.alive_nodes(now).empty());
+    const auto known = map.last_read_nodes();
+    ASSERT_EQ(known.size(), 2U);
+    EXPECT_EQ(known.front().name, "a");
+    EXPECT_EQ(known.back().name, "b");
+}
+
 TEST_F(shard_map_test, ignores_owner_record_with_older_epoch)
 {
     set_owner(5, a, 4);
--- a/src/libnode/tack_node.cpp
+++ b/src/libnode/tack_node.cpp
@@ -525,7 +525,7 @@
     {
         if (relay_.is_stale(read_clocks().steady))
         {
-            auto others = shards_.alive_nodes(read_clocks().steady);
+            auto others = shards_.last_read_nodes();
             std::erase_if(others, [this](const node_announcement& node) {
                 return node.process_incarnation == context_.process_incarnation;
             });
