Log reads and host lists of control processes end with their bytes too

They go on while bytes arrive, a pause of that timeout or ten times it in all ends them.

http_body_time.*: a body that takes longer than the call arrives, and does not without limits of its own; one that stalls or never ends is given up.

--- a/src/include/dandeliontack/http_connection.hpp
+++ b/src/include/dandeliontack/http_connection.hpp
@@ -46,6 +46,10 @@
     std::chrono::milliseconds longest{0};
 };
 
+/// The limits for a large response from a service that must begin to answer
+/// within `timeout`.
+body_time body_time_of(std::chrono::milliseconds timeout);
+
 /// A client connection that carries one request at a time. It connects when
 /// needed and reuses the connection only after a whole response to its last
 /// request. After a timeout, a cut or surplus bytes the connection is closed.
@@ -63,13 +67,13 @@
     http_connection& operator=(http_connection&&) noexcept;
 
     /// Sends a request and reads the whole response. One call at a time.
-    /// Without permission nothing is written, and the result is `not_run`.
+    /// Without permission nothing is written, and the result is `not_run`. With
+    /// `body`, `timeout` ends with the response's head.
     boost::asio::awaitable<exchange_result> exchange(
         http_request request, std::chrono::milliseconds timeout,
-        send_permission may_send = {});
+        send_permission may_send = {}, std::optional<body_time> body = {});
 
-    /// The same for a request that outlives the call. With `body`, `timeout`
-    /// ends with the response's head.
+    /// The same for a request that outlives the call.
     boost::asio::awaitable<exchange_result> exchange_in_place(
         const http_request& request, std::chrono::milliseconds timeout,
         send_permission may_send = {}, std::optional<body_time> body = {});
--- a/src/libplatform/http_host_list.cpp
+++ b/src/libplatform/http_host_list.cpp
@@ -75,8 +75,8 @@
         request.set(http::field::host, to_string(service_));
         if (!etag_.empty())
             request.set(http::field::if_none_match, etag_);
-        const auto result =
-            co_await connection_.exchange(std::move(request), timeout_);
+        const auto result = co_await connection_.exchange(
+            std::move(request), timeout_, {}, body_time_of(timeout_));
         if (const auto* error = std::get_if<exchange_error>(&result))
             co_return host_list_failed{error->reason};
         const auto& response = std::get<http_response>(result);
--- a/src/libplatform/http_log_client.cpp
+++ b/src/libplatform/http_log_client.cpp
@@ -131,8 +131,8 @@
         http::verb::get, records_target(stream) +
                              "?from=" + std::to_string(from) +
                              "&wait_ms=" + std::to_string(wait.count()));
-    const auto result =
-        co_await of(stream).reads.exchange(std::move(request), wait + timeout_);
+    const auto result = co_await of(stream).reads.exchange(
+        std::move(request), wait + timeout_, {}, body_time_of(timeout_));
     co_return interpret_read(result);
 }
 
--- a/src/libutil/http_connection.cpp
+++ b/src/libutil/http_connection.cpp
@@ -163,6 +163,12 @@
     }
 }
 
+body_time body_time_of(std::chrono::milliseconds timeout)
+{
+    constexpr int longest = 10;
+    return {.stall = timeout, .longest = timeout * longest};
+}
+
 http_connection::http_connection(
     asio::any_io_executor executor, endpoint peer, std::uint64_t body_limit,
     std::shared_ptr<buffer_budget> budget)
@@ -200,10 +206,10 @@
 
 asio::awaitable<exchange_result> http_connection::exchange(
     http_request request, std::chrono::milliseconds timeout,
-    send_permission may_send)
+    send_permission may_send, std::optional<body_time> body)
 {
     auto result =
-        co_await exchange_in_place(request, timeout, std::move(may_send));
+        co_await exchange_in_place(request, timeout, std::move(may_send), body);
     co_return result;
 }
 
