Appends have the time that their bytes need on a narrow link

On 10 Mbit/s a call above 1.2 MB was broken off each time and sent again whole. It now has at least twice the time that its bytes take on a link of 2 Mbit/s; calls below 37 KB are as before.

--- a/src/include/dandeliontack/store_client.hpp
+++ b/src/include/dandeliontack/store_client.hpp
@@ -16,6 +16,10 @@
 namespace dandeliontack
 {
 
+/// How long an append of `bytes` may take at least: its bytes on the narrowest
+/// link that a node may have, beside as many others.
+std::chrono::milliseconds min_append_time(std::uint64_t bytes);
+
 /// The node's only client of the platform's store. Logs when the store becomes
 /// unavailable and available again; does not retry calls.
 class store_client
--- a/src/libnode/store_client.cpp
+++ b/src/libnode/store_client.cpp
@@ -34,6 +34,8 @@
 // are shorter than `lease_terms::claim_validity`, the time for which a shard
 // owner may act without a stored append.
 constexpr auto min_append_timeout = 300ms;
+// 2 Mbit/s, the narrowest link that nodes are made for.
+constexpr std::uint64_t narrow_link_bytes_per_ms = 250;
 // Pauses between the attempts of an append; they double up to the maximum.
 constexpr auto first_pause = 30ms;
 constexpr auto max_pause = 500ms;
@@ -64,6 +66,12 @@
 
 } // namespace
 
+std::chrono::milliseconds min_append_time(std::uint64_t bytes)
+{
+    constexpr std::uint64_t flows = 2;
+    return std::chrono::milliseconds(flows * bytes / narrow_link_bytes_per_ms);
+}
+
 store_client::store_client(node_context& context)
     : context_(context),
       address_(to_string(context.settings.store.address)),
@@ -142,9 +150,11 @@
 store_client::append(append_call to_append, unsigned attempts)
 {
     auto request = platform::encode_append(address_, to_append);
+    const auto timeout = std::max(
+        append_times_.timeout(attempts),
+        min_append_time(request.body().size()));
     const auto sent = now_steady();
-    auto result =
-        co_await call(std::move(request), append_times_.timeout(attempts));
+    auto result = co_await call(std::move(request), timeout);
     append_answer answer;
     if (const auto* error = std::get_if<exchange_error>(&result))
     {
