--- a/src/libnode/shard_router.cpp
+++ b/src/libnode/shard_router.cpp
@@ -31,7 +31,7 @@
 // first, and for its bytes: 100 KB take 0.4 s on a link of 2 Mbit/s that
 // nothing else uses.
 constexpr auto fetch_timeout = 800ms;
-constexpr body_time fetch_time{.stall = 800ms, .longest = 5000ms};
+constexpr body_time fetch_time{.stall = 800ms, .longest = 2000ms};
 // Several times what the store takes in one call.
 constexpr std::size_t max_configuration_bytes = 16 * 1024 * 1024;
 constexpr int http_version = 11;
