An outdated node does not deny that a queue exists

Callers were told 404, that there is no such queue, by nodes that had missed the version which added it, and a client does not repeat that. A node that has not read the operator's topic up to a moment within the bound of configurations can't know; it answers 503 with Retry-After, and nothing has run. Queues that it knows are served as before.

That moment is when a list, or a read that brought records, was asked for: a large response ends seconds after the store has made it, and counted as fresh.

--- a/src/include/dandeliontack/caller_front.hpp
+++ b/src/include/dandeliontack/caller_front.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <dandeliontack/configuration_relay.hpp>
 #include <dandeliontack/http.hpp>
 #include <dandeliontack/node_context.hpp>
 #include <dandeliontack/queue_table.hpp>
@@ -19,7 +20,11 @@
 class caller_front
 {
 public:
-    caller_front(node_context& context, shard_router& router);
+    /// `configurations` tells whether the configuration in force may be
+    /// outdated; outlives this.
+    caller_front(
+        node_context& context, shard_router& router,
+        const configuration_relay& configurations);
 
     /// Applies a newer configuration; an older one is ignored.
     void set_table(std::shared_ptr<const queue_table> table);
@@ -64,6 +69,8 @@
     /// `not_found` if none has; else that of one that does not say.
     boost::asio::awaitable<shard_answer>
     ask_former_shards(request_scope& scope, shard_call call);
+    /// The answer to a request for a queue that the configuration doesn't name.
+    http_response refuse_queue(std::string_view path) const;
     /// The answer to a request without the key of an account.
     http_response refuse_key(
         const queue_table& table, const queue_entry& queue, bool has_key);
@@ -72,6 +79,7 @@
 
     node_context& context_;
     shard_router& router_;
+    const configuration_relay& configurations_;
     std::shared_ptr<const queue_table> table_;
 };
 
--- a/src/include/dandeliontack/configuration_relay.hpp
+++ b/src/include/dandeliontack/configuration_relay.hpp
@@ -23,6 +23,8 @@
     std::chrono::milliseconds interval{400};
     /// Nodes that are asked in one round.
     std::size_t peers = 3;
+    /// Within this time a confirmed configuration is in force on every node.
+    std::chrono::milliseconds bound{3000};
 };
 
 /// Derives the terms from the time within which a configuration must be in
@@ -48,11 +50,14 @@
 
     /// Keeps a configuration in the operator's encoding, if it is newer.
     void keep(std::uint64_t version, std::string encoded);
-    /// Notes that the operator's topic was read to its end.
-    void mark_read(boot_time now);
+    /// Notes that the operator's topic was read to what was its end at `as_of`.
+    void mark_read(boot_time as_of);
     /// For how long changes may have been missed: the time since the operator's
     /// topic was last read to its end.
     std::chrono::milliseconds age(boot_time now) const;
+    /// Whether a confirmed configuration may have been missed that should be in
+    /// force by now.
+    bool is_overdue(boot_time now) const;
     /// Whether other nodes should be asked now. False while no configuration is
     /// kept.
     bool is_stale(boot_time now) const;
--- a/src/include/dandeliontack/tack_node.hpp
+++ b/src/include/dandeliontack/tack_node.hpp
@@ -87,8 +87,8 @@
     advice_client advice_;
     shard_map shards_;
     shard_router router_;
-    caller_front front_;
     configuration_relay relay_;
+    caller_front front_;
     topic_follower operator_records_;
     topic_follower registry_;
     topic_follower host_records_;
--- a/src/include/dandeliontack/topic_follower.hpp
+++ b/src/include/dandeliontack/topic_follower.hpp
@@ -43,8 +43,9 @@
 public:
     using record_handler = std::function<void(const keyed_record&)>;
     /// Called after the topic was loaded and after each read that reached its
-    /// end.
-    using caught_up_handler = std::function<void()>;
+    /// end, with a moment up to which the topic has certainly been read. A
+    /// large response ends long after the store has made it.
+    using caught_up_handler = std::function<void(boot_time)>;
 
     topic_follower(
         node_context& context, store_client& store, follow_options options,
@@ -61,9 +62,9 @@
     boost::asio::awaitable<void> load();
     /// Reads the log once, and pauses.
     boost::asio::awaitable<void> read();
-    /// Delivers the records of a read; whether some of them, or of those that
-    /// the read left, were superseded already.
-    bool deliver_all(read_answer answer);
+    /// Delivers the records of a read that was sent at `sent`; whether some of
+    /// them, or of those that the read left, were superseded already.
+    bool deliver_all(read_answer answer, boot_time sent);
     /// Passes a record on unless it is older than what is known of its key.
     void deliver(const keyed_record& record);
     /// Reports a key that the topic no longer has.
--- a/src/libnode/caller_front.cpp
+++ b/src/libnode/caller_front.cpp
@@ -156,8 +156,10 @@
 
 } // namespace
 
-caller_front::caller_front(node_context& context, shard_router& router)
-    : context_(context), router_(router)
+caller_front::caller_front(
+    node_context& context, shard_router& router,
+    const configuration_relay& configurations)
+    : context_(context), router_(router), configurations_(configurations)
 {}
 
 void caller_front::set_table(std::shared_ptr<const queue_table> table)
@@ -198,8 +200,7 @@
     const auto* queue = find_queue(
         *held, std::string_view(host_field.data(), host_field.size()), path);
     if (!queue)
-        co_return error_response(
-            http::status::not_found, outcome::not_run, "no such queue", path);
+        co_return refuse_queue(path);
     auto caller = identify_caller(request, *held, *queue);
     if (!caller.may_call)
         co_return refuse_key(*held, *queue, caller.has_key);
@@ -254,6 +255,28 @@
     co_return response;
 }
 
+// A node that may have missed a configuration can't say that there is no such
+// queue.
+http_response caller_front::refuse_queue(std::string_view path) const
+{
+    const auto now = read_clocks().steady;
+    if (!configurations_.is_overdue(now))
+        return error_response(
+            http::status::not_found, outcome::not_run, "no such queue", path);
+    context_.metrics.get_counter("tack_queues_unknown_total").add();
+    context_.log.write(
+        "front", "queue_unknown",
+        log_line()
+            .add("configuration", table_->version)
+            .add("age_ms", configurations_.age(now).count())
+            .add("bound_ms", configurations_.terms().bound.count()));
+    return retry_later(
+        "configuration may be outdated",
+        "this node knows no such queue, but has not read the configuration "
+        "for " +
+            std::to_string(configurations_.age(now).count()) + " ms");
+}
+
 http_response caller_front::refuse_key(
     const queue_table& table, const queue_entry& queue, bool has_key)
 {
--- a/src/libnode/configuration_relay.cpp
+++ b/src/libnode/configuration_relay.cpp
@@ -27,6 +27,7 @@
     terms.stale_after = std::max<std::chrono::milliseconds>(
         config_bound / stale_divisor, min_stale_time);
     terms.interval = config_bound / interval_divisor;
+    terms.bound = config_bound;
     return terms;
 }
 
@@ -46,9 +47,9 @@
     deflated_.clear();
 }
 
-void configuration_relay::mark_read(boot_time now)
+void configuration_relay::mark_read(boot_time as_of)
 {
-    last_read_ = now;
+    last_read_ = std::max(last_read_, as_of);
 }
 
 std::chrono::milliseconds configuration_relay::age(boot_time now) const
@@ -56,6 +57,11 @@
     return now - last_read_;
 }
 
+bool configuration_relay::is_overdue(boot_time now) const
+{
+    return age(now) >= terms_.bound;
+}
+
 bool configuration_relay::is_stale(boot_time now) const
 {
     return version_ > 0 && age(now) >= terms_.stale_after;
--- a/src/libnode/tack_node.cpp
+++ b/src/libnode/tack_node.cpp
@@ -155,10 +155,10 @@
       advice_(context),
       shards_(takeover_timing_of(context.settings)),
       router_(context, shards_),
-      front_(context, router_),
       relay_(relay_terms_of(std::chrono::round<std::chrono::milliseconds>(
           std::chrono::duration<double, std::milli>(
               context.settings.bounds.config_ms)))),
+      front_(context, router_, relay_),
       operator_records_(
           context, store_,
           {{std::string(platform::operator_topic), 0},
@@ -167,7 +167,7 @@
            configuration_pause(context.settings),
            [this] { return operator_read_limit(); }},
           [this](const keyed_record& r) { apply_operator_record(r); },
-          [this] { relay_.mark_read(read_clocks().steady); }),
+          [this](boot_time as_of) { relay_.mark_read(as_of); }),
       registry_(
           context, store_,
           {registry_partition(), {}, registry_interval, 0ms, {}},
@@ -175,7 +175,7 @@
               shards_.apply(r, read_clocks());
               router_.notify_owner_change();
           },
-          [this] { shards_.mark_caught_up(read_clocks().steady); }),
+          [this](boot_time) { shards_.mark_caught_up(read_clocks().steady); }),
       host_records_(
           context, store_,
           {{std::string(platform::hosts_topic), 0},
@@ -184,7 +184,7 @@
            0ms,
            {}},
           [this](const keyed_record& r) { apply_host_record(r); },
-          [this] { assign_hosts(); }),
+          [this](boot_time) { assign_hosts(); }),
       connections_(std::make_shared<connection_budget>(
           client_connections_of(context.settings.limits))),
       callers_(
--- a/src/libnode/topic_follower.cpp
+++ b/src/libnode/topic_follower.cpp
@@ -138,15 +138,16 @@
         co_await load();
         loaded_ = true;
         if (!stopped_)
-            on_caught_up_();
+            on_caught_up_(read_began_);
     }
 }
 
 asio::awaitable<void> topic_follower::read()
 {
     // A load belongs to the read that follows it.
+    const auto sent = read_clocks().steady;
     if (loaded_bytes_ == 0)
-        read_began_ = read_clocks().steady;
+        read_began_ = sent;
     auto answer = co_await store_.read(options_.place, next_, options_.reads);
     if (!answer.answered)
     {
@@ -159,7 +160,7 @@
         co_return;
     }
     const auto bytes = size_of(answer.records);
-    const bool is_behind = deliver_all(std::move(answer));
+    const bool is_behind = deliver_all(std::move(answer), sent);
     const auto spent = read_clocks().steady - read_began_;
     const auto pause = pause_after(
         bytes + (bytes > 0 ? std::exchange(loaded_bytes_, 0) : 0), spent,
@@ -171,7 +172,7 @@
     loaded_ = !is_behind || !may_skip;
 }
 
-bool topic_follower::deliver_all(read_answer answer)
+bool topic_follower::deliver_all(read_answer answer, boot_time sent)
 {
     std::set<std::string_view> keys;
     for (auto& record : answer.records)
@@ -181,7 +182,7 @@
         keys.insert(record.key);
     }
     if (next_ >= answer.end)
-        on_caught_up_();
+        on_caught_up_(answer.records.empty() ? read_clocks().steady : sent);
     const bool several_left = answer.end > next_ + 1;
     return several_left || keys.size() < answer.records.size();
 }
--- a/src/libnode/topic_follower_test.cpp
+++ b/src/libnode/topic_follower_test.cpp
@@ -250,7 +250,7 @@
                 EXPECT_GT(version, newest);
                 newest = version;
             },
-            [] {});
+            [](boot_time) {});
         bool ended = false;
         asio::co_spawn(
             context_, follower.run(),
@@ -297,7 +297,7 @@
     topic_follower follower(
         node_, client, {{"keyed.servers", 0}, {}, 0ms, 0ms, {}},
         [&](const keyed_record& record) { keys.push_back(record.key); },
-        [&] {
+        [&](boot_time) {
             caught_up = true;
             follower.stop();
         });
@@ -332,7 +332,7 @@
                          std::string(record_bytes, 'x'),
                      recorded.records.size()});
         },
-        [] {});
+        [](boot_time) {});
     bool ended = false;
     asio::co_spawn(context_, follower.run(), [&](const std::exception_ptr&) {
         ended = true;
@@ -366,7 +366,7 @@
         [&](const keyed_record& record) {
             changes.push_back(record.key + "=" + record.value);
         },
-        [] {});
+        [](boot_time) {});
     bool ended = false;
     asio::co_spawn(context_, follower.run(), [&](const std::exception_ptr&) {
         ended = true;
