A takeover waits for a list of records no longer than before

Others wait for it. With the time that responses have now, one page over a narrow link could have kept a shard announced and without an owner for 15 s; the page is given up with the load, after 4 s, and after 2 s for the fleet duty.

--- a/src/include/dandeliontack/store_client.hpp
+++ b/src/include/dandeliontack/store_client.hpp
@@ -34,9 +34,10 @@
     boost::asio::awaitable<read_answer>
     read(topic_partition place, std::uint64_t from, read_terms terms);
     /// One page of the newest record of each key, starting after the key
-    /// `after`.
-    boost::asio::awaitable<newest_page>
-    newest(topic_partition place, std::string after);
+    /// `after`. Given up after `longest`, for callers that others wait for.
+    boost::asio::awaitable<newest_page> newest(
+        topic_partition place, std::string after,
+        std::optional<std::chrono::milliseconds> longest = {});
 
     /// When the response to the last successful call arrived.
     boot_time last_success() const;
@@ -44,8 +45,9 @@
     std::chrono::milliseconds append_latency_estimate() const;
 
 private:
-    boost::asio::awaitable<exchange_result>
-    call(http_request request, std::chrono::milliseconds timeout);
+    boost::asio::awaitable<exchange_result> call(
+        http_request request, std::chrono::milliseconds timeout,
+        body_time limits);
     void record_result(bool answered, const std::string& reason);
     void log_partial_response(
         std::string_view call, const topic_partition& place,
--- a/src/libnode/fleet_duty.cpp
+++ b/src/libnode/fleet_duty.cpp
@@ -203,7 +203,7 @@
     const auto deadline = read_clocks().steady + load_timeout;
     while (true)
     {
-        auto page = co_await store_.newest(place, after);
+        auto page = co_await store_.newest(place, after, load_timeout);
         if (!page.answered)
         {
             if (lost_ || read_clocks().steady > deadline)
--- a/src/libnode/shard_owner.cpp
+++ b/src/libnode/shard_owner.cpp
@@ -233,7 +233,8 @@
     std::string after;
     while (read_clocks().steady - start_time < load_timeout)
     {
-        auto page = co_await store_.newest(place, after);
+        const auto left = load_timeout - (read_clocks().steady - start_time);
+        auto page = co_await store_.newest(place, after, left);
         if (!page.answered)
         {
             co_await pause_for(context_.executor, retry_pause);
--- a/src/libnode/store_client.cpp
+++ b/src/libnode/store_client.cpp
@@ -133,14 +133,14 @@
             .add("reason", error.reason));
 }
 
-asio::awaitable<exchange_result>
-store_client::call(http_request request, std::chrono::milliseconds timeout)
+asio::awaitable<exchange_result> store_client::call(
+    http_request request, std::chrono::milliseconds timeout, body_time limits)
 {
     context_.metrics.get_counter("tack_store_calls_total").add();
     const auto sent = now_steady();
     auto result = co_await context_.connections.exchange(
         context_.settings.store.address, std::move(request), timeout, {},
-        response_time);
+        limits);
     context_.metrics.get_summary("tack_store_call_seconds")
         .record(now_steady() - sent);
     co_return result;
@@ -154,7 +154,7 @@
         append_times_.timeout(attempts),
         min_append_time(request.body().size()));
     const auto sent = now_steady();
-    auto result = co_await call(std::move(request), timeout);
+    auto result = co_await call(std::move(request), timeout, response_time);
     append_answer answer;
     if (const auto* error = std::get_if<exchange_error>(&result))
     {
@@ -181,7 +181,8 @@
 {
     auto request = platform::encode_read(address_, place, from, terms);
     const auto sent = now_steady();
-    auto result = co_await call(std::move(request), call_timeout + terms.wait);
+    auto result = co_await call(
+        std::move(request), call_timeout + terms.wait, response_time);
     read_answer answer;
     if (const auto* error = std::get_if<exchange_error>(&result))
     {
@@ -194,12 +195,15 @@
     co_return answer;
 }
 
-asio::awaitable<newest_page>
-store_client::newest(topic_partition place, std::string after)
+asio::awaitable<newest_page> store_client::newest(
+    topic_partition place, std::string after,
+    std::optional<std::chrono::milliseconds> longest)
 {
     auto request = platform::encode_newest(address_, place, after);
     const auto sent = now_steady();
-    auto result = co_await call(std::move(request), call_timeout);
+    auto limits = response_time;
+    limits.longest = std::min(longest.value_or(limits.longest), limits.longest);
+    auto result = co_await call(std::move(request), call_timeout, limits);
     newest_page page;
     if (const auto* error = std::get_if<exchange_error>(&result))
     {
