--- a/src/include/dandeliontack/deflated_text.hpp
+++ b/src/include/dandeliontack/deflated_text.hpp
@@ -8,7 +8,8 @@
 namespace dandeliontack
 {
 
-/// Compresses a text, with a checksum (zlib's format, RFC 1950).
+/// Compresses a text, with a checksum (zlib's format, RFC 1950). Throws
+/// `std::bad_alloc` without memory for it.
 std::string deflate(std::string_view text);
 
 /// The text that was compressed; empty if `bytes` are not the whole of one, or
--- a/src/libnode/caller_front.cpp
+++ b/src/libnode/caller_front.cpp
@@ -274,7 +274,9 @@
         "configuration may be outdated",
         "this node knows no such queue, but has not read the configuration "
         "for " +
-            std::to_string(configurations_.age(now).count()) + " ms");
+            std::to_string(configurations_.age(now).count()) +
+            " ms; a new one comes into force within " +
+            std::to_string(configurations_.terms().bound.count()) + " ms");
 }
 
 http_response caller_front::refuse_key(
--- a/src/libutil/deflated_text.cpp
+++ b/src/libutil/deflated_text.cpp
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <memory>
+#include <new>
 
 namespace dandeliontack
 {
@@ -19,11 +20,13 @@
 {
     auto size = compressBound(text.size());
     std::string out(size, '\0');
-    const auto result = compress2(
-        reinterpret_cast<Bytef*>(out.data()), &size,
-        reinterpret_cast<const Bytef*>(text.data()), text.size(),
-        Z_DEFAULT_COMPRESSION);
-    out.resize(result == Z_OK ? size : 0);
+    // With room for the bound, nothing but memory can be missing.
+    if (compress2(
+            reinterpret_cast<Bytef*>(out.data()), &size,
+            reinterpret_cast<const Bytef*>(text.data()), text.size(),
+            Z_DEFAULT_COMPRESSION) != Z_OK)
+        throw std::bad_alloc();
+    out.resize(size);
     return out;
 }
 
