A node that does not answer holds up no newer configuration

Of the three nodes asked for their versions, one that was cut off held up the others' answers for 400 ms in each round. The first answer with a newer version ends the round now.

--- a/src/include/dandeliontack/shard_router.hpp
+++ b/src/include/dandeliontack/shard_router.hpp
@@ -102,10 +102,11 @@
 
     /// The configuration that other nodes may ask for; outlives this.
     void set_configuration_source(configuration_relay& source);
-    /// Asks nodes for the versions of their configurations; the answers of
-    /// those that gave one in time.
+    /// Asks nodes for the versions of their configurations. Returns the answers
+    /// as soon as one is newer than `known`, or when all have come or timed
+    /// out.
     boost::asio::awaitable<std::vector<peer_version>>
-    ask_versions(std::vector<node_announcement> nodes);
+    ask_versions(std::vector<node_announcement> nodes, std::uint64_t known);
     /// Fetches a configuration newer than `version` from a node.
     boost::asio::awaitable<peer_configuration>
     fetch_configuration(node_announcement node, std::uint64_t version);
--- a/src/libnode/shard_router.cpp
+++ b/src/libnode/shard_router.cpp
@@ -233,25 +233,36 @@
     co_return peer_version{std::move(node), *version};
 }
 
-asio::awaitable<std::vector<peer_version>>
-shard_router::ask_versions(std::vector<node_announcement> nodes)
+asio::awaitable<std::vector<peer_version>> shard_router::ask_versions(
+    std::vector<node_announcement> nodes, std::uint64_t known)
 {
-    std::vector<peer_version> answers;
-    std::size_t unanswered = nodes.size();
-    wake_signal done(context_.executor);
-    for (const auto& node : nodes)
+    // Outlives this call if a late answer is not waited for.
+    struct question_round
+    {
+        std::vector<peer_version> answers;
+        std::size_t unanswered;
+        wake_signal answered;
+    };
+    const auto round = std::make_shared<question_round>(
+        question_round{{}, nodes.size(), wake_signal(context_.executor)});
+    for (auto& node : nodes)
         asio::co_spawn(
-            context_.executor, ask_version(node),
-            [&](const std::exception_ptr& error,
+            context_.executor, ask_version(std::move(node)),
+            [round](
+                const std::exception_ptr& error,
                 std::optional<peer_version> answer) {
                 if (!error && answer)
-                    answers.push_back(std::move(*answer));
-                --unanswered;
-                done.notify();
+                    round->answers.push_back(std::move(*answer));
+                --round->unanswered;
+                round->answered.notify();
             });
-    while (unanswered > 0)
-        co_await done.wait(version_timeout);
-    co_return answers;
+    const auto is_newer = [known](const peer_version& answer) {
+        return answer.version > known;
+    };
+    while (round->unanswered > 0 &&
+           std::ranges::none_of(round->answers, is_newer))
+        co_await round->answered.wait(version_timeout);
+    co_return round->answers;
 }
 
 asio::awaitable<peer_configuration>
--- a/src/libnode/tack_node.cpp
+++ b/src/libnode/tack_node.cpp
@@ -540,7 +540,8 @@
 tack_node::ask_for_configuration(std::vector<node_announcement> nodes)
 {
     const auto asked = std::uint64_t{nodes.size()};
-    const auto answers = co_await router_.ask_versions(std::move(nodes));
+    const auto answers =
+        co_await router_.ask_versions(std::move(nodes), relay_.version());
     const auto source = relay_.choose(answers);
     context_.log.write(
         "node", "configuration_asked",
