A refusal that comes before the request is whole is its response

What callers saw: 503 "no owner" for a pool for 2 to 24 s and more, with its owner alive and the store in use. No bound of it is changed.

Cause: a store may refuse an append for its size, answer 413 and close while the rest is still being written. Had the 413 been read, the batch would have been halved at once.

Change: where the other side ends the connection during the write, a 4xx or 5xx that it sent before is the response. A success is not: it says nothing about the rest. The outcome is then as if the request had been written whole.

--- a/src/libutil/http_connection.cpp
+++ b/src/libutil/http_connection.cpp
@@ -24,6 +24,7 @@
 
 constexpr auto no_throw = asio::as_tuple(asio::use_awaitable);
 constexpr unsigned first_final_status = 200;
+constexpr unsigned first_error_status = 400;
 constexpr std::uint32_t header_bytes = 8 * 1024;
 // Holds the head of a response, or the trailers of the same size behind the
 // line of the last chunk.
@@ -71,6 +72,7 @@
     asio::awaitable<beast::error_code> connect();
     asio::awaitable<exchange_result>
     read_response(bool head, const std::optional<body_time>& limits);
+    asio::awaitable<exchange_result> read_refusal(exchange_error failure);
     asio::awaitable<beast::error_code>
     read_body(response_parser& parser, const std::optional<body_time>& limits);
 };
@@ -133,6 +135,21 @@
     co_return parser.release();
 }
 
+// What ended the write: a refusal that the other side sent before it closed the
+// connection, or else `failure`. A success says nothing about the rest of the
+// request.
+asio::awaitable<exchange_result>
+http_connection::core::read_refusal(exchange_error failure)
+{
+    share.begin(std::chrono::steady_clock::now());
+    auto result = co_await read_response(false, {});
+    share.release();
+    const auto* response = std::get_if<http_response>(&result);
+    if (!response || response->result_int() < first_error_status)
+        co_return failure;
+    co_return result;
+}
+
 asio::awaitable<beast::error_code> http_connection::core::read_body(
     response_parser& parser, const std::optional<body_time>& limits)
 {
@@ -243,10 +260,14 @@
         co_await asio::async_write(c.stream, parts, no_throw);
     if (write_ec)
     {
-        close();
-        co_return failed(
+        exchange_result result = failed(
             written == 0 ? outcome::not_run : outcome::unknown, "write",
             write_ec);
+        if (written > 0 && write_ec != beast::error::timeout)
+            result = co_await c.read_refusal(
+                std::get<exchange_error>(std::move(result)));
+        close();
+        co_return result;
     }
     c.share.begin(std::chrono::steady_clock::now());
     auto result =
