A starting node takes the configuration from others too, never an older one

What callers saw: 503 "no configuration" from a node that had started behind a narrow link until the store's list of the newest records had come, 1.3 MB for 4,250 queues; 404 by 503 for queues that don't exist, from nodes without the store, although others could tell them that nothing was newer.

Cause: only a node that had a configuration asked others, as nothing told whether theirs was older than what the process before it had in force. An answer carried a version without its age.

Change: the answer has the age of the version, counted from when the question was sent. A process without a configuration takes only a version whose holder read the end of the operator's topic after that process began: that includes all that the process before had. A node whose version another one confirms is up to date as of then, and may say that there is no such queue; it goes on asking, as its own reads have stopped. The log has version and age of the sender.

--- a/src/include/dandeliontack/configuration_relay.hpp
+++ b/src/include/dandeliontack/configuration_relay.hpp
@@ -36,6 +36,8 @@
 {
     node_announcement node;
     std::uint64_t version = 0;
+    /// No newer version had been published then, on this node's clock.
+    boot_time as_of;
 };
 
 /// The newest configuration that a node has read, for nodes that the store
@@ -44,7 +46,8 @@
 class configuration_relay
 {
 public:
-    explicit configuration_relay(relay_terms terms);
+    /// `started` is when this process began.
+    configuration_relay(relay_terms terms, boot_time started);
 
     const relay_terms& terms() const;
 
@@ -52,24 +55,28 @@
     void keep(std::uint64_t version, std::string encoded);
     /// Notes that the operator's topic was read to what was its end at `as_of`.
     void mark_read(boot_time as_of);
-    /// For how long changes may have been missed: the time since the operator's
-    /// topic was last read to its end.
+    /// Notes what another node has, if that is not newer than what is kept.
+    void mark_confirmed(const peer_version& other);
+    /// For how long changes may have been missed: the time since this or
+    /// another node read the operator's topic to its end and had no newer
+    /// version.
     std::chrono::milliseconds age(boot_time now) const;
     /// Whether a confirmed configuration may have been missed that should be in
     /// force by now.
     bool is_overdue(boot_time now) const;
-    /// Whether other nodes should be asked now. False while no configuration is
-    /// kept.
+    /// Whether other nodes should be asked now: this one has not read the
+    /// operator's topic to its end for some time.
     bool is_stale(boot_time now) const;
     /// The nodes to ask in the next round: other ones in each round, until all
     /// have been asked.
     std::vector<node_announcement>
     next_peers(std::vector<node_announcement> others);
 
-    /// The node to fetch a configuration from: one with the newest version, if
-    /// that is newer than the kept one.
-    std::optional<node_announcement>
-    choose(const std::vector<peer_version>& answers) const;
+    /// The answer of the node to fetch a configuration from: one with the
+    /// newest version, if that is newer than the kept one. While none is kept,
+    /// a version counts only if it was the newest after this process began: the
+    /// process before it may have had a newer one.
+    std::optional<peer_version> choose(std::vector<peer_version> answers) const;
 
     /// The kept configuration, deflated, if it is newer than `version`.
     const std::string* deflated_newer_than(std::uint64_t version);
@@ -82,7 +89,9 @@
     /// As the operator has encoded it, until it is first asked for.
     std::string encoded_;
     std::string deflated_;
+    boot_time started_;
     boot_time last_read_;
+    boot_time confirmed_;
     std::size_t next_ = 0;
 };
 
--- a/src/include/dandeliontack/shard_router.hpp
+++ b/src/include/dandeliontack/shard_router.hpp
@@ -37,7 +37,7 @@
         announce,
         /// Tells a node who owns a shard, or that its owner released it.
         owner_changed,
-        /// Asks a node for the version of its configuration.
+        /// Asks a node for the version of its configuration and its age.
         configuration_version,
         /// Asks a node for a newer configuration than that of a version.
         configuration
--- a/src/include/dandeliontack/tack_node.hpp
+++ b/src/include/dandeliontack/tack_node.hpp
@@ -64,10 +64,10 @@
     boost::asio::awaitable<void> hand_over_all(std::shared_ptr<bool> done);
     void apply_operator_record(const keyed_record& record);
     /// Puts a configuration into force if it is newer. `source` is where it was
-    /// read, `from` the node that sent it, if any.
+    /// read, `sender` the node that sent it, if any.
     void apply_configuration(
         std::string_view encoded, std::string_view source,
-        std::string_view from = {});
+        const peer_version* sender = nullptr);
     void put_in_force(queue_table table, std::string_view encoded);
     /// Fetches a newer configuration from one of the nodes, if any has one.
     boost::asio::awaitable<void>
--- a/src/libnode/caller_front_test.cpp
+++ b/src/libnode/caller_front_test.cpp
@@ -45,7 +45,8 @@
 
     shard_map shards{takeover_timing{}};
     shard_router router{node_, shards};
-    configuration_relay configurations{relay_terms_of(3000ms)};
+    configuration_relay configurations{
+        relay_terms_of(3000ms), read_clocks().steady};
     caller_front front{node_, router, configurations};
 };
 
--- a/src/libnode/configuration_relay.cpp
+++ b/src/libnode/configuration_relay.cpp
@@ -31,7 +31,9 @@
     return terms;
 }
 
-configuration_relay::configuration_relay(relay_terms terms) : terms_(terms) {}
+configuration_relay::configuration_relay(relay_terms terms, boot_time started)
+    : terms_(terms), started_(started), last_read_(started)
+{}
 
 const relay_terms& configuration_relay::terms() const
 {
@@ -50,11 +52,18 @@
 void configuration_relay::mark_read(boot_time as_of)
 {
     last_read_ = std::max(last_read_, as_of);
+    confirmed_ = std::max(confirmed_, as_of);
+}
+
+void configuration_relay::mark_confirmed(const peer_version& other)
+{
+    if (other.version <= version_)
+        confirmed_ = std::max(confirmed_, other.as_of);
 }
 
 std::chrono::milliseconds configuration_relay::age(boot_time now) const
 {
-    return now - last_read_;
+    return now - confirmed_;
 }
 
 bool configuration_relay::is_overdue(boot_time now) const
@@ -64,7 +73,7 @@
 
 bool configuration_relay::is_stale(boot_time now) const
 {
-    return version_ > 0 && age(now) >= terms_.stale_after;
+    return now - last_read_ >= terms_.stale_after;
 }
 
 std::vector<node_announcement>
@@ -81,14 +90,18 @@
     return others;
 }
 
-std::optional<node_announcement>
-configuration_relay::choose(const std::vector<peer_version>& answers) const
+std::optional<peer_version>
+configuration_relay::choose(std::vector<peer_version> answers) const
 {
+    if (version_ == 0)
+        std::erase_if(answers, [this](const peer_version& answer) {
+            return answer.as_of < started_;
+        });
     const auto newest =
         std::ranges::max_element(answers, {}, &peer_version::version);
     if (newest == answers.end() || newest->version <= version_)
         return std::nullopt;
-    return newest->node;
+    return *newest;
 }
 
 const std::string*
--- a/src/libnode/shard_router.cpp
+++ b/src/libnode/shard_router.cpp
@@ -118,7 +118,7 @@
     return call;
 }
 
-std::optional<std::uint64_t> parse_version(std::string_view text)
+std::optional<std::uint64_t> parse_number(std::string_view text)
 {
     std::uint64_t version = 0;
     const auto* end = text.data() + text.size();
@@ -128,6 +128,29 @@
     return version;
 }
 
+// `VERSION AGE`, the age in milliseconds.
+std::string encode_version(const configuration_relay& source, boot_time now)
+{
+    return std::to_string(source.version()) + " " +
+           std::to_string(source.age(now).count());
+}
+
+// The age counts from when the question was sent, as the answer may have been
+// delayed.
+std::optional<peer_version>
+decode_version(std::string_view text, node_announcement node, boot_time sent)
+{
+    const auto space = text.find(' ');
+    if (space == std::string_view::npos)
+        return std::nullopt;
+    const auto version = parse_number(text.substr(0, space));
+    const auto age = parse_number(text.substr(space + 1));
+    if (!version || !age)
+        return std::nullopt;
+    return peer_version{
+        std::move(node), *version, sent - std::chrono::milliseconds(*age)};
+}
+
 http_response malformed_call()
 {
     return make_problem(
@@ -222,15 +245,13 @@
         co_return std::nullopt;
     const shard_call call{
         shard_call::verb::configuration_version, 0, 0, {}, {}};
+    const auto sent = read_clocks().steady;
     auto result = co_await context_.connections.exchange(
         *peer, encode_call(node.address, call), version_timeout);
     const auto* response = std::get_if<http_response>(&result);
     if (!response || response->result() != http::status::ok)
         co_return std::nullopt;
-    const auto version = parse_version(response->body());
-    if (!version)
-        co_return std::nullopt;
-    co_return peer_version{std::move(node), *version};
+    co_return decode_version(response->body(), std::move(node), sent);
 }
 
 asio::awaitable<std::vector<peer_version>> shard_router::ask_versions(
@@ -309,8 +330,8 @@
     if (call.kind == shard_call::verb::configuration_version)
         return {
             shard_outcome::done,
-            std::to_string(configuration_source_->version())};
-    const auto known = parse_version(call.name);
+            encode_version(*configuration_source_, read_clocks().steady)};
+    const auto known = parse_number(call.name);
     const auto* newer =
         known ? configuration_source_->deflated_newer_than(*known) : nullptr;
     if (!newer)
--- a/src/libnode/tack_node.cpp
+++ b/src/libnode/tack_node.cpp
@@ -155,9 +155,11 @@
       advice_(context),
       shards_(takeover_timing_of(context.settings)),
       router_(context, shards_),
-      relay_(relay_terms_of(std::chrono::round<std::chrono::milliseconds>(
-          std::chrono::duration<double, std::milli>(
-              context.settings.bounds.config_ms)))),
+      relay_(
+          relay_terms_of(std::chrono::round<std::chrono::milliseconds>(
+              std::chrono::duration<double, std::milli>(
+                  context.settings.bounds.config_ms))),
+          read_clocks().steady),
       front_(context, router_, relay_),
       operator_records_(
           context, store_,
@@ -473,7 +475,8 @@
 }
 
 void tack_node::apply_configuration(
-    std::string_view encoded, std::string_view source, std::string_view from)
+    std::string_view encoded, std::string_view source,
+    const peer_version* sender)
 {
     auto decoded = platform::decode_configuration(encoded);
     auto* table = std::get_if<queue_table>(&decoded);
@@ -487,14 +490,17 @@
             std::string(source) + "\",outcome=\"" + std::string(outcome) +
             "\"}")
         .add();
+    const auto now = read_clocks().steady;
     auto line = log_line()
                     .add("source", source)
-                    .add("from", from)
                     .add("version", table ? table->version : 0)
                     .add("in_force", in_force)
                     .add("bytes", std::uint64_t{encoded.size()})
-                    .add("age_ms", relay_.age(read_clocks().steady).count())
+                    .add("age_ms", relay_.age(now).count())
                     .add("outcome", outcome);
+    if (sender)
+        line.add("from", sender->node.name)
+            .add("sender_age_ms", (now - sender->as_of).count());
     if (const auto* wrong = std::get_if<findings>(&decoded))
         line.add("reason", to_string(*wrong));
     context_.log.write("node", "configuration_received", line);
@@ -542,29 +548,36 @@
     const auto asked = std::uint64_t{nodes.size()};
     const auto answers =
         co_await router_.ask_versions(std::move(nodes), relay_.version());
+    std::ranges::for_each(answers, [this](const peer_version& answer) {
+        relay_.mark_confirmed(answer);
+    });
     const auto source = relay_.choose(answers);
-    context_.log.write(
-        "node", "configuration_asked",
-        log_line()
-            .add("in_force", relay_.version())
-            .add("age_ms", relay_.age(read_clocks().steady).count())
-            .add("asked", asked)
-            .add("answered", std::uint64_t{answers.size()})
-            .add("newer_at", source ? source->name : std::string()));
+    const auto now = read_clocks().steady;
+    auto line = log_line()
+                    .add("in_force", relay_.version())
+                    .add("age_ms", relay_.age(now).count())
+                    .add("asked", asked)
+                    .add("answered", std::uint64_t{answers.size()});
+    if (source)
+        line.add("newer_at", source->node.name)
+            .add("version", source->version)
+            .add("sender_age_ms", (now - source->as_of).count());
+    context_.log.write("node", "configuration_asked", line);
     if (!source)
         co_return;
     const auto began = read_clocks().steady;
     const auto fetched =
-        co_await router_.fetch_configuration(*source, relay_.version());
+        co_await router_.fetch_configuration(source->node, relay_.version());
     if (!fetched.encoded.empty())
     {
-        apply_configuration(fetched.encoded, "node", source->name);
+        apply_configuration(fetched.encoded, "node", &*source);
+        relay_.mark_confirmed(*source);
         co_return;
     }
     context_.log.write(
         "node", "configuration_fetch_failed",
         log_line()
-            .add("from", source->name)
+            .add("from", source->node.name)
             .add("in_force", relay_.version())
             .add("received_bytes", fetched.received)
             .add("took_ms", (read_clocks().steady - began).count())
--- a/testsuite/configuration_link/configuration_link_test.cpp
+++ b/testsuite/configuration_link/configuration_link_test.cpp
@@ -286,4 +286,18 @@
     EXPECT_TRUE(reaches(7, bytes * 2 + other_traffic_bytes));
 }
 
+// Guards against a start that waits for the store alone: over a narrow link the
+// list of the newest records takes many times as long as another node's copy.
+TEST_F(configuration_link, other_nodes_tell_a_starting_process)
+{
+    const auto bytes = configure(7, large_queues);
+    const auto other = start_node("n2", platform_address_);
+    ASSERT_TRUE(eventually(
+        [&] { return metric(other, "tack_configuration_version") == 7; }));
+    start_node();
+    // Not the whole list, which has the records in base64.
+    EXPECT_TRUE(reaches(7, bytes));
+    EXPECT_EQ(from_nodes("in force"), 1U);
+}
+
 } // namespace dandeliontack::harness
