An answer without records speaks of no later time than its wait

Cause: a read of the operator's topic that returned nothing counted as the topic's end at the moment at which it arrived. On its way, which may take as long as the call, a configuration may have been published; the node, and since those that it tells, took theirs for up to a second newer than it was, and said 404 where 503 was meant.

Change: such an answer speaks of when it was sent and the wait that the store was told, or of when it arrived, if that is earlier.

Measured: unit test only; end_known_at did not exist before.

--- a/src/include/dandeliontack/topic_follower.hpp
+++ b/src/include/dandeliontack/topic_follower.hpp
@@ -33,6 +33,12 @@
     std::size_t bytes, std::chrono::milliseconds spent,
     const follow_options& options);
 
+/// The latest moment that a read which returned no record certainly speaks of:
+/// the store waits for a record as long as it is told, but its response may
+/// take any time.
+boot_time end_known_at(
+    boot_time sent, std::chrono::milliseconds wait, boot_time answered);
+
 /// Follows a compacted topic: loads the newest record of each key, then reads
 /// the records that are appended. If the next offset was trimmed, it loads the
 /// topic again and reports keys that no longer exist as deleted (empty value).
--- a/src/libnode/topic_follower.cpp
+++ b/src/libnode/topic_follower.cpp
@@ -45,6 +45,12 @@
         options.interval, std::max(options.interval, options.max_pause));
 }
 
+boot_time
+end_known_at(boot_time sent, std::chrono::milliseconds wait, boot_time answered)
+{
+    return std::min(answered, sent + wait);
+}
+
 topic_follower::topic_follower(
     node_context& context, store_client& store, follow_options options,
     record_handler on_record, caught_up_handler on_caught_up)
@@ -182,7 +188,10 @@
         keys.insert(record.key);
     }
     if (next_ >= answer.end)
-        on_caught_up_(answer.records.empty() ? read_clocks().steady : sent);
+        on_caught_up_(
+            answer.records.empty()
+                ? end_known_at(sent, options_.reads.wait, read_clocks().steady)
+                : sent);
     const bool several_left = answer.end > next_ + 1;
     return several_left || keys.size() < answer.records.size();
 }
--- a/src/libnode/topic_follower_test.cpp
+++ b/src/libnode/topic_follower_test.cpp
@@ -379,6 +379,16 @@
     EXPECT_EQ(changes, (std::vector<std::string>{"host=new", "end="}));
 }
 
+// Guards against an old answer that counts as a new one: a record may have been
+// published while a response without records was on its way.
+TEST(end_known_at, response_that_was_delayed_tells_of_its_wait_only)
+{
+    const boot_time sent(1h);
+    EXPECT_EQ(end_known_at(sent, 800ms, sent + 1700ms), sent + 800ms);
+    EXPECT_EQ(end_known_at(sent, 800ms, sent + 300ms), sent + 300ms);
+    EXPECT_EQ(end_known_at(sent, 0ms, sent + 300ms), sent);
+}
+
 TEST(pause_after, time_of_the_read_counts)
 {
     const follow_options options{{}, {}, 10ms, 600ms, [] { return 1e6; }};
