--- a/src/libnode/shard_router.cpp
+++ b/src/libnode/shard_router.cpp
@@ -120,12 +120,12 @@
 
 std::optional<std::uint64_t> parse_number(std::string_view text)
 {
-    std::uint64_t version = 0;
+    std::uint64_t number = 0;
     const auto* end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data(), end, version);
+    const auto parsed = std::from_chars(text.data(), end, number);
     if (parsed.ec != std::errc() || parsed.ptr != end)
         return std::nullopt;
-    return version;
+    return number;
 }
 
 // `VERSION AGE`, the age in milliseconds.
