--- a/src/libnode/topic_follower_test.cpp
+++ b/src/libnode/topic_follower_test.cpp
@@ -46,19 +46,43 @@
     return std::stoull(target.substr(target.find("from=") + 5));
 }
 
-// Holds one key that is rewritten with each request, so that a follower is
-// always behind until the last version.
-class rewriting_store
+// A store on loopback.
+class local_store
 {
 public:
-    explicit rewriting_store(asio::io_context& context)
+    explicit local_store(asio::io_context& context)
         : server_(
               context.get_executor(), {}, metrics_,
               [this](http_request request) {
-                  return answer(std::move(request));
+                  return serve(std::move(request));
               }),
           address(server_.listen({"127.0.0.1", 0}))
     {}
+    virtual ~local_store() = default;
+    local_store(const local_store&) = delete;
+    local_store& operator=(const local_store&) = delete;
+
+private:
+    virtual http_response answer(const std::string& target) = 0;
+
+    asio::awaitable<http_response> serve(http_request request)
+    {
+        co_return answer(std::string(request.target()));
+    }
+
+    metric_registry metrics_;
+    http_server server_;
+
+public:
+    endpoint address;
+};
+
+// Holds one key that is rewritten with each request, so that a follower is
+// always behind until the last version.
+class rewriting_store : public local_store
+{
+public:
+    using local_store::local_store;
 
     int end = 1;
     int sent = 0;
@@ -71,13 +95,7 @@
         return value;
     }
 
-    asio::awaitable<http_response> answer(http_request request)
-    {
-        auto response = answer_to(std::string(request.target()));
-        co_return response;
-    }
-
-    http_response answer_to(const std::string& target)
+    http_response answer(const std::string& target) override
     {
         // Five versions are written between two requests.
         end = std::min(end + 5, versions);
@@ -103,36 +121,22 @@
         return make_response(
             http::status::ok, "application/octet-stream", std::move(body));
     }
-
-    metric_registry metrics_;
-    http_server server_;
-
-public:
-    endpoint address;
 };
 
 // Lists three records, one a page, and refuses every other request.
-class paged_store
+class paged_store : public local_store
 {
 public:
-    explicit paged_store(asio::io_context& context)
-        : server_(
-              context.get_executor(), {}, metrics_,
-              [this](http_request request) {
-                  return answer(std::move(request));
-              }),
-          address(server_.listen({"127.0.0.1", 0}))
-    {}
+    using local_store::local_store;
 
     int requests = 0;
 
 private:
-    asio::awaitable<http_response> answer(http_request request)
+    http_response answer(const std::string& target) override
     {
         if (requests++ % 2 == 0)
-            co_return make_response(
+            return make_response(
                 http::status::too_many_requests, "text/plain", {});
-        const std::string target(request.target());
         const auto at = target.find("after=");
         const auto number =
             at == std::string::npos ? 0 : std::stoi(target.substr(at + 6)) + 1;
@@ -144,30 +148,17 @@
             {"items", json::array{std::move(item)}},
             {"hasMore", number < 2},
             {"endOffset", 3}};
-        co_return make_response(
+        return make_response(
             http::status::ok, "application/json", json::serialize(page));
     }
-
-    metric_registry metrics_;
-    http_server server_;
-
-public:
-    endpoint address;
 };
 
 // Holds these records; the list of the newest says that it ends at
 // `listed_end`, as if later records had been written while it was made.
-class recorded_store
+class recorded_store : public local_store
 {
 public:
-    explicit recorded_store(asio::io_context& context)
-        : server_(
-              context.get_executor(), {}, metrics_,
-              [this](http_request request) {
-                  return answer(std::move(request));
-              }),
-          address(server_.listen({"127.0.0.1", 0}))
-    {}
+    using local_store::local_store;
 
     std::vector<keyed_record> records;
     std::optional<std::uint64_t> listed_end;
@@ -176,12 +167,9 @@
     int idle_reads = 0;
 
 private:
-    asio::awaitable<http_response> answer(http_request request)
+    http_response answer(const std::string& target) override
     {
-        const std::string target(request.target());
-        auto response =
-            target.starts_with("/log-newest") ? list() : read(target);
-        co_return response;
+        return target.starts_with("/log-newest") ? list() : read(target);
     }
 
     http_response list()
@@ -220,12 +208,6 @@
         return make_response(
             http::status::ok, "application/octet-stream", std::move(body));
     }
-
-    metric_registry metrics_;
-    http_server server_;
-
-public:
-    endpoint address;
 };
 
 class topic_follower_test : public test::node_fixture
@@ -251,16 +233,23 @@
                 newest = version;
             },
             [](boot_time) {});
+        run_until(follower, [&] { return newest == versions - 1; });
+        return delivered;
+    }
+
+    // Runs the follower until the condition holds, and to its end.
+    void
+    run_until(topic_follower& follower, const std::function<bool()>& condition)
+    {
         bool ended = false;
         asio::co_spawn(
             context_, follower.run(),
             [&](const std::exception_ptr&) { ended = true; });
-        while (newest < versions - 1)
+        while (!condition())
             context_.run_one();
         follower.stop();
         while (!ended)
             context_.run_one();
-        return delivered;
     }
 
     rewriting_store store{context_};
@@ -301,13 +290,7 @@
             caught_up = true;
             follower.stop();
         });
-    bool ended = false;
-    asio::co_spawn(context_, follower.run(), [&](const std::exception_ptr&) {
-        ended = true;
-    });
-    while (!ended)
-        context_.run_one();
-    EXPECT_TRUE(caught_up);
+    run_until(follower, [&] { return caught_up; });
     EXPECT_EQ(keys, (std::vector<std::string>{"0", "1", "2"}));
     EXPECT_EQ(paged.requests, 6);
 }
@@ -333,15 +316,7 @@
                      recorded.records.size()});
         },
         [](boot_time) {});
-    bool ended = false;
-    asio::co_spawn(context_, follower.run(), [&](const std::exception_ptr&) {
-        ended = true;
-    });
-    while (recorded.idle_reads < 3)
-        context_.run_one();
-    follower.stop();
-    while (!ended)
-        context_.run_one();
+    run_until(follower, [&] { return recorded.idle_reads >= 3; });
     EXPECT_EQ(values, (std::vector<std::string>{"1", "2", "3", "4"}));
     EXPECT_EQ(recorded.sent, 4);
 }
@@ -367,15 +342,7 @@
             changes.push_back(record.key + "=" + record.value);
         },
         [](boot_time) {});
-    bool ended = false;
-    asio::co_spawn(context_, follower.run(), [&](const std::exception_ptr&) {
-        ended = true;
-    });
-    while (recorded.idle_reads < 1)
-        context_.run_one();
-    follower.stop();
-    while (!ended)
-        context_.run_one();
+    run_until(follower, [&] { return recorded.idle_reads >= 1; });
     EXPECT_EQ(changes, (std::vector<std::string>{"host=new", "end="}));
 }
 
