A load for a takeover ends in time, also if each page comes late

Cause: the fleet duty gave each page of its records the time of the whole load, and looked at the clock only after a page that failed. With pages that come, but slowly, a node held the duty without doing it; nobody else could claim it. The owner of a shard did the same work in a loop of its own, which was sound.

Change: one store_client::load for both, which gives each page what is left. The head of a page no longer has a second if less is left.

--- a/src/include/dandeliontack/store_client.hpp
+++ b/src/include/dandeliontack/store_client.hpp
@@ -38,6 +38,11 @@
     boost::asio::awaitable<newest_page> newest(
         topic_partition place, std::string after,
         std::optional<std::chrono::milliseconds> longest = {});
+    /// The newest record of each key, for callers that others wait for. Pages
+    /// that fail are asked for again; nothing if the last one has not come
+    /// within `longest`.
+    boost::asio::awaitable<std::optional<std::vector<keyed_record>>>
+    load(topic_partition place, std::chrono::milliseconds longest);
 
     /// When the response to the last successful call arrived.
     boot_time last_success() const;
--- a/src/libnode/fleet_duty.cpp
+++ b/src/libnode/fleet_duty.cpp
@@ -195,45 +195,32 @@
 
 asio::awaitable<bool> fleet_duty::load()
 {
-    const auto place =
-        partition_of(fleet_shard, context_.settings.store.partitions);
+    const auto records = co_await store_.load(
+        partition_of(fleet_shard, context_.settings.store.partitions),
+        load_timeout);
+    if (!records)
+        co_return false;
     std::map<std::string, noted_order> orders;
     std::optional<duty_tick> last;
-    std::string after;
-    const auto deadline = read_clocks().steady + load_timeout;
-    while (true)
+    for (const auto& record : *records)
     {
-        auto page = co_await store_.newest(place, after, load_timeout);
-        if (!page.answered)
-        {
-            if (lost_ || read_clocks().steady > deadline)
-                co_return false;
-            co_await pause_for(context_.executor, retry_pause);
+        if (record.key == tick_key)
+            last = decode_duty_tick(record.value);
+        if (record.key.starts_with(order_prefix))
+            orders[record.key.substr(order_prefix.size())] =
+                decode_noted_order(record.value).value_or(noted_order{});
+        if (!record.key.starts_with(progress_prefix))
             continue;
-        }
-        for (const auto& record : page.records)
-        {
-            if (record.key == tick_key)
-                last = decode_duty_tick(record.value);
-            if (record.key.starts_with(order_prefix))
-                orders[record.key.substr(order_prefix.size())] =
-                    decode_noted_order(record.value).value_or(noted_order{});
-            if (!record.key.starts_with(progress_prefix))
-                continue;
-            const auto parsed = decode_wave_record(record.value);
-            if (!parsed)
-                continue;
-            auto& wave = waves_[parsed->wave];
-            wave.progress.begun = {parsed->begun.begin(), parsed->begun.end()};
-            wave.progress.unanswered = {
-                parsed->ordered.begin(), parsed->ordered.end()};
-            wave.completed = parsed->completed;
-            wave.began = parsed->began;
-            wave.reported = parsed->completed;
-        }
-        if (!page.has_more || page.records.empty())
-            break;
-        after = page.records.back().key;
+        const auto parsed = decode_wave_record(record.value);
+        if (!parsed)
+            continue;
+        auto& wave = waves_[parsed->wave];
+        wave.progress.begun = {parsed->begun.begin(), parsed->begun.end()};
+        wave.progress.unanswered = {
+            parsed->ordered.begin(), parsed->ordered.end()};
+        wave.completed = parsed->completed;
+        wave.began = parsed->began;
+        wave.reported = parsed->completed;
     }
     start_cooldowns(orders, last);
     co_return true;
--- a/src/libnode/shard_owner.cpp
+++ b/src/libnode/shard_owner.cpp
@@ -40,6 +40,8 @@
 constexpr auto hold_wait = 1000ms;
 constexpr auto hold_pause = 30ms;
 constexpr auto retry_pause = 150ms;
+// Time for loading the shard's records before it is left to another node.
+constexpr auto load_timeout = 4000ms;
 // Longest single wait for a batch of changes to be stored.
 constexpr auto store_wait = 250ms;
 // How long a caller's request waits for its changes to be stored before it is
@@ -226,29 +228,11 @@
 
 asio::awaitable<bool> shard_owner::load()
 {
-    const auto place = partition_of(shard_, context_.settings.store.partitions);
-    const auto start_time = read_clocks().steady;
-    constexpr auto load_timeout = 4000ms;
-    std::vector<keyed_record> records;
-    std::string after;
-    while (read_clocks().steady - start_time < load_timeout)
-    {
-        const auto left = load_timeout - (read_clocks().steady - start_time);
-        auto page = co_await store_.newest(place, after, left);
-        if (!page.answered)
-        {
-            co_await pause_for(context_.executor, retry_pause);
-            continue;
-        }
-        std::ranges::move(page.records, std::back_inserter(records));
-        if (!page.has_more || page.records.empty())
-        {
-            restore(records, read_clocks());
-            co_return true;
-        }
-        after = records.back().key;
-    }
-    co_return false;
+    const auto records = co_await store_.load(
+        partition_of(shard_, context_.settings.store.partitions), load_timeout);
+    if (records)
+        restore(*records, read_clocks());
+    co_return records.has_value();
 }
 
 void shard_owner::restore(const std::vector<keyed_record>& records, moment now)
--- a/src/libnode/store_client.cpp
+++ b/src/libnode/store_client.cpp
@@ -40,6 +40,8 @@
 constexpr auto first_pause = 30ms;
 constexpr auto max_pause = 500ms;
 constexpr std::uint64_t max_claim_attempts = 10;
+// Pause after a page that failed.
+constexpr auto load_pause = 150ms;
 
 boot_time now_steady()
 {
@@ -203,7 +205,9 @@
     const auto sent = now_steady();
     auto limits = response_time;
     limits.longest = std::min(longest.value_or(limits.longest), limits.longest);
-    auto result = co_await call(std::move(request), call_timeout, limits);
+    const auto timeout =
+        std::min<std::chrono::milliseconds>(call_timeout, limits.longest);
+    auto result = co_await call(std::move(request), timeout, limits);
     newest_page page;
     if (const auto* error = std::get_if<exchange_error>(&result))
     {
@@ -216,6 +220,29 @@
     co_return page;
 }
 
+asio::awaitable<std::optional<std::vector<keyed_record>>>
+store_client::load(topic_partition place, std::chrono::milliseconds longest)
+{
+    const auto deadline = now_steady() + longest;
+    std::vector<keyed_record> records;
+    std::string after;
+    while (now_steady() < deadline)
+    {
+        auto page = co_await newest(place, after, deadline - now_steady());
+        if (!page.answered)
+        {
+            co_await pause_for(context_.executor, load_pause);
+            continue;
+        }
+        const bool is_last = !page.has_more || page.records.empty();
+        std::ranges::move(page.records, std::back_inserter(records));
+        if (is_last)
+            co_return records;
+        after = records.back().key;
+    }
+    co_return std::nullopt;
+}
+
 fenced_writer::fenced_writer(
     node_context& context, store_client& store, topic_partition place,
     std::string producer)
--- a/src/libnode/topic_follower_test.cpp
+++ b/src/libnode/topic_follower_test.cpp
@@ -1,7 +1,7 @@
 // Tests topic_follower against a fake store that counts the records it sends.
 
+#include "local_store.hpp"
 #include "node_fixture.hpp"
-#include <dandeliontack/http_server.hpp>
 #include <dandeliontack/topic_follower.hpp>
 
 #include <absl/strings/escaping.h>
@@ -46,40 +46,9 @@
     return std::stoull(target.substr(target.find("from=") + 5));
 }
 
-// A store on loopback.
-class local_store
-{
-public:
-    explicit local_store(asio::io_context& context)
-        : server_(
-              context.get_executor(), {}, metrics_,
-              [this](http_request request) {
-                  return serve(std::move(request));
-              }),
-          address(server_.listen({"127.0.0.1", 0}))
-    {}
-    virtual ~local_store() = default;
-    local_store(const local_store&) = delete;
-    local_store& operator=(const local_store&) = delete;
-
-private:
-    virtual http_response answer(const std::string& target) = 0;
-
-    asio::awaitable<http_response> serve(http_request request)
-    {
-        co_return answer(std::string(request.target()));
-    }
-
-    metric_registry metrics_;
-    http_server server_;
-
-public:
-    endpoint address;
-};
-
 // Holds one key that is rewritten with each request, so that a follower is
 // always behind until the last version.
-class rewriting_store : public local_store
+class rewriting_store : public test::local_store
 {
 public:
     using local_store::local_store;
@@ -124,7 +93,7 @@
 };
 
 // Lists three records, one a page, and refuses every other request.
-class paged_store : public local_store
+class paged_store : public test::local_store
 {
 public:
     using local_store::local_store;
@@ -155,7 +124,7 @@
 
 // Holds these records; the list of the newest says that it ends at
 // `listed_end`, as if later records had been written while it was made.
-class recorded_store : public local_store
+class recorded_store : public test::local_store
 {
 public:
     using local_store::local_store;
