A large submission has the time of its bytes to reach its owner

What callers saw: 504 or 503 for a submission of 256 KB that another node owns, from a node on a link of 2 Mbit/s, whatever time they gave it.

An attempt had 0.9 s whatever its size, and the next one began with the first byte: 256 KB take 1.05 s on that link if nothing else is sent.

Change: the time of an attempt is that of its bytes on a narrow link beside as many others, within the caller's own, if that is longer; as appends have it since, whose function has a name for both now.

Measured: large_submission_is_sent_once failed with the bytes not counted: 11 calls in 10 s and no answer taken; it passes now, with one call.

--- a/src/include/dandeliontack/shard_router.hpp
+++ b/src/include/dandeliontack/shard_router.hpp
@@ -136,7 +136,7 @@
     boost::asio::awaitable<shard_answer>
     ask_local(shard_owner& owner, shard_call call);
     boost::asio::awaitable<shard_answer> ask_remote(
-        const owner_record& owner, const shard_call& call,
+        const owner_record& owner, const shard_call& call, http_request request,
         std::chrono::milliseconds timeout);
     boost::asio::awaitable<std::optional<peer_version>>
     ask_version(node_announcement node);
--- a/src/include/dandeliontack/store_client.hpp
+++ b/src/include/dandeliontack/store_client.hpp
@@ -16,9 +16,9 @@
 namespace dandeliontack
 {
 
-/// How long an append of `bytes` may take at least: its bytes on the narrowest
-/// link that a node may have, beside as many others.
-std::chrono::milliseconds min_append_time(std::uint64_t bytes);
+/// How long a call of `bytes` may take to be sent: on the narrowest link that a
+/// node may have, beside as many others.
+std::chrono::milliseconds narrow_link_time(std::uint64_t bytes);
 
 /// The node's only client of the platform's store. Logs when the store becomes
 /// unavailable and available again; does not retry calls.
--- a/src/libnode/shard_router.cpp
+++ b/src/libnode/shard_router.cpp
@@ -1,6 +1,7 @@
 #include <dandeliontack/deflated_text.hpp>
 #include <dandeliontack/shard_router.hpp>
 #include <dandeliontack/spawn.hpp>
+#include <dandeliontack/store_client.hpp>
 
 #include <boost/asio.hpp>
 
@@ -20,7 +21,8 @@
 
 using namespace std::chrono_literals;
 
-// Timeout of one attempt to call an owner, and the delay before the next.
+// Timeout of one attempt to call an owner, unless the call is large, and the
+// delay before the next.
 constexpr auto attempt_timeout = 900ms;
 constexpr auto retry_delay = 60ms;
 // Timeout of a message about an owner, which is not repeated.
@@ -151,6 +153,13 @@
         std::move(node), *version, sent - std::chrono::milliseconds(*age)};
 }
 
+// A retry would begin with the first byte again.
+std::chrono::milliseconds attempt_time(std::uint64_t bytes)
+{
+    return std::max<std::chrono::milliseconds>(
+        attempt_timeout, narrow_link_time(bytes));
+}
+
 http_response malformed_call()
 {
     return make_problem(
@@ -365,13 +374,12 @@
 }
 
 asio::awaitable<shard_answer> shard_router::ask_remote(
-    const owner_record& owner, const shard_call& call,
+    const owner_record& owner, const shard_call& call, http_request request,
     std::chrono::milliseconds timeout)
 {
     const auto peer = parse_endpoint(owner.address);
     if (!peer)
         co_return shard_answer{shard_outcome::not_owner, {}};
-    auto request = encode_call(owner.address, call);
     auto result = co_await context_.connections.exchange(
         *peer, std::move(request), timeout);
     const auto* error = std::get_if<exchange_error>(&result);
@@ -414,9 +422,11 @@
                  owner &&
                  owner->process_incarnation != context_.process_incarnation)
         {
+            auto request = encode_call(owner->address, call);
             const auto bounded = std::clamp<std::chrono::milliseconds>(
-                remaining, 1ms, attempt_timeout);
-            answer = co_await ask_remote(*owner, call, bounded);
+                remaining, 1ms, attempt_time(request.body().size()));
+            answer =
+                co_await ask_remote(*owner, call, std::move(request), bounded);
         }
         switch (answer.outcome)
         {
@@ -475,7 +485,9 @@
     const auto owner = shards_.owner(call.shard);
     if (!owner || owner->process_incarnation == context_.process_incarnation)
         co_return shard_answer{shard_outcome::not_owner, {}};
-    const auto answer = co_await ask_remote(*owner, call, timeout);
+    auto request = encode_call(owner->address, call);
+    const auto answer =
+        co_await ask_remote(*owner, call, std::move(request), timeout);
     co_return answer;
 }
 
--- a/src/libnode/store_client.cpp
+++ b/src/libnode/store_client.cpp
@@ -68,7 +68,7 @@
 
 } // namespace
 
-std::chrono::milliseconds min_append_time(std::uint64_t bytes)
+std::chrono::milliseconds narrow_link_time(std::uint64_t bytes)
 {
     constexpr std::uint64_t flows = 2;
     return std::chrono::milliseconds(flows * bytes / narrow_link_bytes_per_ms);
@@ -154,7 +154,7 @@
     auto request = platform::encode_append(address_, to_append);
     const auto timeout = std::max(
         append_times_.timeout(attempts),
-        min_append_time(request.body().size()));
+        narrow_link_time(request.body().size()));
     const auto sent = now_steady();
     auto result = co_await call(std::move(request), timeout, response_time);
     append_answer answer;
