--- a/review/stand-3/world.py
+++ b/review/stand-3/world.py
@@ -239,11 +239,11 @@
     """One life of a machine. What runs on it is decided by the submission's
     text: `work MS`, or `lasting`."""
 
-    def __init__(self, world, machine, service, cpu, guards=True, stop_ms=400, hold_max_ms=10000):
+    def __init__(self, world, machine, service, cpu, guards, stop_ms, hold_max_ms, name=None):
         self.world, self.machine, self.service = world, machine, service
         self.cpu, self.guards = cpu, guards
         self.stop_ms, self.hold_max_ms = stop_ms, hold_max_ms
-        self.id = "i-%08x" % random.getrandbits(32)
+        self.id = name or "i-%08x" % random.getrandbits(32)
         self.born = int(time.time() * 1000)
         self.start = time.monotonic()
         self.fence = 0
@@ -291,9 +291,10 @@
         self.up = False
         for task in self.tasks:
             task.cancel()
-        for name, run in self.runs.items():
+        runs, self.runs = self.runs, {}
+        for name, run in runs.items():
             self.world.record("run-over", name, run["run"], "on", self.id, "with its worker")
-        self.runs.clear()
+            self.end_others(run["gang"], name, "broken")
         self.server.close()
 
         async def remove():
@@ -311,15 +312,17 @@
         self.number += 1
         self.ends.append([self.number, task, run["run"], how, ""])
         self.world.record("run-ended", task, run["run"], "on", self.id, how)
-        gang = run["gang"]
-        if gang:
-            gang["members"].pop(task, None)
-            for other, worker in list(gang["members"].items()):
-                if how == "done":
-                    worker.end(other, "done")
-                elif other in worker.runs:
-                    gang["members"].pop(other, None)
-                    worker.end(other, "broken")
+        self.end_others(run["gang"], task, "done" if how == "done" else "broken")
+
+    @staticmethod
+    def end_others(gang, task, how):
+        if not gang:
+            return
+        gang["members"].pop(task, None)
+        others = dict(gang["members"])
+        gang["members"].clear()
+        for other, worker in others.items():
+            worker.end(other, how)
 
     async def work(self):
         while True:
@@ -396,7 +399,9 @@
             gang["members"][task] = self
             if len(gang["members"]) == gang["count"]:
                 gang["began"] = time.monotonic()
-        self.world.starts.append((now(), task, run, self, self.used()))
+        step_name = task.rsplit(".", 1)[0] + "."
+        mates = sum(1 for other in self.runs if other.startswith(step_name))
+        self.world.starts.append((now(), task, run, self, self.used(), mates))
         self.world.record("run-begun", task, run, "on", self.id, "with", self.used(), "of", self.cpu, "cores/1000 in use")
         return 200, {}
 
@@ -614,17 +619,23 @@
         await self.store.listen()
         await self.cloud.listen()
 
-    async def add_worker(self, machine, cpu, guards=True):
-        worker = Worker(
-            self, machine, machine.pool, cpu, guards, self.bounds["stopMs"], self.bounds["holdMaxMs"]
-        )
+    async def add_worker(self, machine, cpu, guards=True, name=None):
+        stop_ms, hold_max_ms = self.bounds["stopMs"], self.bounds["holdMaxMs"]
+        worker = Worker(self, machine, machine.pool, cpu, guards, stop_ms, hold_max_ms, name)
         machine.worker = await worker.listen()
         self.record("worker", worker.id, "on", machine.name, "pool", machine.pool, "cpu", cpu)
         return worker
 
-    async def add_machine(self, name, pool, cpu, guards=True, rack="r1"):
+    async def add_machine(self, name, pool, cpu, guards=True, rack="r1", worker=None):
         self.machines[name] = Machine(name, pool, rack)
-        return await self.add_worker(self.machines[name], cpu, guards)
+        return await self.add_worker(self.machines[name], cpu, guards, worker)
+
+    def crash(self, name):
+        """The worker of a machine crashes and is lost for good."""
+        machine = self.machines[name]
+        self.record("worker", machine.worker.id, "on", name, "crashes")
+        machine.worker.leave(crash=True)
+        machine.worker, machine.state = None, "down"
 
     def configure(self, version, routes, services):
         self.store.put(
