--- a/review/stand-3/world.py
+++ b/review/stand-3/world.py
@@ -813,11 +813,14 @@
     record("TROUBLE" if TROUBLE else "no trouble")
 
     async def bounded():
+        # Ended from outside, the case still ends its processes.
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         return await asyncio.wait_for(play(record), 110)
 
     try:
         broken = asyncio.run(bounded())
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
+    except (CannotRun, asyncio.TimeoutError, asyncio.CancelledError, OSError) as error:
         record("the case could not run:", repr(error))
         print("could not run:", repr(error), file=sys.stderr)
         sys.exit(2)
