--- a/src/include/dandeliontack/caller_front.hpp
+++ b/src/include/dandeliontack/caller_front.hpp
@@ -3,13 +3,16 @@
 #include <dandeliontack/configuration_relay.hpp>
 #include <dandeliontack/http.hpp>
 #include <dandeliontack/node_context.hpp>
+#include <dandeliontack/queue_places.hpp>
 #include <dandeliontack/queue_table.hpp>
 #include <dandeliontack/shard_router.hpp>
 
 #include <boost/asio/awaitable.hpp>
 
+#include <functional>
 #include <memory>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 namespace dandeliontack
@@ -44,7 +47,11 @@
         shard_id shard = 0;
         /// The path after the queue's prefix: the submission id, or empty.
         std::string path_suffix;
-        std::chrono::milliseconds timeout{0};
+        /// When the response has to be ready.
+        boot_time deadline;
+
+        /// At least 1 ms.
+        std::chrono::milliseconds time_left() const;
     };
 
     boost::asio::awaitable<http_response>
@@ -57,20 +64,33 @@
     boost::asio::awaitable<http_response> state(request_scope& scope);
     boost::asio::awaitable<http_response> cancel(request_scope& scope);
     boost::asio::awaitable<http_response> pending(const request_scope& scope);
-    /// Asks one cell after the other, the most probable one first. `not_found`
-    /// means that no cell has the submission.
+    /// Asks one cell after the other, the most probable one first, then all
+    /// other shards that may hold submissions of the queue. `not_found` means
+    /// that none has it, by the word of an owner that has read the registry
+    /// since the request.
     boost::asio::awaitable<shard_answer>
-    ask_cells(request_scope& scope, shard_call::verb verb, std::uint64_t id);
+    ask_everywhere(request_scope& scope, shard_call call);
+    /// Asks the shards that `search` has left. The answer of the one that has
+    /// the submission; `not_found` if none has; else that of one that does not
+    /// say.
+    boost::asio::awaitable<shard_answer> ask_places(
+        request_scope& scope, const shard_call& call, place_search& search);
+    /// Adds those of the places that an owner names for which `may_have` holds,
+    /// and applies their owners.
+    void learn(
+        const queue_places& places, place_search& search,
+        const std::function<bool(shard_id)>& may_have);
+    /// The places that an answer names; none if they can't be read.
+    queue_places read_places(std::string_view encoded);
     shard_id shard_in(const request_scope& scope, cell_id cell) const;
     /// The shards outside the queue's pool that may hold submissions of it,
-    /// since earlier configurations sent it to other pools.
+    /// since earlier configurations sent it to other pools, as far as this node
+    /// knows.
     std::vector<shard_id> former_shards(const request_scope& scope) const;
-    /// Asks all former shards. The answer of the one that has the submission;
-    /// `not_found` if none has; else that of one that does not say.
-    boost::asio::awaitable<shard_answer>
-    ask_former_shards(request_scope& scope, shard_call call);
     /// The answer to a request for a queue that the configuration doesn't name.
     http_response refuse_queue(std::string_view path) const;
+    /// The answer where this node knows no such thing, but may be outdated.
+    http_response refuse_as_outdated(std::string_view unknown) const;
     /// The answer to a request without the key of an account.
     http_response refuse_key(
         const queue_table& table, const queue_entry& queue, bool has_key);
--- a/src/include/dandeliontack/fleet_layout.hpp
+++ b/src/include/dandeliontack/fleet_layout.hpp
@@ -56,6 +56,9 @@
     const fleet_layout& layout, std::uint64_t id, const submission_spec& spec,
     std::string_view pool);
 
+/// Whether the submission's cell follows from its pool.
+bool is_cell_of_pool(const submission_spec& spec);
+
 /// The cells that may hold a submission of which the id and the pool are known,
 /// the most likely first.
 std::vector<cell_id> candidate_cells(
--- a/src/include/dandeliontack/pool_engine.hpp
+++ b/src/include/dandeliontack/pool_engine.hpp
@@ -83,6 +83,8 @@
     /// Returns all changes since the last call as a numbered batch.
     pool_changes take_changes();
     bool has_changes() const;
+    /// The number of the batch that is taken next.
+    std::uint64_t next_batch() const;
 
     /// Why a submission that is not known yet is not to be accepted: the work
     /// that goes before it by its account's share shows that it can't be done
--- a/src/include/dandeliontack/shard_map.hpp
+++ b/src/include/dandeliontack/shard_map.hpp
@@ -38,6 +38,8 @@
 
 /// The cell that a pool shard belongs to.
 cell_id cell_of_shard(shard_id shard);
+/// Whether the shards have the same pools, in different cells.
+bool is_same_pool_shard(shard_id a, shard_id b);
 
 /// When a node is considered failed, and in which order others take over.
 struct takeover_timing
@@ -106,6 +108,11 @@
     bool apply(const keyed_record& record, moment now);
     /// Notes that the registry was read up to its end at this time.
     void mark_caught_up(boot_time now);
+    /// Notes that the registry was read to what was its end at `as_of`, which
+    /// is before the answer arrived.
+    void mark_read(boot_time as_of);
+    /// Records that were stored by then are known here.
+    boot_time read_as_of() const;
 
     std::optional<owner_record> owner(shard_id shard) const;
     std::uint64_t last_epoch(shard_id shard) const;
@@ -171,6 +178,7 @@
     std::optional<fleet_layout> layout_;
     std::optional<boot_time> first_read_;
     boot_time last_read_;
+    boot_time read_as_of_;
 };
 
 /// Keys of registry records.
--- a/src/include/dandeliontack/shard_owner.hpp
+++ b/src/include/dandeliontack/shard_owner.hpp
@@ -6,6 +6,7 @@
 #include <dandeliontack/order_queue.hpp>
 #include <dandeliontack/pool_engine.hpp>
 #include <dandeliontack/queue_admission.hpp>
+#include <dandeliontack/registry_view.hpp>
 #include <dandeliontack/shard_claim.hpp>
 #include <dandeliontack/shard_map.hpp>
 #include <dandeliontack/shard_service.hpp>
@@ -35,10 +36,9 @@
                     public std::enable_shared_from_this<shard_owner>
 {
 public:
-    /// `listed` are the queues that the registry lists for the shard.
     shard_owner(
         node_context& context, store_client& store, advice_client& advice,
-        shard_id shard, shard_queues listed);
+        registry_view registry, shard_id shard);
 
     /// Claims the shard with epoch `last` + 1, loads its state and starts
     /// serving. Returns false if another node claimed it first or the store is
@@ -52,21 +52,28 @@
     /// The registry's record of this owner; released once the shard is lost.
     owner_record record() const;
 
-    /// Applies a newer configuration: lists the queues that it sends to this
-    /// shard, closes those that it sends elsewhere, and gives the accounts to
-    /// the engine. Called before `take_over` too.
-    void set_queues(const queue_table& table);
+    /// Applies a newer configuration, in force here since `since`: lists the
+    /// queues that it sends to this shard, closes those that it sends
+    /// elsewhere, and gives the accounts to the engine. Called before
+    /// `take_over` too.
+    void set_queues(const queue_table& table, boot_time since);
+    /// The registry has been read to its end.
+    void notify_registry_read();
 
     /// Replaces the list of the shard's hosts that are alive.
     void set_hosts(std::vector<host_entry> entries);
 
-    boost::asio::awaitable<shard_answer>
-    submit(std::shared_ptr<const submission_record> record) override;
+    boost::asio::awaitable<shard_answer> submit(
+        std::shared_ptr<const submission_record> record,
+        asked_shards asked) override;
     boost::asio::awaitable<shard_answer>
     find(std::uint64_t id, queue_terms terms) override;
-    boost::asio::awaitable<shard_answer> cancel(std::uint64_t id) override;
-    boost::asio::awaitable<shard_answer> state(std::uint64_t id) override;
-    boost::asio::awaitable<shard_answer> pending(std::string route) override;
+    boost::asio::awaitable<shard_answer>
+    cancel(std::uint64_t id, std::uint64_t queue) override;
+    boost::asio::awaitable<shard_answer>
+    state(std::uint64_t id, std::uint64_t queue) override;
+    boost::asio::awaitable<shard_answer>
+    pending(std::string route, std::uint64_t queue) override;
     boost::asio::awaitable<shard_answer> evacuate(std::string host) override;
     boost::asio::awaitable<shard_answer>
     host_ended(host_departure departure) override;
@@ -98,9 +105,20 @@
     boost::asio::awaitable<void> store_changes();
     /// Stores the shard's list of queues in the registry whenever it has grown.
     boost::asio::awaitable<void> list_queues();
-    /// Waits until the registry lists the queue for this shard; false if that
-    /// takes too long.
-    boost::asio::awaitable<bool> wait_until_listed(std::uint64_t queue);
+    /// Waits until it is certain whether this shard may accept a submission
+    /// that it does not know. Without an answer it may.
+    boost::asio::awaitable<std::optional<shard_answer>>
+    admit(const submission_record& record, asked_shards asked);
+    /// Waits until the registry that was read is not older than this call;
+    /// false if that takes too long.
+    boost::asio::awaitable<bool> wait_for_registry();
+    /// The answer to a call for a submission that is not here.
+    boost::asio::awaitable<shard_answer>
+    answer_not_found(std::uint64_t id, std::uint64_t queue);
+    std::string encode_places(std::uint64_t queue) const;
+    /// Whether appends have been failing for so long that nothing new is
+    /// accepted.
+    bool has_failing_store() const;
     boost::asio::awaitable<void> run_planning();
     boost::asio::awaitable<void> detect_departed_hosts();
     void apply_departures(
@@ -130,6 +148,9 @@
     wait_until_stored(std::uint64_t batch);
 
     std::vector<keyed_record> encode_changes(const pool_changes& changes);
+    /// Whether anything has to be stored.
+    bool has_changes() const;
+    std::uint64_t closed_batch();
     void drop_refused_records();
     /// Sets the metrics of accounts that are limited.
     void report_accounts();
@@ -155,6 +176,7 @@
     node_context& context_;
     store_client& store_;
     advice_client& advice_;
+    registry_view registry_;
     shard_id shard_;
     pool_terms terms_;
     shard_claim claim_;
@@ -174,10 +196,12 @@
     std::map<std::string, host_queue> queues_;
     /// The last batch of engine changes that the store has accepted.
     std::uint64_t stored_batch_ = 0;
+    /// The batch with the last queue that was closed.
+    std::uint64_t closed_batch_ = 0;
     wake_signal stored_signal_;
     wake_signal change_signal_;
     wake_signal planning_signal_;
-    /// A queue has to be listed, or was.
+    /// A queue has to be listed, or was, or the registry has been read.
     wake_signal queues_signal_;
     bool planning_requested_ = false;
     bool serving_ = false;
--- a/src/include/dandeliontack/shard_router.hpp
+++ b/src/include/dandeliontack/shard_router.hpp
@@ -52,6 +52,11 @@
     std::string name;
     /// For `submit` and `find`; shared, as a call may be repeated.
     std::shared_ptr<const submission_record> record;
+    /// The queue whose places the answer to `cancel`, `state` or `pending` is
+    /// to name; 0 for none.
+    std::uint64_t queue = 0;
+    /// For `submit`: the shards that don't have the submission.
+    asked_shards asked{};
 };
 
 /// The configuration of another node.
@@ -131,6 +136,8 @@
     bool has_pool_owners() const;
     /// The registry as this node has read it.
     const shard_map& shards() const;
+    /// Applies the owners that another node names.
+    void learn_owners(const queue_places& places);
 
 private:
     boost::asio::awaitable<shard_answer>
--- a/src/include/dandeliontack/shard_service.hpp
+++ b/src/include/dandeliontack/shard_service.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <dandeliontack/host_departure.hpp>
+#include <dandeliontack/queue_places.hpp>
 #include <dandeliontack/submission.hpp>
 #include <dandeliontack/submission_refusal.hpp>
 
@@ -26,7 +27,10 @@
     /// The call may have taken effect, or may do so later.
     unknown,
     /// The call had no effect and will have none: it can't be served now.
-    rejected
+    rejected,
+    /// The call had no effect: other shards have to be asked first. The answer
+    /// names all places of the queue.
+    ask_others
 };
 
 std::string_view to_string(shard_outcome outcome);
@@ -34,7 +38,8 @@
 struct shard_answer
 {
     shard_outcome outcome = shard_outcome::unknown;
-    /// For `done`: the result, if the call has one.
+    /// For `done`: the result, if the call has one. For `ask_others` and
+    /// `not_found`: the encoded places of the queue.
     std::string value;
     /// For `rejected`.
     submission_refusal refusal{};
@@ -50,19 +55,28 @@
     virtual ~shard_service() = default;
 
     /// Idempotent: `done` once the record is stored, also if it was before.
-    virtual boost::asio::awaitable<shard_answer>
-    submit(std::shared_ptr<const submission_record> record) = 0;
+    /// `ask_others` if a shard that is not in `asked` may have the submission.
+    virtual boost::asio::awaitable<shard_answer> submit(
+        std::shared_ptr<const submission_record> record,
+        asked_shards asked) = 0;
     /// Whether the submission was accepted here: `done` once its record is
     /// stored. For a queue that `terms` sends to another shard; if the answer
     /// is `not_found`, nothing of the queue is accepted here any more under
     /// this or an earlier version of the configuration.
     virtual boost::asio::awaitable<shard_answer>
     find(std::uint64_t id, queue_terms terms) = 0;
-    virtual boost::asio::awaitable<shard_answer> cancel(std::uint64_t id) = 0;
-    /// The value is the name of the submission's phase.
-    virtual boost::asio::awaitable<shard_answer> state(std::uint64_t id) = 0;
-    /// The value is the number of pending submissions, in decimal.
-    virtual boost::asio::awaitable<shard_answer> pending(std::string route) = 0;
+    /// With a `queue`, `not_found` names all places that this queue had when
+    /// the call arrived; it is 0 for a call that needs no places.
+    virtual boost::asio::awaitable<shard_answer>
+    cancel(std::uint64_t id, std::uint64_t queue) = 0;
+    /// The value is the name of the submission's phase; `not_found` as for
+    /// `cancel`.
+    virtual boost::asio::awaitable<shard_answer>
+    state(std::uint64_t id, std::uint64_t queue) = 0;
+    /// The value is the number of the route's pending submissions, in decimal,
+    /// and after a line feed the places of the queue.
+    virtual boost::asio::awaitable<shard_answer>
+    pending(std::string route, std::uint64_t queue) = 0;
     /// Requests that a host be evacuated; the value is `empty` or `busy`.
     virtual boost::asio::awaitable<shard_answer> evacuate(std::string host) = 0;
     /// An incarnation of a host has ended.
--- a/src/include/dandeliontack/tack_node.hpp
+++ b/src/include/dandeliontack/tack_node.hpp
@@ -99,6 +99,8 @@
     http_server metrics_;
     std::map<std::string, host_entry> hosts_;
     std::set<std::string> known_pools_;
+    /// Since when the configuration has been in force here.
+    boot_time in_force_since_;
     bool hosts_changed_ = false;
     bool following_hosts_ = false;
     std::map<std::string, wave_request> waves_;
--- a/src/include/dandeliontack/topic_follower.hpp
+++ b/src/include/dandeliontack/topic_follower.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <dandeliontack/store_client.hpp>
+#include <dandeliontack/wake_signal.hpp>
 
 #include <boost/asio/awaitable.hpp>
 
@@ -60,6 +61,8 @@
     /// Runs until `stop` is called.
     boost::asio::awaitable<void> run();
     void stop();
+    /// Ends the pause before the next read.
+    void read_soon();
     /// Whether the records that are being delivered come from a list of the
     /// newest ones rather than from the log.
     bool is_loading() const;
@@ -89,6 +92,9 @@
     std::size_t loaded_bytes_ = 0;
     /// When the last read began.
     boot_time read_began_;
+    wake_signal hurry_signal_;
+    /// The next read must not wait.
+    bool hurried_ = false;
     bool loaded_ = false;
     bool stopped_ = false;
 };
--- a/src/libnode/caller_front.cpp
+++ b/src/libnode/caller_front.cpp
@@ -143,6 +143,11 @@
         holder ? holder->name : std::string()};
 }
 
+bool is_any_shard(shard_id /*shard*/)
+{
+    return true;
+}
+
 std::optional<submission_phase> phase_of(std::string_view name)
 {
     for (const auto phase :
@@ -214,13 +219,14 @@
         co_return retry_later(
             "no layout",
             "this node has not read the layout of the deployment's cells yet");
+    const auto timeout = timeout_of(request);
     request_scope scope{
         *queue,
         std::move(caller.account),
         *layout,
         0,
         path.substr(queue->path_prefix.size()),
-        timeout_of(request)};
+        began + timeout};
     http_response response;
     const auto method = request.method();
     if (method == http::verb::get && scope.path_suffix.empty())
@@ -250,7 +256,7 @@
                 .add("configuration", held->version)
                 .add("shard", scope.shard)
                 .add("status", std::uint32_t{response.result_int()})
-                .add("patience_ms", scope.timeout.count())
+                .add("patience_ms", timeout.count())
                 .add("took_ms", took.count()));
     co_return response;
 }
@@ -259,29 +265,39 @@
 // queue.
 http_response caller_front::refuse_queue(std::string_view path) const
 {
-    const auto now = read_clocks().steady;
-    if (!configurations_.is_overdue(now))
+    if (!configurations_.is_overdue(read_clocks().steady))
         return error_response(
             http::status::not_found, outcome::not_run, "no such queue", path);
     context_.metrics.get_counter("tack_queues_unknown_total").add();
+    return refuse_as_outdated("no such queue");
+}
+
+http_response caller_front::refuse_as_outdated(std::string_view unknown) const
+{
+    const auto age = configurations_.age(read_clocks().steady).count();
+    const auto bound = configurations_.terms().bound.count();
     context_.log.write(
-        "front", "queue_unknown",
+        "front", "configuration_outdated",
         log_line()
+            .add("reason", unknown)
             .add("configuration", table_->version)
-            .add("age_ms", configurations_.age(now).count())
-            .add("bound_ms", configurations_.terms().bound.count()));
+            .add("age_ms", age)
+            .add("bound_ms", bound));
     return retry_later(
         "configuration may be outdated",
-        "this node knows no such queue, but has not read the configuration "
-        "for " +
-            std::to_string(configurations_.age(now).count()) +
-            " ms; a new one comes into force within " +
-            std::to_string(configurations_.terms().bound.count()) + " ms");
+        "this node knows " + std::string(unknown) +
+            ", but has not read the configuration for " + std::to_string(age) +
+            " ms; a new one comes into force within " + std::to_string(bound) +
+            " ms");
 }
 
+// A node that may have missed a configuration can't say that the account does
+// not exist, or that the queue needs one.
 http_response caller_front::refuse_key(
     const queue_table& table, const queue_entry& queue, bool has_key)
 {
+    if (configurations_.is_overdue(read_clocks().steady))
+        return refuse_as_outdated("no client account with the request's key");
     context_.metrics
         .get_counter(
             has_key ? "tack_keys_refused_total{cause=\"unknown\"}"
@@ -340,11 +356,11 @@
         co_return error_response(
             http::status::unprocessable_entity, outcome::not_run,
             "submission can't be run", join_faults(faults));
-    if (scope.timeout < min_submit_timeout)
+    const auto left = scope.time_left();
+    if (left < min_submit_timeout)
         co_return retry_later(
             "too little time",
-            "the remaining request timeout of " +
-                std::to_string(scope.timeout.count()) +
+            "the remaining request timeout of " + std::to_string(left.count()) +
                 " ms is below the minimum of " +
                 std::to_string(min_submit_timeout.count()) +
                 " ms for storing a submission; nothing was sent to the owner");
@@ -379,27 +395,95 @@
             std::to_string(limit) + " bytes in a record");
 }
 
-// A submission that was accepted before its queue was sent to this pool is not
-// accepted again.
+// Asks the shards that may have accepted the submission under an earlier
+// configuration first. The owner checks that all of them were asked, and names
+// those that this node doesn't know. What was said before the owner's shard was
+// listed doesn't count: the others could not know of it then.
 asio::awaitable<shard_answer>
 caller_front::submit_once(shard_call call, request_scope& scope)
 {
-    if (!former_shards(scope).empty())
+    const auto target = scope.shard;
+    place_search search(scope.queue.terms.version);
+    const auto listed = router_.shards().shards_with(scope.queue.terms.queue);
+    if (std::ranges::find(listed, target) != listed.end())
+        std::ranges::for_each(
+            former_shards(scope), [&](shard_id shard) { search.add(shard); });
+    auto question = call;
+    question.kind = shard_call::verb::find;
+    while (true)
     {
-        const auto began = read_clocks().steady;
-        auto question = call;
-        question.kind = shard_call::verb::find;
-        const auto target = scope.shard;
-        const auto former =
-            co_await ask_former_shards(scope, std::move(question));
-        if (former.outcome != shard_outcome::not_found)
-            co_return former;
+        while (!search.unasked().empty())
+        {
+            if (question.record->terms.version != search.asked().version)
+            {
+                auto record = *call.record;
+                record.terms.version = search.asked().version;
+                question.record = std::make_shared<const submission_record>(
+                    std::move(record));
+            }
+            const auto former = co_await ask_places(scope, question, search);
+            if (former.outcome != shard_outcome::not_found)
+                co_return former;
+        }
         scope.shard = target;
-        scope.timeout = std::max<std::chrono::milliseconds>(
-            scope.timeout - (read_clocks().steady - began), 1ms);
+        auto copy = call;
+        copy.asked = search.asked();
+        const auto answer = co_await router_.ask(
+            std::move(copy), scope.time_left(), owner_reach_timeout);
+        if (answer.outcome != shard_outcome::ask_others)
+            co_return answer;
+        const auto places = read_places(answer.value);
+        search.raise_version(places.version);
+        learn(places, search, [&](shard_id shard) {
+            return is_cell_of_pool(call.record->spec) ||
+                   !is_same_pool_shard(shard, target);
+        });
+        search.mark_asked({target});
+        if (search.unasked().empty())
+            co_return shard_answer{shard_outcome::rejected, {}};
     }
-    co_return co_await router_.ask(
-        std::move(call), scope.timeout, owner_reach_timeout);
+}
+
+std::chrono::milliseconds caller_front::request_scope::time_left() const
+{
+    return std::max<std::chrono::milliseconds>(
+        deadline - read_clocks().steady, 1ms);
+}
+
+queue_places caller_front::read_places(std::string_view encoded)
+{
+    auto places = decode_queue_places(encoded);
+    if (!places)
+        context_.log.write(
+            "front", "places_unreadable",
+            log_line().add("bytes", std::uint64_t{encoded.size()}));
+    return std::move(places).value_or(queue_places{});
+}
+
+void caller_front::learn(
+    const queue_places& places, place_search& search,
+    const std::function<bool(shard_id)>& may_have)
+{
+    const auto before = search.unasked().size();
+    for (const auto& place : places.places)
+        if (may_have(place.shard))
+            search.add(place.shard);
+    const auto unasked = search.unasked().size();
+    if (unasked == before)
+        return;
+    router_.learn_owners(places);
+    context_.metrics.get_counter("tack_places_learned_total").add();
+    context_.log.write(
+        "front", "places_learned",
+        log_line()
+            .add("configuration", table_->version)
+            .add("owner_version", places.version)
+            .add("places", std::uint64_t{places.places.size()})
+            .add("unasked", std::uint64_t{unasked})
+            .add(
+                "registry_age_ms",
+                (read_clocks().steady - router_.shards().read_as_of())
+                    .count()));
 }
 
 shard_id caller_front::shard_in(const request_scope& scope, cell_id cell) const
@@ -418,13 +502,10 @@
     return shards;
 }
 
-asio::awaitable<shard_answer>
-caller_front::ask_former_shards(request_scope& scope, shard_call call)
+asio::awaitable<shard_answer> caller_front::ask_places(
+    request_scope& scope, const shard_call& call, place_search& search)
 {
-    const auto shards = former_shards(scope);
-    shard_answer undecided{shard_outcome::not_found, {}};
-    if (shards.empty())
-        co_return undecided;
+    const auto shards = search.unasked();
     std::vector<shard_call> calls;
     std::ranges::transform(
         shards, std::back_inserter(calls), [&](shard_id shard) {
@@ -433,7 +514,8 @@
             return copy;
         });
     const auto answers = co_await router_.ask_all(
-        std::move(calls), scope.timeout, owner_reach_timeout);
+        std::move(calls), scope.time_left(), owner_reach_timeout);
+    shard_answer undecided{shard_outcome::not_found, {}};
     for (std::size_t i = 0; i < shards.size(); ++i)
     {
         if (answers[i].outcome == shard_outcome::not_found)
@@ -443,30 +525,40 @@
         if (undecided.outcome == shard_outcome::done)
             break;
     }
+    search.mark_asked(shards);
+    for (const auto& answer : answers)
+        if (answer.outcome == shard_outcome::not_found)
+            search.raise_version(read_places(answer.value).version);
     co_return undecided;
 }
 
-asio::awaitable<shard_answer> caller_front::ask_cells(
-    request_scope& scope, shard_call::verb verb, std::uint64_t id)
+// The last cell names the other places: an owner has to read the registry for
+// that, which would hold up the search in the cells.
+asio::awaitable<shard_answer>
+caller_front::ask_everywhere(request_scope& scope, shard_call call)
 {
-    const auto began = read_clocks().steady;
+    place_search search(scope.queue.terms.version);
+    const auto cells =
+        candidate_cells(scope.layout, call.submission, scope.queue.terms.pool);
     shard_answer answer;
-    for (const auto cell :
-         candidate_cells(scope.layout, id, scope.queue.terms.pool))
+    for (const auto cell : cells)
     {
         scope.shard = shard_in(scope, cell);
-        shard_call call{verb, scope.shard, id, {}, {}};
-        const auto left = std::max<std::chrono::milliseconds>(
-            scope.timeout - (read_clocks().steady - began), 1ms);
-        answer =
-            co_await router_.ask(std::move(call), left, owner_reach_timeout);
+        auto copy = call;
+        copy.shard = scope.shard;
+        copy.queue = cell == cells.back() ? scope.queue.terms.queue : 0;
+        answer = co_await router_.ask(
+            std::move(copy), scope.time_left(), owner_reach_timeout);
         if (answer.outcome != shard_outcome::not_found)
             co_return answer;
+        search.mark_asked({scope.shard});
     }
-    scope.timeout = std::max<std::chrono::milliseconds>(
-        scope.timeout - (read_clocks().steady - began), 1ms);
-    shard_call call{verb, 0, id, {}, {}};
-    co_return co_await ask_former_shards(scope, std::move(call));
+    std::ranges::for_each(
+        former_shards(scope), [&](shard_id shard) { search.add(shard); });
+    learn(read_places(answer.value), search, is_any_shard);
+    if (search.unasked().empty())
+        co_return answer;
+    co_return co_await ask_places(scope, call, search);
 }
 
 asio::awaitable<http_response> caller_front::state(request_scope& scope)
@@ -474,7 +566,8 @@
     const auto id = parse_submission_name(scope.path_suffix);
     if (!id)
         co_return submission_not_found(malformed_id_detail(scope.path_suffix));
-    const auto answer = co_await ask_cells(scope, shard_call::verb::state, *id);
+    shard_call call{shard_call::verb::state, 0, *id, {}, {}};
+    const auto answer = co_await ask_everywhere(scope, std::move(call));
     const auto phase = phase_of(answer.value);
     if (answer.outcome == shard_outcome::done && phase)
         co_return platform::encode_state(*phase);
@@ -489,8 +582,8 @@
     const auto id = parse_submission_name(scope.path_suffix);
     if (!id)
         co_return submission_not_found(malformed_id_detail(scope.path_suffix));
-    const auto answer =
-        co_await ask_cells(scope, shard_call::verb::cancel, *id);
+    shard_call call{shard_call::verb::cancel, 0, *id, {}, {}};
+    const auto answer = co_await ask_everywhere(scope, std::move(call));
     if (answer.outcome == shard_outcome::done)
         co_return make_response(http::status::ok, "application/json", "{}");
     if (answer.outcome == shard_outcome::not_found)
@@ -501,29 +594,40 @@
 
 asio::awaitable<http_response> caller_front::pending(const request_scope& scope)
 {
-    std::vector<shard_call> calls;
-    calls.reserve(scope.layout.cells);
+    place_search search(scope.queue.terms.version);
     for (cell_id cell = 0; cell < scope.layout.cells; ++cell)
-        calls.push_back(
-            {shard_call::verb::pending,
-             shard_in(scope, cell),
-             0,
-             scope.queue.terms.route,
-             {}});
-    for (const auto shard : former_shards(scope))
-        calls.push_back(
-            {shard_call::verb::pending, shard, 0, scope.queue.terms.route, {}});
-    const auto answers = co_await router_.ask_all(
-        std::move(calls), scope.timeout, owner_reach_timeout);
+        search.add(shard_in(scope, cell));
+    std::ranges::for_each(
+        former_shards(scope), [&](shard_id shard) { search.add(shard); });
     std::size_t sum = 0;
-    for (const auto& answer : answers)
+    for (auto shards = search.unasked(); !shards.empty();
+         shards = search.unasked())
     {
-        std::size_t number = 0;
-        const auto* end = answer.value.data() + answer.value.size();
-        const auto parsed = std::from_chars(answer.value.data(), end, number);
-        if (answer.outcome != shard_outcome::done || parsed.ec != std::errc())
-            co_return owner_error_response(answer, scope);
-        sum += number;
+        std::vector<shard_call> calls;
+        std::ranges::transform(
+            shards, std::back_inserter(calls), [&](shard_id shard) {
+                return shard_call{
+                    shard_call::verb::pending, shard, 0,
+                    scope.queue.terms.route,   {},    scope.queue.terms.queue};
+            });
+        search.mark_asked(shards);
+        const auto answers = co_await router_.ask_all(
+            std::move(calls), scope.time_left(), owner_reach_timeout);
+        for (const auto& answer : answers)
+        {
+            std::size_t number = 0;
+            const std::string_view value = answer.value;
+            const auto end = std::min(value.find('\n'), value.size());
+            const auto parsed =
+                std::from_chars(value.data(), value.data() + end, number);
+            if (answer.outcome != shard_outcome::done ||
+                parsed.ec != std::errc())
+                co_return owner_error_response(answer, scope);
+            sum += number;
+            learn(
+                read_places(value.substr(std::min(end + 1, value.size()))),
+                search, is_any_shard);
+        }
     }
     co_return platform::encode_pending(sum);
 }
--- a/src/libnode/caller_front_test.cpp
+++ b/src/libnode/caller_front_test.cpp
@@ -67,6 +67,21 @@
     EXPECT_TRUE(configurations.is_overdue(now + 3000ms));
 }
 
+// Guards against callers being told that their key belongs to nobody by a node
+// that has not heard of the configuration that added the account.
+TEST_F(caller_front_test, node_that_may_be_outdated_refuses_no_key)
+{
+    queue_table table;
+    table.version = 1;
+    table.accounts = std::make_shared<const account_table>();
+    table.queues.emplace_back().path_prefix = "/checks/";
+    table.queues.back().host = "reg.example";
+    front.set_table(std::make_shared<const queue_table>(std::move(table)));
+    EXPECT_EQ(ask("/checks/").result(), http::status::service_unavailable);
+    configurations.mark_read(read_clocks().steady);
+    EXPECT_EQ(ask("/checks/").result(), http::status::unauthorized);
+}
+
 // Guards against going back: configurations arrive from the store's log, from
 // its list of the newest and from other nodes, in any order.
 RC_GTEST_FIXTURE_PROP(
--- a/src/libnode/queue_admission_test.cpp
+++ b/src/libnode/queue_admission_test.cpp
@@ -18,6 +18,7 @@
 using namespace std::chrono_literals;
 
 constexpr std::uint64_t partitions = 8;
+constexpr boot_time now{1h};
 constexpr std::array pools{"north", "south", "east"};
 
 queue_table table_of(std::uint64_t version, const std::string& pool)
@@ -55,7 +56,7 @@
         owners_.insert_or_assign(
             shard, queue_admission(read_registry().queues_of(shard)));
         if (newest_)
-            owners_.at(shard).apply(*newest_, shard, partitions);
+            owners_.at(shard).apply(*newest_, shard, partitions, now);
     }
 
     // The nodes of some owners have applied the configuration already.
@@ -64,7 +65,7 @@
         newest_ = table;
         for (auto& [shard, owner] : owners_)
             if (*rc::gen::arbitrary<bool>())
-                owner.apply(table, shard, partitions);
+                owner.apply(table, shard, partitions, now);
     }
 
     // A node that has applied `table` takes a request. Returns whether it was
@@ -76,7 +77,7 @@
         for (const auto shard : read_registry().shards_with(terms.queue))
             if (shard != target)
             {
-                owners_.at(shard).close(terms);
+                owners_.at(shard).close(terms, now);
                 if (places_[id].contains(shard))
                     return true;
             }
@@ -87,7 +88,7 @@
         if (const auto* list = owner.unlisted())
         {
             registry_[queues_key(target)] = encode(*list);
-            owner.set_listed(*list);
+            owner.set_listed(*list, now);
         }
         places_[id].insert(target);
         return true;
@@ -170,12 +171,12 @@
     const auto second = table_of(2, pools[1]);
     const auto shard = shard_for(first);
     queue_admission admission{{}};
-    admission.apply(first, shard, partitions);
+    admission.apply(first, shard, partitions, now);
     ASSERT_TRUE(admission.unlisted());
-    admission.set_listed(*admission.unlisted());
+    admission.set_listed(*admission.unlisted(), now);
     EXPECT_FALSE(admission.unlisted());
     EXPECT_TRUE(admission.is_open(first.queues.front().terms));
-    admission.apply(second, shard, partitions);
+    admission.apply(second, shard, partitions, now);
     EXPECT_FALSE(admission.is_open(first.queues.front().terms));
     // And open again once it is sent back.
     EXPECT_TRUE(admission.is_open(table_of(3, pools[0]).queues.front().terms));
--- a/src/libnode/shard_map.cpp
+++ b/src/libnode/shard_map.cpp
@@ -85,6 +85,11 @@
     return shard / cell_stride;
 }
 
+bool is_same_pool_shard(shard_id a, shard_id b)
+{
+    return index_in_cell(a) == index_in_cell(b);
+}
+
 std::string announcement_key(std::string_view node)
 {
     return std::string(announcement_prefix) + std::string(node);
@@ -214,6 +219,16 @@
     last_read_ = now;
 }
 
+void shard_map::mark_read(boot_time as_of)
+{
+    read_as_of_ = std::max(read_as_of_, as_of);
+}
+
+boot_time shard_map::read_as_of() const
+{
+    return read_as_of_;
+}
+
 bool shard_map::has_timed_out(const node_entry& node, boot_time now) const
 {
     return now - node.last_change >
--- a/src/libnode/shard_owner.cpp
+++ b/src/libnode/shard_owner.cpp
@@ -60,6 +60,8 @@
 constexpr auto hand_over_timeout = 1500ms;
 // Longest wait for a queue that the registry does not list yet.
 constexpr auto queues_check_interval = 10s;
+// A count of pending submissions may be this old, so its places may be, too.
+constexpr auto max_pending_age = 2000ms;
 
 constexpr std::size_t most_logged_steps = 16;
 // Pause between counts of the submissions that have not begun.
@@ -117,15 +119,16 @@
 
 shard_owner::shard_owner(
     node_context& context, store_client& store, advice_client& advice,
-    shard_id shard, shard_queues listed)
+    registry_view registry, shard_id shard)
     : context_(context),
       store_(store),
       advice_(advice),
+      registry_(std::move(registry)),
       shard_(shard),
       terms_(terms_of(context)),
       claim_(context, store, shard),
       order_times_({.most = order_timeout}),
-      admission_(std::move(listed)),
+      admission_(registry_.shards.queues_of(shard)),
       stored_signal_(context.executor),
       change_signal_(context.executor),
       planning_signal_(context.executor),
@@ -192,6 +195,8 @@
         lost_ = true;
         co_return false;
     }
+    admission_.mark_claimed(read_clocks().steady);
+    registry_.refresh();
     // Registers the claim at once, so that no other node claims the shard in
     // the meantime.
     start_coroutine("announcement", claim_.announce_until([self] {
@@ -238,7 +243,13 @@
 void shard_owner::restore(const std::vector<keyed_record>& records, moment now)
 {
     engine_ = std::make_unique<pool_engine>(terms_, epoch());
-    auto restored = restore_engine(*engine_, records, now);
+    std::vector<keyed_record> of_engine;
+    std::ranges::copy_if(
+        records, std::back_inserter(of_engine),
+        [this](const keyed_record& record) {
+            return !admission_.restore_closed(record);
+        });
+    auto restored = restore_engine(*engine_, of_engine, now);
     orphans_ = std::move(restored.orphans);
     if (restored.unreadable > 0)
         context_.log.write(
@@ -259,7 +270,7 @@
     }
     const auto deadline = read_clocks().steady + hand_over_timeout;
     while (serving_ && !lost_ && read_clocks().steady < deadline &&
-           (engine_->has_changes() || appending_))
+           (has_changes() || appending_))
         co_await stored_signal_.wait(batch_delay);
     mark_lost("the shard was released for a planned handover");
 }
@@ -295,9 +306,14 @@
     queues_signal_.notify();
 }
 
-void shard_owner::set_queues(const queue_table& table)
+void shard_owner::notify_registry_read()
 {
-    admission_.apply(table, shard_, context_.settings.store.partitions);
+    queues_signal_.notify();
+}
+
+void shard_owner::set_queues(const queue_table& table, boot_time since)
+{
+    admission_.apply(table, shard_, context_.settings.store.partitions, since);
     queues_signal_.notify();
     if (!table.accounts && !accounts_)
         return;
@@ -312,6 +328,14 @@
     const auto self = shared_from_this();
     while (!lost_)
     {
+        // A list that was stored right before the claim must not be replaced by
+        // one that lacks its queues.
+        if (registry_.shards.read_as_of() <= admission_.claimed_at())
+        {
+            co_await queues_signal_.wait(store_wait);
+            continue;
+        }
+        admission_.merge_listed(registry_.shards.queues_of(shard_));
         const auto* unlisted = admission_.unlisted();
         if (!unlisted)
         {
@@ -323,7 +347,8 @@
         const bool listed = co_await claim_.list_queues(std::move(copy));
         if (listed)
         {
-            admission_.set_listed(std::move(list));
+            admission_.set_listed(std::move(list), read_clocks().steady);
+            registry_.refresh();
             queues_signal_.notify();
         }
         else
@@ -331,17 +356,94 @@
     }
 }
 
-asio::awaitable<bool> shard_owner::wait_until_listed(std::uint64_t queue)
+asio::awaitable<std::optional<shard_answer>>
+shard_owner::admit(const submission_record& record, asked_shards asked)
 {
-    if (admission_.is_listed(queue))
-        co_return true;
-    admission_.want(queue);
-    queues_signal_.notify();
+    const admission_request request{
+        record.terms, std::move(asked), is_cell_of_pool(record.spec)};
+    const auto queue = record.terms.queue;
     const auto deadline = read_clocks().steady + caller_wait;
-    while (!lost_ && !admission_.is_listed(queue) &&
-           read_clocks().steady < deadline)
+    while (can_answer())
+    {
+        const auto now = read_clocks().steady;
+        const auto decision = admission_.decide(
+            request, {now, registry_.shards.read_as_of(),
+                      registry_.shards.shards_with(queue)});
+        if (decision == admission::open || engine_->find(record.id))
+            co_return std::nullopt;
+        if (decision == admission::closed)
+            break;
+        if (decision == admission::ask_others)
+            co_return shard_answer{
+                shard_outcome::ask_others, encode_places(queue)};
+        if (now >= deadline)
+        {
+            context_.log.write(
+                "owner", "submission_refused",
+                log_line()
+                    .add("submission", submission_name(record.id))
+                    .add("shard", shard_)
+                    .add("reason", to_string(decision))
+                    .add("configuration", record.terms.version)
+                    .add("known_version", admission_.version())
+                    .add("asked_version", request.asked.version)
+                    .add(
+                        "registry_age_ms",
+                        (now - registry_.shards.read_as_of()).count()));
+            co_return shard_answer{shard_outcome::rejected, {}};
+        }
+        if (decision == admission::unlisted)
+        {
+            admission_.want(queue);
+            queues_signal_.notify();
+        }
+        else
+            registry_.refresh();
         co_await queues_signal_.wait(store_wait);
-    co_return !lost_ && admission_.is_listed(queue);
+    }
+    co_return shard_answer{shard_outcome::not_owner, {}};
+}
+
+asio::awaitable<bool> shard_owner::wait_for_registry()
+{
+    const auto arrived = read_clocks().steady;
+    const auto deadline = arrived + caller_wait;
+    while (!lost_ && registry_.shards.read_as_of() <= arrived &&
+           !has_failing_store() && read_clocks().steady < deadline)
+        co_await queues_signal_.wait(store_wait);
+    co_return !lost_ && registry_.shards.read_as_of() > arrived;
+}
+
+std::string shard_owner::encode_places(std::uint64_t queue) const
+{
+    return encode(places_in(registry_.shards, queue, admission_.version()));
+}
+
+asio::awaitable<shard_answer>
+shard_owner::answer_not_found(std::uint64_t id, std::uint64_t queue)
+{
+    if (queue == 0)
+        co_return shard_answer{shard_outcome::not_found, {}};
+    const bool is_known = co_await wait_for_registry();
+    if (is_known)
+        co_return shard_answer{shard_outcome::not_found, encode_places(queue)};
+    const auto now = read_clocks().steady;
+    context_.log.write(
+        "owner", "places_unknown",
+        log_line()
+            .add("submission", submission_name(id))
+            .add("shard", shard_)
+            .add(
+                "registry_age_ms",
+                (now - registry_.shards.read_as_of()).count()));
+    co_return shard_answer{
+        lost_ ? shard_outcome::not_owner : shard_outcome::rejected, {}};
+}
+
+bool shard_owner::has_failing_store() const
+{
+    const auto failing = claim_.writer().failing_since();
+    return failing && read_clocks().steady - *failing > store_failure_limit;
 }
 
 void shard_owner::set_hosts(std::vector<host_entry> entries)
@@ -515,9 +617,25 @@
         records_of(*engine_, changes, context_.settings.store.record_bytes);
     for (auto& key : std::exchange(orphans_, {}))
         records.push_back({std::move(key), {}, 0});
+    std::ranges::move(
+        admission_.take_closed_records(), std::back_inserter(records));
     return records;
 }
 
+bool shard_owner::has_changes() const
+{
+    return engine_->has_changes() || admission_.has_closed_records();
+}
+
+// The batch that stores all queues that are closed by now.
+std::uint64_t shard_owner::closed_batch()
+{
+    if (!admission_.has_closed_records())
+        return closed_batch_;
+    change_signal_.notify();
+    return closed_batch_ = engine_->next_batch();
+}
+
 // Without the records that the store will never accept, the others are stored.
 void shard_owner::drop_refused_records()
 {
@@ -539,13 +657,13 @@
     const auto self = shared_from_this();
     while (!lost_)
     {
-        if (!engine_->has_changes())
+        if (!has_changes())
         {
             const auto left = claim_.until_renewal();
             if (left > 0ms)
             {
                 co_await change_signal_.wait(left);
-                if (engine_->has_changes())
+                if (has_changes())
                     co_await pause_for(context_.executor, batch_delay);
                 continue;
             }
@@ -918,16 +1036,14 @@
         apply(answered);
 }
 
-asio::awaitable<shard_answer>
-shard_owner::submit(std::shared_ptr<const submission_record> record)
+asio::awaitable<shard_answer> shard_owner::submit(
+    std::shared_ptr<const submission_record> record, asked_shards asked)
 {
     const auto self = shared_from_this();
     if (!can_answer())
         co_return shard_answer{shard_outcome::not_owner, {}};
     const auto id = record->id;
-    const auto failing = claim_.writer().failing_since();
-    if (!engine_->find(id) && failing &&
-        read_clocks().steady - *failing > store_failure_limit)
+    if (!engine_->find(id) && has_failing_store())
     {
         // The submission is not kept in memory either, so it can't be stored
         // after it was rejected.
@@ -937,18 +1053,17 @@
                 .add("submission", submission_name(id))
                 .add("shard", shard_)
                 .add("reason", "appends to the store are failing")
-                .add("failing_ms", (read_clocks().steady - *failing).count()));
+                .add(
+                    "failing_ms",
+                    (read_clocks().steady - *claim_.writer().failing_since())
+                        .count()));
         co_return shard_answer{shard_outcome::rejected, {}};
     }
     if (!engine_->find(id))
     {
-        if (!admission_.is_open(record->terms))
-            co_return shard_answer{shard_outcome::not_owner, {}};
-        const bool listed = co_await wait_until_listed(record->terms.queue);
-        if (!listed)
-            co_return shard_answer{shard_outcome::rejected, {}};
-        if (!can_answer() || !admission_.is_open(record->terms))
-            co_return shard_answer{shard_outcome::not_owner, {}};
+        auto refused = co_await admit(*record, std::move(asked));
+        if (refused)
+            co_return std::move(*refused);
     }
     if (!engine_->find(id) && !has_memory_for(*record))
     {
@@ -992,21 +1107,31 @@
         co_return shard_answer{shard_outcome::not_owner, {}};
     // A copy of the request that an older configuration sent here may still be
     // on its way.
-    admission_.close(terms);
-    const auto view = engine_->find(id);
-    if (!view)
-        co_return shard_answer{shard_outcome::not_found, {}};
-    const auto outcome = co_await wait_until_stored(view->after_batch);
-    co_return shard_answer{outcome, {}};
+    admission_.close(terms, read_clocks().steady);
+    const bool found = engine_->find(id).has_value();
+    const auto batch = found ? engine_->find(id)->after_batch : closed_batch();
+    const auto outcome = co_await wait_until_stored(batch);
+    if (outcome != shard_outcome::done || found)
+        co_return shard_answer{outcome, {}};
+    co_return shard_answer{
+        shard_outcome::not_found,
+        encode(queue_places{admission_.version(), {}})};
 }
 
-asio::awaitable<shard_answer> shard_owner::cancel(std::uint64_t id)
+asio::awaitable<shard_answer>
+shard_owner::cancel(std::uint64_t id, std::uint64_t queue)
 {
     const auto self = shared_from_this();
     if (!can_answer())
         co_return shard_answer{shard_outcome::not_owner, {}};
     if (!engine_->find(id))
-        co_return shard_answer{shard_outcome::not_found, {}};
+    {
+        auto answer = co_await answer_not_found(id, queue);
+        if (!engine_->find(id))
+            co_return answer;
+        if (!can_answer())
+            co_return shard_answer{shard_outcome::not_owner, {}};
+    }
     apply(pool_event::cancelled{id});
     const auto view = engine_->find(id);
     const auto outcome =
@@ -1014,24 +1139,33 @@
     co_return shard_answer{outcome, {}};
 }
 
-asio::awaitable<shard_answer> shard_owner::state(std::uint64_t id)
+asio::awaitable<shard_answer>
+shard_owner::state(std::uint64_t id, std::uint64_t queue)
 {
     const auto self = shared_from_this();
     if (!can_answer())
         co_return shard_answer{shard_outcome::not_owner, {}};
-    const auto view = engine_->find(id);
+    auto view = engine_->find(id);
     if (!view)
-        co_return shard_answer{shard_outcome::not_found, {}};
+    {
+        auto answer = co_await answer_not_found(id, queue);
+        view = engine_->find(id);
+        if (!view)
+            co_return answer;
+    }
     const auto outcome = co_await wait_until_stored(view->shown_after);
     co_return shard_answer{outcome, std::string(to_string(view->phase))};
 }
 
-asio::awaitable<shard_answer> shard_owner::pending(std::string route)
+asio::awaitable<shard_answer>
+shard_owner::pending(std::string route, std::uint64_t queue)
 {
     const auto self = shared_from_this();
     if (!can_answer())
         co_return shard_answer{shard_outcome::not_owner, {}};
     const auto now = read_clocks().steady;
+    if (now - registry_.shards.read_as_of() > max_pending_age)
+        co_return shard_answer{shard_outcome::rejected, {}};
     if (now - pending_counted_ >= pending_interval)
     {
         pending_ = engine_->pending_by_route();
@@ -1040,7 +1174,8 @@
     const auto found = pending_.find(route);
     co_return shard_answer{
         shard_outcome::done,
-        std::to_string(found == pending_.end() ? 0 : found->second)};
+        std::to_string(found == pending_.end() ? 0 : found->second) + "\n" +
+            encode_places(queue)};
 }
 
 asio::awaitable<shard_answer> shard_owner::evacuate(std::string host)
--- a/src/libnode/shard_router.cpp
+++ b/src/libnode/shard_router.cpp
@@ -38,6 +38,8 @@
 constexpr std::size_t max_configuration_bytes = 16 * 1024 * 1024;
 constexpr int http_version = 11;
 constexpr std::size_t path_segments = 3;
+constexpr std::string_view queue_field = "Tack-Queue";
+constexpr std::string_view asked_field = "Tack-Asked";
 
 struct verb_row
 {
@@ -68,10 +70,12 @@
     outcome_row{shard_outcome::not_found, http::status::not_found},
     outcome_row{shard_outcome::not_owner, http::status::misdirected_request},
     outcome_row{shard_outcome::unknown, http::status::gateway_timeout},
-    outcome_row{shard_outcome::rejected, http::status::service_unavailable}};
+    outcome_row{shard_outcome::rejected, http::status::service_unavailable},
+    outcome_row{shard_outcome::ask_others, http::status::precondition_failed}};
 
 // The path is `/VERB/SHARD/SUBMISSION`, the body an encoded submission record
-// or the call's `name`.
+// or the call's `name`. Fields hold what was added later, so that nodes of
+// earlier versions can read the rest.
 http_request encode_call(const std::string& address, const shard_call& call)
 {
     const auto* verb = std::ranges::find(verbs, call.kind, &verb_row::kind);
@@ -80,11 +84,39 @@
                         submission_name(call.submission);
     http_request request(http::verb::post, target, http_version);
     request.set(http::field::host, address);
+    if (call.queue != 0)
+        request.set(queue_field, std::to_string(call.queue));
+    if (call.kind == shard_call::verb::submit)
+        request.set(asked_field, encode(call.asked));
     request.body() = call.record ? encode(*call.record) : call.name;
     request.prepare_payload();
     return request;
 }
 
+std::optional<std::uint64_t> parse_number(std::string_view text)
+{
+    std::uint64_t number = 0;
+    const auto* end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, number);
+    if (parsed.ec != std::errc() || parsed.ptr != end)
+        return std::nullopt;
+    return number;
+}
+
+// Whether the fields are valid or not there.
+bool decode_fields(const http_request& request, shard_call& call)
+{
+    const auto queue = request[queue_field];
+    const auto asked = request[asked_field];
+    const auto number = parse_number({queue.data(), queue.size()});
+    auto shards = decode_asked_shards({asked.data(), asked.size()});
+    if ((!queue.empty() && !number) || (!asked.empty() && !shards))
+        return false;
+    call.queue = number.value_or(0);
+    call.asked = std::move(shards).value_or(asked_shards{});
+    return true;
+}
+
 std::optional<shard_call> decode_call(const http_request& request)
 {
     std::array<std::string_view, path_segments> parts;
@@ -107,6 +139,8 @@
         return std::nullopt;
     call.kind = verb->kind;
     call.submission = *id;
+    if (!decode_fields(request, call))
+        return std::nullopt;
     if (call.kind != shard_call::verb::submit &&
         call.kind != shard_call::verb::find)
     {
@@ -120,16 +154,6 @@
     return call;
 }
 
-std::optional<std::uint64_t> parse_number(std::string_view text)
-{
-    std::uint64_t number = 0;
-    const auto* end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data(), end, number);
-    if (parsed.ec != std::errc() || parsed.ptr != end)
-        return std::nullopt;
-    return number;
-}
-
 // `VERSION AGE`, the age in milliseconds.
 std::string encode_version(const configuration_relay& source, boot_time now)
 {
@@ -354,13 +378,13 @@
     switch (call.kind)
     {
     case shard_call::verb::submit:
-        return owner.submit(std::move(call.record));
+        return owner.submit(std::move(call.record), std::move(call.asked));
     case shard_call::verb::find:
         return owner.find(call.submission, call.record->terms);
     case shard_call::verb::cancel:
-        return owner.cancel(call.submission);
+        return owner.cancel(call.submission, call.queue);
     case shard_call::verb::pending:
-        return owner.pending(std::move(call.name));
+        return owner.pending(std::move(call.name), call.queue);
     case shard_call::verb::evacuate:
         return owner.evacuate(std::move(call.name));
     case shard_call::verb::host_ended:
@@ -369,7 +393,7 @@
     case shard_call::verb::demands:
         return owner.demands(std::move(call.name));
     default:
-        return owner.state(call.submission);
+        return owner.state(call.submission, call.queue);
     }
 }
 
@@ -432,6 +456,7 @@
         {
         case shard_outcome::done:
         case shard_outcome::not_found:
+        case shard_outcome::ask_others:
             co_return answer;
         case shard_outcome::rejected:
             // The owner may still accept an earlier attempt that it has not
@@ -501,6 +526,16 @@
     return shards_;
 }
 
+void shard_router::learn_owners(const queue_places& places)
+{
+    for (const auto& place : places.places)
+        if (place.owner)
+            shards_.apply(
+                {owner_key(place.shard), encode(*place.owner), 0},
+                read_clocks());
+    owner_changed_.notify();
+}
+
 bool shard_router::has_pool_owners() const
 {
     return shards_.has_pool_owners();
--- a/src/libnode/tack_node.cpp
+++ b/src/libnode/tack_node.cpp
@@ -177,7 +177,12 @@
               shards_.apply(r, read_clocks());
               router_.notify_owner_change();
           },
-          [this](boot_time) { shards_.mark_caught_up(read_clocks().steady); }),
+          [this](boot_time as_of) {
+              shards_.mark_caught_up(read_clocks().steady);
+              shards_.mark_read(as_of);
+              for (const auto& [shard, owner] : router_.owners())
+                  owner->notify_registry_read();
+          }),
       host_records_(
           context, store_,
           {{std::string(platform::hosts_topic), 0},
@@ -510,7 +515,10 @@
 
 void tack_node::put_in_force(queue_table table, std::string_view encoded)
 {
+    const auto now = read_clocks().steady;
     relay_.keep(table.version, std::string(encoded));
+    if (!front_.table() || table.version > front_.table()->version)
+        in_force_since_ = now;
     front_.set_table(std::make_shared<const queue_table>(std::move(table)));
     const auto& in_force = *front_.table();
     callers_.set_request_limits(
@@ -522,7 +530,11 @@
     if (duty_)
         duty_->set_table(front_.shared_table());
     for (const auto& [shard, owner] : router_.owners())
-        owner->set_queues(*front_.table());
+        owner->set_queues(*front_.table(), in_force_since_);
+    // Owners accept nothing under the new version before they have read which
+    // shards accepted under earlier ones.
+    if (!router_.owners().empty())
+        registry_.read_soon();
 }
 
 asio::awaitable<void> tack_node::relay_configuration()
@@ -793,8 +805,9 @@
 asio::awaitable<void> tack_node::claim(shard_id shard)
 {
     const auto owner = std::make_shared<shard_owner>(
-        context_, store_, advice_, shard, shards_.queues_of(shard));
-    owner->set_queues(*front_.table());
+        context_, store_, advice_,
+        registry_view{shards_, [this] { registry_.read_soon(); }}, shard);
+    owner->set_queues(*front_.table(), in_force_since_);
     const auto last = last_epoch(shard);
     // An owner may act only for a limited time after its last announcement.
     announce_now_.notify();
@@ -804,7 +817,7 @@
     {
         router_.add_owner(owner);
         owned_changed_ = read_clocks().steady;
-        owner->set_queues(*front_.table());
+        owner->set_queues(*front_.table(), in_force_since_);
         router_.tell_nodes(shard, owner->record());
         if (!std::exchange(following_hosts_, true))
             spawn_with_restart(context_, "host records", [this] {
--- a/src/libnode/topic_follower.cpp
+++ b/src/libnode/topic_follower.cpp
@@ -58,7 +58,8 @@
       store_(store),
       options_(std::move(options)),
       on_record_(std::move(on_record)),
-      on_caught_up_(std::move(on_caught_up))
+      on_caught_up_(std::move(on_caught_up)),
+      hurry_signal_(context.executor)
 {}
 
 void topic_follower::stop()
@@ -66,6 +67,12 @@
     stopped_ = true;
 }
 
+void topic_follower::read_soon()
+{
+    hurried_ = true;
+    hurry_signal_.notify();
+}
+
 bool topic_follower::is_loading() const
 {
     return !loaded_;
@@ -152,6 +159,7 @@
 {
     // A load belongs to the read that follows it.
     const auto sent = read_clocks().steady;
+    hurried_ = false;
     if (loaded_bytes_ == 0)
         read_began_ = sent;
     auto answer = co_await store_.read(options_.place, next_, options_.reads);
@@ -171,8 +179,8 @@
     const auto pause = pause_after(
         bytes + (bytes > 0 ? std::exchange(loaded_bytes_, 0) : 0), spent,
         options_);
-    if (pause > 0ms)
-        co_await pause_for(context_.executor, pause);
+    if (pause > 0ms && !hurried_)
+        co_await hurry_signal_.wait(pause);
     const bool may_skip =
         options_.reads.most_kb > 0 || pause > options_.interval;
     loaded_ = !is_behind || !may_skip;
--- a/src/libsched/fleet_layout.cpp
+++ b/src/libsched/fleet_layout.cpp
@@ -59,6 +59,13 @@
     return cell_of_name(layout, submission_name(submission));
 }
 
+bool is_cell_of_pool(const submission_spec& spec)
+{
+    return std::ranges::all_of(
+               spec.steps, &std::string::empty, &step_spec::rack) &&
+           std::ranges::any_of(spec.steps, &step_spec::long_running);
+}
+
 cell_id cell_of_submission(
     const fleet_layout& layout, std::uint64_t id, const submission_spec& spec,
     std::string_view pool)
@@ -67,9 +74,8 @@
         spec.steps, [](const step_spec& s) { return !s.rack.empty(); });
     if (step != spec.steps.end())
         return cell_of_host(layout, step->rack, {});
-    return std::ranges::any_of(spec.steps, &step_spec::long_running)
-               ? cell_of_name(layout, pool)
-               : home_cell(layout, id);
+    return is_cell_of_pool(spec) ? cell_of_name(layout, pool)
+                                 : home_cell(layout, id);
 }
 
 std::vector<cell_id> candidate_cells(
--- a/src/libsched/pool_engine.cpp
+++ b/src/libsched/pool_engine.cpp
@@ -1934,6 +1934,11 @@
     return !changes_.empty();
 }
 
+std::uint64_t pool_engine::next_batch() const
+{
+    return next_batch_;
+}
+
 std::optional<submission_view> pool_engine::find(std::uint64_t id) const
 {
     if (const auto done = finished_.find(id); done != finished_.end())
--- a/testsuite/fleet_nodes/fleet_nodes_test.cpp
+++ b/testsuite/fleet_nodes/fleet_nodes_test.cpp
@@ -2,6 +2,7 @@
 // loss of an owner, a store that is away, planned stops, and bad input.
 
 #include "harness/cluster.hpp"
+#include "harness/counting_relay.hpp"
 
 #include <boost/beast/http.hpp>
 #include <boost/json.hpp>
@@ -74,19 +75,30 @@
         post(platform_address_, "/configuration", json::serialize(config));
     }
 
-    bool is_in_force(unsigned version)
+    bool has_in_force(const std::string& node, unsigned version)
     {
         const auto line =
             "tack_configuration_version " + std::to_string(version) + "\n";
+        return get(metrics_[node], "/metrics").body().find(line) !=
+               std::string::npos;
+    }
+
+    bool is_in_force(unsigned version)
+    {
         return eventually([&] {
             return std::ranges::all_of(metrics_, [&](const auto& node) {
-                return get(node.second, "/metrics").body().find(line) !=
-                       std::string::npos;
+                return has_in_force(node.first, version);
             });
         });
     }
 
     void start_node(const std::string& name)
+    {
+        start_node(name, platform_address_);
+    }
+
+    // Starts a node that reaches the store at this address.
+    void start_node(const std::string& name, const endpoint& store)
     {
         const auto path = folder_.write(
             name + ".ini",
@@ -95,7 +107,7 @@
                 "[listen]\ncallers = 127.0.0.1:0\nreadiness = 127.0.0.1:0\n"
                 "metrics = 127.0.0.1:0\npeers = 127.0.0.1:0\n"
                 "[store]\naddress = " +
-                to_string(platform_address_) +
+                to_string(store) +
                 "\n[machines]\naddress = " + to_string(platform_address_) +
                 "\n[advice]\naddress = " + to_string(platform_address_) +
                 "\n[bounds]\ngrace_seconds = 4\n");
@@ -286,6 +298,27 @@
     }
 };
 
+// One node more than `start_nodes` starts can be partitioned from the store.
+class node_fleet_with_a_partition : public node_fleet_with_two_pools
+{
+protected:
+    void start_all()
+    {
+        start_nodes();
+        // The shards have their owners, so this one gets none.
+        start_node("cut", link_.address());
+        ASSERT_TRUE(eventually([&] {
+            return get(ready_["cut"], "/").result() == http::status::ok;
+        }));
+        ASSERT_TRUE(eventually([&] {
+            return ask("cut", http::verb::get, "/checks/").result() ==
+                   http::status::ok;
+        }));
+    }
+
+    counting_relay link_{platform_address_};
+};
+
 std::string id_of(unsigned number)
 {
     const auto digits = std::to_string(number);
@@ -412,6 +445,61 @@
     check_runs();
 }
 
+// Guards against a node that has the newest configuration from other nodes, but
+// an old registry: it took a submission that another pool had accepted for a
+// new one, and its tasks ran twice.
+TEST_F(
+    node_fleet_with_a_partition, accepts_no_submission_of_a_moved_queue_again)
+{
+    start_all();
+    link_.set_cut(true);
+    configure(2, "other");
+    ASSERT_TRUE(is_in_force(2));
+    const auto lasting = submission("lasting", 1, true);
+    ASSERT_TRUE(hand_in("n1", id_of(1), lasting));
+    ASSERT_TRUE(reaches("n1", id_of(1), "running"));
+    configure(3, "pool");
+    ASSERT_TRUE(is_in_force(3));
+    EXPECT_TRUE(hand_in("cut", id_of(1), lasting));
+    EXPECT_EQ(state("cut", id_of(1)), "running");
+    // What is new runs in the pool of the newest configuration.
+    EXPECT_TRUE(hand_in("cut", id_of(2), submission("100", 1, false)));
+    EXPECT_TRUE(reaches("n2", id_of(2), "completed"));
+    EXPECT_EQ(pools_of_runs(id_of(1)), std::set<std::string>{"other"});
+    EXPECT_EQ(pools_of_runs(id_of(2)), std::set<std::string>{"pool"});
+    check_runs();
+}
+
+// Guards against a node with an old registry that denies what it can't know of:
+// the cancelling of a submission that ran was answered 410.
+TEST_F(node_fleet_with_a_partition, denies_no_submission_of_a_moved_queue)
+{
+    start_all();
+    ASSERT_TRUE(hand_in("n1", id_of(1), submission("lasting", 1, true)));
+    link_.set_cut(true);
+    configure(2, "other");
+    ASSERT_TRUE(eventually([&] { return has_in_force("n1", 2); }));
+    for (const unsigned number : {2U, 3U})
+        ASSERT_TRUE(
+            hand_in("n1", id_of(number), submission("lasting", 1, true)));
+    for (const unsigned number : {1U, 2U, 3U})
+    {
+        ASSERT_TRUE(reaches("n2", id_of(number), "running"));
+        EXPECT_EQ(state("cut", id_of(number)), "running");
+    }
+    EXPECT_EQ(
+        ask("cut", http::verb::delete_, "/checks/" + id_of(2)).result(),
+        http::status::ok);
+    EXPECT_TRUE(reaches("n3", id_of(2), "cancelled"));
+    ASSERT_TRUE(is_in_force(2));
+    EXPECT_EQ(
+        ask("cut", http::verb::delete_, "/checks/" + id_of(3)).result(),
+        http::status::ok);
+    EXPECT_TRUE(reaches("n3", id_of(3), "cancelled"));
+    EXPECT_EQ(state("cut", id_of(9)), "410");
+    check_runs();
+}
+
 // Guards against advice calls that are given up and made anew at the end of the
 // service's queue: after a burst no step of the queue ever started.
 TEST_F(node_fleet, works_off_a_burst_on_a_queue_with_advice)
