--- a/src/include/dandeliontack/caller_front.hpp
+++ b/src/include/dandeliontack/caller_front.hpp
@@ -34,7 +34,10 @@
     const queue_table* table() const;
     std::shared_ptr<const queue_table> shared_table() const;
 
-    boost::asio::awaitable<http_response> handle(http_request request);
+    /// The request may have arrived at `arrived` or later; its caller's timeout
+    /// counts from there.
+    boost::asio::awaitable<http_response>
+    handle(http_request request, boot_time arrived);
 
 private:
     struct request_scope
@@ -64,15 +67,22 @@
     boost::asio::awaitable<http_response> state(request_scope& scope);
     boost::asio::awaitable<http_response> cancel(request_scope& scope);
     boost::asio::awaitable<http_response> pending(const request_scope& scope);
-    /// Asks one cell after the other, the most probable one first, then all
-    /// other shards that may hold submissions of the queue. `not_found` means
-    /// that none has it, by the word of an owner that has read the registry
-    /// since the request.
+    /// Asks one cell after the other, the most probable one first; the last one
+    /// names all places of `queue`, unless it is 0.
+    boost::asio::awaitable<shard_answer>
+    ask_cells(request_scope& scope, shard_call call, std::uint64_t queue);
+    /// Asks the cells for the submission's state, then all other shards that
+    /// may hold submissions of the queue. `not_found` means that none has it,
+    /// by the word of an owner that has read the registry since the request.
+    boost::asio::awaitable<shard_answer>
+    find_state(request_scope& scope, std::uint64_t id);
+    /// Cancels the submission wherever it is. `not_found` means that none of
+    /// the queue's shards has it, nor accepts it any more.
     boost::asio::awaitable<shard_answer>
-    ask_everywhere(request_scope& scope, shard_call call);
+    withdraw(request_scope& scope, std::uint64_t id);
     /// Asks the shards that `search` has left. The answer of the one that has
-    /// the submission; `not_found` if none has; else that of one that does not
-    /// say.
+    /// the submission, or from which it was withdrawn; `not_found` if none has;
+    /// else that of one that does not say. Adds the places that owners name.
     boost::asio::awaitable<shard_answer> ask_places(
         request_scope& scope, const shard_call& call, place_search& search);
     /// Adds those of the places that an owner names for which `may_have` holds,
@@ -94,6 +104,11 @@
     /// The answer to a request without the key of an account.
     http_response refuse_key(
         const queue_table& table, const queue_entry& queue, bool has_key);
+    /// The answer to a request that has waited here for longer than its caller
+    /// does.
+    http_response refuse_as_expired(
+        std::string_view path, std::chrono::milliseconds waited,
+        std::chrono::milliseconds timeout);
     http_response owner_error_response(
         const shard_answer& answer, const request_scope& scope);
 
--- a/src/include/dandeliontack/http_connection.hpp
+++ b/src/include/dandeliontack/http_connection.hpp
@@ -52,7 +52,8 @@
 
 /// A client connection that carries one request at a time. It connects when
 /// needed and reuses the connection only after a whole response to its last
-/// request. After a timeout, a cut or surplus bytes the connection is closed.
+/// request. After a timeout, a cut or surplus bytes the connection is reset, so
+/// that what was not sent of a request is not delivered later.
 /// Where the other side ends the connection while the request is being written,
 /// a refusal (4xx or 5xx) that it sent before is the response.
 class http_connection
--- a/src/include/dandeliontack/http_server.hpp
+++ b/src/include/dandeliontack/http_server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <dandeliontack/boot_clock.hpp>
 #include <dandeliontack/connection_budget.hpp>
 #include <dandeliontack/endpoint.hpp>
 #include <dandeliontack/http.hpp>
@@ -54,6 +55,9 @@
     /// How many times a request is held while it is served: as it came, or
     /// decoded, and encoded for whom it is passed on to. At least 1.
     std::uint64_t request_copies = 1;
+    /// The earliest time at which bytes that are read now may have arrived; the
+    /// time of the read if there is none.
+    std::function<boot_time()> earliest_arrival;
     /// Labels the server's metrics if it isn't empty.
     std::string server;
 
@@ -90,8 +94,14 @@
 
     using handler =
         std::function<boost::asio::awaitable<http_response>(http_request)>;
+    /// Also takes the earliest time at which the request may have arrived.
+    using timed_handler = std::function<boost::asio::awaitable<http_response>(
+        http_request, boot_time)>;
 
     /// `metrics` must outlive the server and its connections.
+    http_server(
+        boost::asio::any_io_executor executor, http_limits limits,
+        metric_registry& metrics, timed_handler handle);
     http_server(
         boost::asio::any_io_executor executor, http_limits limits,
         metric_registry& metrics, handler handle);
--- a/src/include/dandeliontack/queue_places.hpp
+++ b/src/include/dandeliontack/queue_places.hpp
@@ -68,8 +68,11 @@
 
     /// Adds a shard that may hold the submission.
     void add(shard_id shard);
-    /// Searches under a newer version: all shards have to be asked again.
-    void raise_version(std::uint64_t version);
+    /// An owner has heard of this version of the configuration.
+    void hear_of(std::uint64_t version);
+    /// Goes on under the newest version that was heard of. If that is a newer
+    /// one, all shards have to be asked again.
+    void raise_version();
     /// The shards that have not been asked yet, in order.
     std::vector<shard_id> unasked() const;
     /// Notes that these shards don't have the submission.
@@ -80,6 +83,7 @@
 private:
     std::set<shard_id> known_;
     asked_shards asked_;
+    std::uint64_t heard_ = 0;
 };
 
 } // namespace dandeliontack
--- a/src/include/dandeliontack/shard_owner.hpp
+++ b/src/include/dandeliontack/shard_owner.hpp
@@ -12,6 +12,7 @@
 #include <dandeliontack/shard_service.hpp>
 #include <dandeliontack/store_client.hpp>
 #include <dandeliontack/wake_signal.hpp>
+#include <dandeliontack/withdrawn_submissions.hpp>
 
 #include <boost/asio/awaitable.hpp>
 
@@ -67,9 +68,10 @@
         std::shared_ptr<const submission_record> record,
         asked_shards asked) override;
     boost::asio::awaitable<shard_answer>
-    find(std::uint64_t id, queue_terms terms) override;
-    boost::asio::awaitable<shard_answer>
-    cancel(std::uint64_t id, std::uint64_t queue) override;
+    find(std::uint64_t id, std::string account, queue_terms terms) override;
+    boost::asio::awaitable<shard_answer> cancel(std::uint64_t id) override;
+    boost::asio::awaitable<shard_answer> withdraw(
+        std::uint64_t id, std::string account, std::uint64_t queue) override;
     boost::asio::awaitable<shard_answer>
     state(std::uint64_t id, std::uint64_t queue) override;
     boost::asio::awaitable<shard_answer>
@@ -150,7 +152,13 @@
     std::vector<keyed_record> encode_changes(const pool_changes& changes);
     /// Whether anything has to be stored.
     bool has_changes() const;
-    std::uint64_t closed_batch();
+    /// The batch that stores all that is closed or withdrawn by now.
+    std::uint64_t refusals_batch();
+    /// Whether the submission was withdrawn; logs that it came.
+    bool is_withdrawn(const submission_record& record);
+    /// Waits until the registry lists the queue for this shard; false if that
+    /// takes too long.
+    boost::asio::awaitable<bool> wait_until_listed(std::uint64_t queue);
     void drop_refused_records();
     /// Sets the metrics of accounts that are limited.
     void report_accounts();
@@ -184,6 +192,7 @@
     answer_times order_times_;
     std::unique_ptr<pool_engine> engine_;
     queue_admission admission_;
+    withdrawn_submissions withdrawn_;
     /// Null in a deployment without client accounts.
     std::shared_ptr<const account_table> accounts_;
     std::uint64_t accounts_version_ = 0;
@@ -196,8 +205,8 @@
     std::map<std::string, host_queue> queues_;
     /// The last batch of engine changes that the store has accepted.
     std::uint64_t stored_batch_ = 0;
-    /// The batch with the last queue that was closed.
-    std::uint64_t closed_batch_ = 0;
+    /// The batch with what was closed or withdrawn last.
+    std::uint64_t refusals_batch_ = 0;
     wake_signal stored_signal_;
     wake_signal change_signal_;
     wake_signal planning_signal_;
--- a/src/include/dandeliontack/shard_router.hpp
+++ b/src/include/dandeliontack/shard_router.hpp
@@ -28,6 +28,8 @@
         /// by this one.
         find,
         cancel,
+        /// Cancels a submission, or keeps it from being accepted later.
+        withdraw,
         state,
         pending,
         evacuate,
@@ -45,18 +47,21 @@
     verb kind = verb::state;
     shard_id shard = 0;
     std::uint64_t submission = 0;
-    /// The argument: a route for `pending`, a host for `evacuate`, the encoded
-    /// departure for `host_ended`, the encoded host loans for `demands`, the
-    /// encoded announcement for `announce`, the encoded owner record for
-    /// `owner_changed`, the known version, in decimal, for `configuration`.
+    /// The argument: an account for `withdraw`, a route for `pending`, a host
+    /// for `evacuate`, the encoded departure for `host_ended`, the encoded host
+    /// loans for `demands`, the encoded announcement for `announce`, the
+    /// encoded owner record for `owner_changed`, the known version, in decimal,
+    /// for `configuration`.
     std::string name;
     /// For `submit` and `find`; shared, as a call may be repeated.
     std::shared_ptr<const submission_record> record;
-    /// The queue whose places the answer to `cancel`, `state` or `pending` is
+    /// The queue whose places the answer to `withdraw`, `state` or `pending` is
     /// to name; 0 for none.
     std::uint64_t queue = 0;
     /// For `submit`: the shards that don't have the submission.
     asked_shards asked{};
+    /// After this time the caller waits for no answer; 0 if it doesn't say.
+    std::chrono::milliseconds timeout{0};
 };
 
 /// The configuration of another node.
@@ -116,8 +121,9 @@
     boost::asio::awaitable<peer_configuration>
     fetch_configuration(node_announcement node, std::uint64_t version);
 
-    /// Handles a call from another node.
-    boost::asio::awaitable<http_response> serve(http_request request);
+    /// Handles a call from another node that arrived at `arrived` or later.
+    boost::asio::awaitable<http_response>
+    serve(http_request request, boot_time arrived);
 
     /// Wakes calls that wait for an owner after the registry has changed.
     void notify_owner_change();
--- a/src/include/dandeliontack/shard_service.hpp
+++ b/src/include/dandeliontack/shard_service.hpp
@@ -30,7 +30,9 @@
     rejected,
     /// The call had no effect: other shards have to be asked first. The answer
     /// names all places of the queue.
-    ask_others
+    ask_others,
+    /// The submission was cancelled before it came and is never accepted.
+    withdrawn
 };
 
 std::string_view to_string(shard_outcome outcome);
@@ -62,15 +64,19 @@
     /// Whether the submission was accepted here: `done` once its record is
     /// stored. For a queue that `terms` sends to another shard; if the answer
     /// is `not_found`, nothing of the queue is accepted here any more under
-    /// this or an earlier version of the configuration.
+    /// this or an earlier version of the configuration. `withdrawn` if it was
+    /// withdrawn here in the name of `account`.
     virtual boost::asio::awaitable<shard_answer>
-    find(std::uint64_t id, queue_terms terms) = 0;
-    /// With a `queue`, `not_found` names all places that this queue had when
-    /// the call arrived; it is 0 for a call that needs no places.
+    find(std::uint64_t id, std::string account, queue_terms terms) = 0;
+    virtual boost::asio::awaitable<shard_answer> cancel(std::uint64_t id) = 0;
+    /// Cancels the submission, or keeps it from being accepted later if it is
+    /// not here: `not_found` once that is stored. It names all places that the
+    /// queue has then. `account` is who cancels.
     virtual boost::asio::awaitable<shard_answer>
-    cancel(std::uint64_t id, std::uint64_t queue) = 0;
-    /// The value is the name of the submission's phase; `not_found` as for
-    /// `cancel`.
+    withdraw(std::uint64_t id, std::string account, std::uint64_t queue) = 0;
+    /// With a `queue`, `not_found` names all places that this queue had when
+    /// the call arrived; it is 0 for a call that needs no places. The value is
+    /// the name of the submission's phase.
     virtual boost::asio::awaitable<shard_answer>
     state(std::uint64_t id, std::uint64_t queue) = 0;
     /// The value is the number of the route's pending submissions, in decimal,
--- a/src/include/dandeliontack/tack_node.hpp
+++ b/src/include/dandeliontack/tack_node.hpp
@@ -7,6 +7,7 @@
 #include <dandeliontack/node_context.hpp>
 #include <dandeliontack/shard_map.hpp>
 #include <dandeliontack/shard_router.hpp>
+#include <dandeliontack/stall_watch.hpp>
 #include <dandeliontack/store_client.hpp>
 #include <dandeliontack/topic_follower.hpp>
 
@@ -55,7 +56,10 @@
     std::uint64_t last_epoch(shard_id shard) const;
     void record_claim_result(shard_id shard, std::uint64_t after, bool taken);
     boost::asio::awaitable<void> load_layout();
+    /// Also watches for stalls, at the same interval.
     boost::asio::awaitable<void> write_log_regularly();
+    /// Lets a server tell how long a request may have waited in its socket.
+    http_limits with_arrivals(http_limits limits) const;
     boost::asio::awaitable<void> hand_over(std::shared_ptr<shard_owner> owner);
     /// Hands over the shard with the least work if another node has much less
     /// load.
@@ -92,6 +96,7 @@
     topic_follower operator_records_;
     topic_follower registry_;
     topic_follower host_records_;
+    stall_watch stalls_;
     std::shared_ptr<connection_budget> connections_;
     http_server callers_;
     http_server readiness_;
--- a/src/libnode/caller_front.cpp
+++ b/src/libnode/caller_front.cpp
@@ -89,6 +89,7 @@
 }
 
 constexpr std::size_t longest_logged_id = 32;
+constexpr std::size_t longest_logged_path = 64;
 
 void count_request(
     metric_registry& metrics, const std::string& method,
@@ -192,9 +193,11 @@
     return table_;
 }
 
-asio::awaitable<http_response> caller_front::handle(http_request request)
+asio::awaitable<http_response>
+caller_front::handle(http_request request, boot_time arrived)
 {
     const auto began = read_clocks().steady;
+    const auto timeout = timeout_of(request);
     const auto held = table_;
     if (!held)
         co_return retry_later(
@@ -219,14 +222,16 @@
         co_return retry_later(
             "no layout",
             "this node has not read the layout of the deployment's cells yet");
-    const auto timeout = timeout_of(request);
+    // Its caller has given it up, and may have cancelled it elsewhere.
+    if (began - arrived >= timeout)
+        co_return refuse_as_expired(path, began - arrived, timeout);
     request_scope scope{
         *queue,
         std::move(caller.account),
         *layout,
         0,
         path.substr(queue->path_prefix.size()),
-        began + timeout};
+        arrived + timeout};
     http_response response;
     const auto method = request.method();
     if (method == http::verb::get && scope.path_suffix.empty())
@@ -376,9 +381,32 @@
     const auto answer = co_await submit_once(std::move(call), scope);
     if (answer.outcome == shard_outcome::done)
         co_return make_response(http::status::ok, "application/json", "{}");
+    if (answer.outcome == shard_outcome::withdrawn)
+        co_return error_response(
+            http::status::gone, outcome::not_run, "submission was cancelled",
+            "it was cancelled before it was accepted, and never runs");
     co_return owner_error_response(answer, scope);
 }
 
+http_response caller_front::refuse_as_expired(
+    std::string_view path, std::chrono::milliseconds waited,
+    std::chrono::milliseconds timeout)
+{
+    context_.metrics.get_counter("tack_requests_expired_total").add();
+    context_.log.write(
+        "front", "request_expired",
+        log_line()
+            .add("path", path.substr(0, longest_logged_path))
+            .add("waited_ms", waited.count())
+            .add("patience_ms", timeout.count()));
+    return retry_later(
+        "request expired", "the request may have waited here for " +
+                               std::to_string(waited.count()) +
+                               " ms, longer than its timeout of " +
+                               std::to_string(timeout.count()) +
+                               " ms; nothing was sent to the owner");
+}
+
 std::optional<http_response>
 caller_front::check_stored_size(const submission_record& record) const
 {
@@ -424,6 +452,7 @@
             const auto former = co_await ask_places(scope, question, search);
             if (former.outcome != shard_outcome::not_found)
                 co_return former;
+            search.raise_version();
         }
         scope.shard = target;
         auto copy = call;
@@ -433,7 +462,8 @@
         if (answer.outcome != shard_outcome::ask_others)
             co_return answer;
         const auto places = read_places(answer.value);
-        search.raise_version(places.version);
+        search.hear_of(places.version);
+        search.raise_version();
         learn(places, search, [&](shard_id shard) {
             return is_cell_of_pool(call.record->spec) ||
                    !is_same_pool_shard(shard, target);
@@ -522,22 +552,26 @@
             continue;
         scope.shard = shards[i];
         undecided = answers[i];
-        if (undecided.outcome == shard_outcome::done)
+        if (undecided.outcome == shard_outcome::done ||
+            undecided.outcome == shard_outcome::withdrawn)
             break;
     }
     search.mark_asked(shards);
     for (const auto& answer : answers)
         if (answer.outcome == shard_outcome::not_found)
-            search.raise_version(read_places(answer.value).version);
+        {
+            const auto places = read_places(answer.value);
+            search.hear_of(places.version);
+            learn(places, search, is_any_shard);
+        }
     co_return undecided;
 }
 
-// The last cell names the other places: an owner has to read the registry for
-// that, which would hold up the search in the cells.
-asio::awaitable<shard_answer>
-caller_front::ask_everywhere(request_scope& scope, shard_call call)
+// The last cell names the places: an owner has to read the registry for that,
+// which would hold up the search in the cells.
+asio::awaitable<shard_answer> caller_front::ask_cells(
+    request_scope& scope, shard_call call, std::uint64_t queue)
 {
-    place_search search(scope.queue.terms.version);
     const auto cells =
         candidate_cells(scope.layout, call.submission, scope.queue.terms.pool);
     shard_answer answer;
@@ -546,13 +580,25 @@
         scope.shard = shard_in(scope, cell);
         auto copy = call;
         copy.shard = scope.shard;
-        copy.queue = cell == cells.back() ? scope.queue.terms.queue : 0;
+        copy.queue = cell == cells.back() ? queue : 0;
         answer = co_await router_.ask(
             std::move(copy), scope.time_left(), owner_reach_timeout);
         if (answer.outcome != shard_outcome::not_found)
-            co_return answer;
-        search.mark_asked({scope.shard});
+            break;
     }
+    co_return answer;
+}
+
+asio::awaitable<shard_answer>
+caller_front::find_state(request_scope& scope, std::uint64_t id)
+{
+    shard_call call{shard_call::verb::state, 0, id, {}, {}};
+    auto answer = co_await ask_cells(scope, call, scope.queue.terms.queue);
+    if (answer.outcome != shard_outcome::not_found)
+        co_return answer;
+    place_search search(scope.queue.terms.version);
+    for (cell_id cell = 0; cell < scope.layout.cells; ++cell)
+        search.mark_asked({shard_in(scope, cell)});
     std::ranges::for_each(
         former_shards(scope), [&](shard_id shard) { search.add(shard); });
     learn(read_places(answer.value), search, is_any_shard);
@@ -561,13 +607,35 @@
     co_return co_await ask_places(scope, call, search);
 }
 
+// A submission that no cell has may still be on its way here, so that each
+// shard that could accept it has to know of the cancelling.
+asio::awaitable<shard_answer>
+caller_front::withdraw(request_scope& scope, std::uint64_t id)
+{
+    shard_call call{shard_call::verb::cancel, 0, id, {}, {}};
+    auto answer = co_await ask_cells(scope, call, 0);
+    if (answer.outcome != shard_outcome::not_found)
+        co_return answer;
+    call.kind = shard_call::verb::withdraw;
+    call.name = scope.account;
+    call.queue = scope.queue.terms.queue;
+    place_search search(scope.queue.terms.version);
+    for (cell_id cell = 0; cell < scope.layout.cells; ++cell)
+        search.add(shard_in(scope, cell));
+    std::ranges::for_each(
+        former_shards(scope), [&](shard_id shard) { search.add(shard); });
+    while (answer.outcome == shard_outcome::not_found &&
+           !search.unasked().empty())
+        answer = co_await ask_places(scope, call, search);
+    co_return answer;
+}
+
 asio::awaitable<http_response> caller_front::state(request_scope& scope)
 {
     const auto id = parse_submission_name(scope.path_suffix);
     if (!id)
         co_return submission_not_found(malformed_id_detail(scope.path_suffix));
-    shard_call call{shard_call::verb::state, 0, *id, {}, {}};
-    const auto answer = co_await ask_everywhere(scope, std::move(call));
+    const auto answer = co_await find_state(scope, *id);
     const auto phase = phase_of(answer.value);
     if (answer.outcome == shard_outcome::done && phase)
         co_return platform::encode_state(*phase);
@@ -582,8 +650,7 @@
     const auto id = parse_submission_name(scope.path_suffix);
     if (!id)
         co_return submission_not_found(malformed_id_detail(scope.path_suffix));
-    shard_call call{shard_call::verb::cancel, 0, *id, {}, {}};
-    const auto answer = co_await ask_everywhere(scope, std::move(call));
+    const auto answer = co_await withdraw(scope, *id);
     if (answer.outcome == shard_outcome::done)
         co_return make_response(http::status::ok, "application/json", "{}");
     if (answer.outcome == shard_outcome::not_found)
--- a/src/libnode/caller_front_test.cpp
+++ b/src/libnode/caller_front_test.cpp
@@ -28,13 +28,14 @@
 class caller_front_test : public test::node_fixture
 {
 protected:
-    http_response ask(const std::string& path)
+    http_response
+    ask(const std::string& path, boot_time arrived = read_clocks().steady)
     {
         http_request request(http::verb::get, path, 11);
         request.set(http::field::host, "reg.example");
         http_response answer;
         asio::co_spawn(
-            context_, front.handle(std::move(request)),
+            context_, front.handle(std::move(request), arrived),
             [&](const std::exception_ptr&, http_response got) {
                 answer = std::move(got);
             });
@@ -67,6 +68,28 @@
     EXPECT_TRUE(configurations.is_overdue(now + 3000ms));
 }
 
+// Guards against acting on a request that waited in its socket while this
+// process was frozen, and whose caller has left.
+TEST_F(
+    caller_front_test,
+    request_that_has_waited_longer_than_its_caller_is_refused)
+{
+    queue_table table;
+    table.version = 1;
+    table.queues.emplace_back().path_prefix = "/checks/";
+    table.queues.back().host = "reg.example";
+    table.queues.back().is_public = true;
+    front.set_table(std::make_shared<const queue_table>(std::move(table)));
+    shards.mark_caught_up(read_clocks().steady);
+    shards.set_layout({});
+    const auto late = ask("/checks/", read_clocks().steady - 4000ms);
+    EXPECT_EQ(late.result(), http::status::service_unavailable);
+    EXPECT_NE(late.body().find("request expired"), std::string::npos);
+    EXPECT_NE(late.body().find("not-run"), std::string::npos);
+    const auto in_time = ask("/checks/");
+    EXPECT_EQ(in_time.body().find("request expired"), std::string::npos);
+}
+
 // Guards against callers being told that their key belongs to nobody by a node
 // that has not heard of the configuration that added the account.
 TEST_F(caller_front_test, node_that_may_be_outdated_refuses_no_key)
--- a/src/libnode/front_history_test.cpp
+++ b/src/libnode/front_history_test.cpp
@@ -6,12 +6,14 @@
 // layout. What callers are told is judged:
 //
 // - no submission is accepted in two places;
-// - none that was acknowledged is denied.
+// - none that was acknowledged is denied;
+// - none is accepted after its cancelling was acknowledged.
 //
 // HISTORIES and HISTORY_SEED play other histories than the default ones.
 
 #include <dandeliontack/queue_admission.hpp>
 #include <dandeliontack/queue_places.hpp>
+#include <dandeliontack/withdrawn_submissions.hpp>
 
 #include <gtest/gtest.h>
 
@@ -47,6 +49,8 @@
 constexpr auto takeover_time = 1800ms;
 constexpr auto registry_interval = 250ms;
 constexpr auto caller_timeout = 3000ms;
+constexpr auto retention = 180s;
+constexpr std::size_t most_withdrawn = 100;
 constexpr int default_histories = 1000;
 constexpr std::uint64_t default_seed = 20261208;
 
@@ -106,13 +110,15 @@
 
 struct simulated_owner
 {
+    int claim = 0;
     std::size_t node = 0;
     boot_time confirmed;
     queue_admission admission{{}};
+    withdrawn_submissions withdrawn{retention, most_withdrawn};
     std::set<std::uint64_t> known;
     std::vector<pending_append> appends;
-    /// When the records of closed queues in flight are stored, and these.
-    std::optional<std::pair<boot_time, std::vector<keyed_record>>> closing;
+    /// When the records of what is closed or withdrawn are stored, and these.
+    std::optional<std::pair<boot_time, std::vector<keyed_record>>> refusals;
     /// When the list in flight is stored, and the list.
     std::optional<std::pair<boot_time, shard_queues>> listing;
 };
@@ -122,6 +128,7 @@
     submit,
     find,
     cancel,
+    withdraw,
     state
 };
 
@@ -131,7 +138,8 @@
     not_found,
     not_owner,
     rejected,
-    ask_others
+    ask_others,
+    withdrawn
 };
 
 struct simulated_call
@@ -146,8 +154,13 @@
     asked_shards asked;
     bool wants_places = false;
     boot_time arrives;
-    /// Set once the owner has begun to decide.
+    /// Set once an owner has begun to decide, and which one.
     std::optional<boot_time> waits_since;
+    int claim = 0;
+    /// Of a withdrawal: whether the owner knows of it, and when its list was
+    /// known to be stored.
+    bool noted = false;
+    std::optional<boot_time> listed_at;
 };
 
 struct simulated_reply
@@ -174,8 +187,6 @@
     /// The shards whose replies to the calls of this round are awaited.
     std::set<shard_id> awaited;
     int round = 0;
-    /// The newest version that the shards of this round have heard of.
-    std::uint64_t raised = 0;
     /// Whether the submission had been acknowledged before.
     bool was_accepted = false;
 };
@@ -335,14 +346,16 @@
         note(
             "claim " + std::to_string(shard) + " by " + std::to_string(number));
         simulated_owner owner;
+        owner.claim = ++claims_;
         owner.node = number;
         owner.confirmed = now_;
         owner.admission = queue_admission(node.registry.queues_of(shard));
         owner.admission.apply(
             *node.table, shard, partitions, node.in_force_since);
         owner.admission.mark_claimed(now_);
-        for (const auto& record : closed_[shard])
-            owner.admission.restore_closed(record);
+        for (const auto& record : refusals_[shard])
+            if (!owner.admission.restore_closed(record))
+                owner.withdrawn.restore(record, now_);
         owner.known = stored_[shard];
         owners_.insert_or_assign(shard, std::move(owner));
         claims_at_.erase(shard);
@@ -362,6 +375,10 @@
     void store(shard_id shard, std::uint64_t id)
     {
         stored_[shard].insert(id);
+        if (cancelled_.contains(id))
+            break_rule(
+                "UNASKED: " + std::to_string(id) +
+                " is accepted after its cancelling");
         auto& places = places_[id];
         places.insert(shard);
         note("stored " + std::to_string(id) + " in " + std::to_string(shard));
@@ -384,17 +401,26 @@
         });
         for (const auto id : done)
             store(shard, id);
-        if (owner.closing && now_ >= owner.closing->first)
+        list_queues(shard, owner);
+        if (owner.refusals && now_ >= owner.refusals->first)
         {
             std::ranges::copy(
-                owner.closing->second, std::back_inserter(closed_[shard]));
-            owner.closing.reset();
+                owner.refusals->second, std::back_inserter(refusals_[shard]));
+            owner.refusals.reset();
         }
-        if (!owner.closing && owner.admission.has_closed_records())
-            owner.closing = {
-                now_ + draw(20ms, 200ms),
-                owner.admission.take_closed_records()};
-        list_queues(shard, owner);
+        if (owner.refusals || !has_unstored_refusals(owner))
+            return;
+        auto records = owner.admission.take_closed_records();
+        std::ranges::move(
+            owner.withdrawn.take_records(now_), std::back_inserter(records));
+        owner.refusals = {now_ + draw(20ms, 200ms), std::move(records)};
+    }
+
+    // Whether something is closed or withdrawn that is not stored yet.
+    static bool has_unstored_refusals(const simulated_owner& owner)
+    {
+        return owner.refusals || owner.admission.has_closed_records() ||
+               owner.withdrawn.has_records();
     }
 
     void list_queues(shard_id shard, simulated_owner& owner)
@@ -427,9 +453,19 @@
         if (!can_act(owner))
             return answer(call, reply::not_owner);
         const auto began = call.waits_since.value_or(now_);
+        // A call ends with the owner that decides about it.
+        if (call.waits_since && call.claim != owner.claim)
+            return answer(call, reply::rejected);
         call.waits_since = began;
+        call.claim = owner.claim;
         const bool too_long = now_ - began > owner_wait;
         const auto& view = nodes_[owner.node];
+        if (call.kind == verb::withdraw && !owner.known.contains(call.id) &&
+            !call.noted)
+        {
+            call.noted = owner.withdrawn.add(call.id, {}, now_);
+            owner.admission.want(queue_);
+        }
         if (owner.known.contains(call.id))
         {
             // Acknowledged only once it is stored.
@@ -437,15 +473,23 @@
                 return answer(call, reply::done);
             return too_long && answer(call, reply::rejected);
         }
+        if (call.kind == verb::find && owner.withdrawn.contains(call.id, {}))
+            return answer(call, reply::withdrawn);
         if (call.kind == verb::find)
-        {
             owner.admission.close(call.terms, now_);
-            if (owner.closing || owner.admission.has_closed_records())
+        if ((call.kind == verb::find || call.kind == verb::withdraw) &&
+            has_unstored_refusals(owner))
+            return too_long && answer(call, reply::rejected);
+        if (call.kind == verb::withdraw && !call.listed_at)
+        {
+            if (!owner.admission.is_listed(queue_))
                 return too_long && answer(call, reply::rejected);
+            call.listed_at = now_;
         }
         if (call.kind != verb::submit)
         {
-            if (call.wants_places && view.registry.read_as_of() <= began)
+            if (call.wants_places &&
+                view.registry.read_as_of() <= call.listed_at.value_or(began))
                 return too_long && answer(call, reply::rejected);
             return answer(call, reply::not_found);
         }
@@ -460,6 +504,8 @@
         case admission::ask_others:
             return answer(call, reply::ask_others);
         case admission::open:
+            if (owner.withdrawn.contains(call.id, {}))
+                return answer(call, reply::withdrawn);
             note(
                 "accepted " + std::to_string(call.id) + " in " +
                 std::to_string(call.shard) + " version " +
@@ -534,7 +580,9 @@
         if (now_ < node.wakes)
             return;
         request.id = static_cast<std::uint64_t>(draw(1, submissions + 1));
-        request.kind = chance(3) ? verb::state : verb::submit;
+        request.kind = chance(3)    ? verb::state
+                       : chance(12) ? verb::cancel
+                                    : verb::submit;
         request.began = now_;
         request.terms = node.table->queues.front().terms;
         request.search = place_search(request.terms.version);
@@ -578,6 +626,19 @@
     bool go_on(simulated_request& request, std::uint64_t number)
     {
         ++request.round;
+        if (request.kind == verb::submit)
+            request.search.raise_version();
+        // No cell has it: all that could accept it have to know.
+        if (request.kind == verb::cancel && request.cells.empty())
+        {
+            request.kind = verb::withdraw;
+            request.search = place_search(request.terms.version);
+            for (const auto shard : former_shards(request))
+                request.search.add(shard);
+            for (cell_id cell = 0; cell < cell_count; ++cell)
+                request.search.add(
+                    shard_of(request.terms.pool, cell, partitions));
+        }
         std::vector<shard_id> asked;
         if (!request.cells.empty())
         {
@@ -592,7 +653,9 @@
             const auto kind =
                 request.kind == verb::submit ? verb::find : request.kind;
             for (const auto shard : asked)
-                send(request, number, kind, shard, false);
+                send(
+                    request, number, kind, shard,
+                    request.kind == verb::withdraw);
         }
         else if (request.kind == verb::submit)
         {
@@ -613,10 +676,12 @@
             acknowledged_.insert(request.id);
             return true;
         }
+        if (got.outcome == reply::withdrawn)
+            return true;
         if (got.outcome == reply::ask_others)
         {
             const auto target = target_of(request);
-            request.search.raise_version(got.places.version);
+            request.search.hear_of(got.places.version);
             for (const auto& place : got.places.places)
                 if (is_cell_of_pool(spec_of(request.id)) ||
                     !is_same_pool_shard(place.shard, target))
@@ -627,14 +692,27 @@
         if (got.outcome != reply::not_found)
             return true;
         request.search.mark_asked({got.shard});
-        if (request.kind == verb::submit)
-            request.raised = std::max(request.raised, got.places.version);
+        request.search.hear_of(got.places.version);
         if (request.kind != verb::submit && request.cells.empty())
             for (const auto& place : got.places.places)
                 request.search.add(place.shard);
         return false;
     }
 
+    // The request is answered 410.
+    void deny(const simulated_request& request)
+    {
+        if (request.was_accepted)
+            break_rule(
+                "DENIED: " + std::to_string(request.id) +
+                " was acknowledged before");
+        if (request.kind == verb::withdraw)
+        {
+            note("cancelled " + std::to_string(request.id));
+            cancelled_.insert(request.id);
+        }
+    }
+
     void run_replies()
     {
         std::vector<simulated_reply> due;
@@ -653,15 +731,10 @@
                 continue;
             auto& request = found->second;
             bool over = receive(request, got);
-            if (!over && request.awaited.empty())
-                request.search.raise_version(request.raised);
             if (!over && request.awaited.empty() &&
                 !go_on(request, got.request))
             {
-                if (request.was_accepted)
-                    break_rule(
-                        "DENIED: " + std::to_string(request.id) +
-                        " was acknowledged before");
+                deny(request);
                 over = true;
             }
             if (over)
@@ -762,12 +835,14 @@
     std::map<shard_id, simulated_owner> owners_;
     std::map<shard_id, boot_time> claims_at_;
     std::map<shard_id, std::set<std::uint64_t>> stored_;
-    std::map<shard_id, std::vector<keyed_record>> closed_;
+    std::map<shard_id, std::vector<keyed_record>> refusals_;
+    std::set<std::uint64_t> cancelled_;
     std::map<std::uint64_t, std::set<shard_id>> places_;
     std::vector<simulated_call> calls_;
     std::vector<simulated_reply> replies_;
     std::map<std::uint64_t, simulated_request> requests_;
     std::uint64_t requests_begun_ = 0;
+    int claims_ = 0;
     std::set<std::uint64_t> acknowledged_;
     /// Of a node's configuration, and of its registry beside the interval.
     milliseconds longest_lag_{0};
@@ -784,7 +859,8 @@
 } // namespace
 
 // Guards against review/11 and review/12: nodes that took "not found" of the
-// shards that they knew for the word of all.
+// shards that they knew for the word of all; and against review/14: copies of a
+// submission that came after its cancelling was acknowledged.
 TEST(front_history, every_submission_has_one_place_that_all_nodes_find)
 {
     const auto histories = number_from("HISTORIES", default_histories);
--- a/src/libnode/queue_places.cpp
+++ b/src/libnode/queue_places.cpp
@@ -105,10 +105,15 @@
     known_.insert(shard);
 }
 
-void place_search::raise_version(std::uint64_t version)
+void place_search::hear_of(std::uint64_t version)
 {
-    if (version > asked_.version)
-        asked_ = {version, {}};
+    heard_ = std::max(heard_, version);
+}
+
+void place_search::raise_version()
+{
+    if (heard_ > asked_.version)
+        asked_ = {heard_, {}};
 }
 
 std::vector<shard_id> place_search::unasked() const
--- a/src/libnode/queue_places_test.cpp
+++ b/src/libnode/queue_places_test.cpp
@@ -21,9 +21,12 @@
     EXPECT_TRUE(search.unasked().empty());
     search.add(8);
     EXPECT_EQ(search.unasked(), std::vector<shard_id>{8});
-    search.raise_version(2);
+    search.hear_of(2);
+    search.raise_version();
     EXPECT_EQ(search.unasked(), std::vector<shard_id>{8});
-    search.raise_version(4);
+    search.hear_of(4);
+    EXPECT_EQ(search.unasked(), std::vector<shard_id>{8});
+    search.raise_version();
     EXPECT_EQ(search.unasked(), (std::vector<shard_id>{7, 8, 9}));
     EXPECT_EQ(search.asked(), (asked_shards{4, {}}));
 }
--- a/src/libnode/shard_owner.cpp
+++ b/src/libnode/shard_owner.cpp
@@ -60,6 +60,9 @@
 constexpr auto hand_over_timeout = 1500ms;
 // Longest wait for a queue that the registry does not list yet.
 constexpr auto queues_check_interval = 10s;
+// Submissions that were cancelled before they came. Their records are read in a
+// takeover, 500 in each page.
+constexpr std::size_t most_withdrawn = 4000;
 // A count of pending submissions may be this old, so its places may be, too.
 constexpr auto max_pending_age = 2000ms;
 
@@ -112,8 +115,9 @@
 
 std::string_view to_string(shard_outcome outcome)
 {
-    constexpr std::array<std::string_view, 5> names{
-        "done", "not found", "not owner", "unknown", "rejected"};
+    constexpr std::array<std::string_view, 7> names{
+        "done",     "not found",  "not owner", "unknown",
+        "rejected", "ask others", "withdrawn"};
     return names.at(static_cast<std::size_t>(outcome));
 }
 
@@ -129,6 +133,7 @@
       claim_(context, store, shard),
       order_times_({.most = order_timeout}),
       admission_(registry_.shards.queues_of(shard)),
+      withdrawn_(terms_.finished_retention, most_withdrawn),
       stored_signal_(context.executor),
       change_signal_(context.executor),
       planning_signal_(context.executor),
@@ -246,8 +251,9 @@
     std::vector<keyed_record> of_engine;
     std::ranges::copy_if(
         records, std::back_inserter(of_engine),
-        [this](const keyed_record& record) {
-            return !admission_.restore_closed(record);
+        [&](const keyed_record& record) {
+            return !admission_.restore_closed(record) &&
+                   !withdrawn_.restore(record, now.steady);
         });
     auto restored = restore_engine(*engine_, of_engine, now);
     orphans_ = std::move(restored.orphans);
@@ -619,21 +625,38 @@
         records.push_back({std::move(key), {}, 0});
     std::ranges::move(
         admission_.take_closed_records(), std::back_inserter(records));
+    std::ranges::move(
+        withdrawn_.take_records(read_clocks().steady),
+        std::back_inserter(records));
     return records;
 }
 
 bool shard_owner::has_changes() const
 {
-    return engine_->has_changes() || admission_.has_closed_records();
+    return engine_->has_changes() || admission_.has_closed_records() ||
+           withdrawn_.has_records();
 }
 
-// The batch that stores all queues that are closed by now.
-std::uint64_t shard_owner::closed_batch()
+std::uint64_t shard_owner::refusals_batch()
 {
-    if (!admission_.has_closed_records())
-        return closed_batch_;
+    if (!admission_.has_closed_records() && !withdrawn_.has_records())
+        return refusals_batch_;
     change_signal_.notify();
-    return closed_batch_ = engine_->next_batch();
+    return refusals_batch_ = engine_->next_batch();
+}
+
+bool shard_owner::is_withdrawn(const submission_record& record)
+{
+    if (!withdrawn_.contains(record.id, record.account))
+        return false;
+    context_.metrics.get_counter("tack_submissions_withdrawn_total").add();
+    context_.log.write(
+        "owner", "submission_refused",
+        log_line()
+            .add("submission", submission_name(record.id))
+            .add("shard", shard_)
+            .add("reason", "it was cancelled before it came"));
+    return true;
 }
 
 // Without the records that the store will never accept, the others are stored.
@@ -1064,6 +1087,8 @@
         auto refused = co_await admit(*record, std::move(asked));
         if (refused)
             co_return std::move(*refused);
+        if (!engine_->find(id) && is_withdrawn(*record))
+            co_return shard_answer{shard_outcome::withdrawn, {}};
     }
     if (!engine_->find(id) && !has_memory_for(*record))
     {
@@ -1100,7 +1125,7 @@
 }
 
 asio::awaitable<shard_answer>
-shard_owner::find(std::uint64_t id, queue_terms terms)
+shard_owner::find(std::uint64_t id, std::string account, queue_terms terms)
 {
     const auto self = shared_from_this();
     if (!can_answer())
@@ -1109,7 +1134,10 @@
     // on its way.
     admission_.close(terms, read_clocks().steady);
     const bool found = engine_->find(id).has_value();
-    const auto batch = found ? engine_->find(id)->after_batch : closed_batch();
+    if (!found && withdrawn_.contains(id, account))
+        co_return shard_answer{shard_outcome::withdrawn, {}};
+    const auto batch =
+        found ? engine_->find(id)->after_batch : refusals_batch();
     const auto outcome = co_await wait_until_stored(batch);
     if (outcome != shard_outcome::done || found)
         co_return shard_answer{outcome, {}};
@@ -1118,20 +1146,62 @@
         encode(queue_places{admission_.version(), {}})};
 }
 
-asio::awaitable<shard_answer>
-shard_owner::cancel(std::uint64_t id, std::uint64_t queue)
+asio::awaitable<bool> shard_owner::wait_until_listed(std::uint64_t queue)
+{
+    const auto deadline = read_clocks().steady + caller_wait;
+    admission_.want(queue);
+    queues_signal_.notify();
+    while (!lost_ && !admission_.is_listed(queue) &&
+           read_clocks().steady < deadline)
+        co_await queues_signal_.wait(store_wait);
+    co_return !lost_ && admission_.is_listed(queue);
+}
+
+// The queue is listed here first: whichever shard accepts submissions of it
+// later then asks this one.
+asio::awaitable<shard_answer> shard_owner::withdraw(
+    std::uint64_t id, std::string account, std::uint64_t queue)
 {
     const auto self = shared_from_this();
     if (!can_answer())
         co_return shard_answer{shard_outcome::not_owner, {}};
-    if (!engine_->find(id))
+    if (engine_->find(id))
     {
-        auto answer = co_await answer_not_found(id, queue);
-        if (!engine_->find(id))
-            co_return answer;
-        if (!can_answer())
-            co_return shard_answer{shard_outcome::not_owner, {}};
+        auto answer = co_await cancel(id);
+        co_return answer;
     }
+    const bool has_room = !has_failing_store() &&
+                          withdrawn_.add(id, account, read_clocks().steady);
+    const auto batch = refusals_batch();
+    auto outcome = shard_outcome::rejected;
+    if (has_room)
+    {
+        const bool listed = co_await wait_until_listed(queue);
+        if (listed)
+            outcome = co_await wait_until_stored(batch);
+    }
+    context_.log.write(
+        "owner", "submission_withdrawn",
+        log_line()
+            .add("submission", submission_name(id))
+            .add("account", account)
+            .add("shard", shard_)
+            .add("epoch", epoch())
+            .add("kept", std::uint64_t{withdrawn_.size()})
+            .add("outcome", to_string(outcome)));
+    if (outcome != shard_outcome::done)
+        co_return shard_answer{outcome, {}};
+    auto answer = co_await answer_not_found(id, queue);
+    co_return answer;
+}
+
+asio::awaitable<shard_answer> shard_owner::cancel(std::uint64_t id)
+{
+    const auto self = shared_from_this();
+    if (!can_answer())
+        co_return shard_answer{shard_outcome::not_owner, {}};
+    if (!engine_->find(id))
+        co_return shard_answer{shard_outcome::not_found, {}};
     apply(pool_event::cancelled{id});
     const auto view = engine_->find(id);
     const auto outcome =
--- a/src/libnode/shard_router.cpp
+++ b/src/libnode/shard_router.cpp
@@ -34,12 +34,14 @@
 // nothing else uses.
 constexpr auto fetch_timeout = 800ms;
 constexpr body_time fetch_time{.stall = 800ms, .longest = 2000ms};
+constexpr auto longest_timeout = 60s;
 // Several times what the store takes in one call.
 constexpr std::size_t max_configuration_bytes = 16 * 1024 * 1024;
 constexpr int http_version = 11;
 constexpr std::size_t path_segments = 3;
 constexpr std::string_view queue_field = "Tack-Queue";
 constexpr std::string_view asked_field = "Tack-Asked";
+constexpr std::string_view timeout_field = "Tack-Timeout-Ms";
 
 struct verb_row
 {
@@ -50,6 +52,7 @@
     verb_row{shard_call::verb::submit, "submit"},
     verb_row{shard_call::verb::find, "find"},
     verb_row{shard_call::verb::cancel, "cancel"},
+    verb_row{shard_call::verb::withdraw, "withdraw"},
     verb_row{shard_call::verb::state, "state"},
     verb_row{shard_call::verb::pending, "pending"},
     verb_row{shard_call::verb::evacuate, "evacuate"},
@@ -71,7 +74,8 @@
     outcome_row{shard_outcome::not_owner, http::status::misdirected_request},
     outcome_row{shard_outcome::unknown, http::status::gateway_timeout},
     outcome_row{shard_outcome::rejected, http::status::service_unavailable},
-    outcome_row{shard_outcome::ask_others, http::status::precondition_failed}};
+    outcome_row{shard_outcome::ask_others, http::status::precondition_failed},
+    outcome_row{shard_outcome::withdrawn, http::status::gone}};
 
 // The path is `/VERB/SHARD/SUBMISSION`, the body an encoded submission record
 // or the call's `name`. Fields hold what was added later, so that nodes of
@@ -108,10 +112,15 @@
 {
     const auto queue = request[queue_field];
     const auto asked = request[asked_field];
+    const auto timeout = request[timeout_field];
     const auto number = parse_number({queue.data(), queue.size()});
+    const auto limit = parse_number({timeout.data(), timeout.size()});
     auto shards = decode_asked_shards({asked.data(), asked.size()});
-    if ((!queue.empty() && !number) || (!asked.empty() && !shards))
+    if ((!queue.empty() && !number) || (!asked.empty() && !shards) ||
+        (!timeout.empty() && !limit))
         return false;
+    call.timeout = std::min<std::chrono::milliseconds>(
+        std::chrono::milliseconds(limit.value_or(0)), longest_timeout);
     call.queue = number.value_or(0);
     call.asked = std::move(shards).value_or(asked_shards{});
     return true;
@@ -380,9 +389,13 @@
     case shard_call::verb::submit:
         return owner.submit(std::move(call.record), std::move(call.asked));
     case shard_call::verb::find:
-        return owner.find(call.submission, call.record->terms);
+        return owner.find(
+            call.submission, call.record->account, call.record->terms);
     case shard_call::verb::cancel:
-        return owner.cancel(call.submission, call.queue);
+        return owner.cancel(call.submission);
+    case shard_call::verb::withdraw:
+        return owner.withdraw(
+            call.submission, std::move(call.name), call.queue);
     case shard_call::verb::pending:
         return owner.pending(std::move(call.name), call.queue);
     case shard_call::verb::evacuate:
@@ -404,8 +417,10 @@
     const auto peer = parse_endpoint(owner.address);
     if (!peer)
         co_return shard_answer{shard_outcome::not_owner, {}};
+    const auto deadline = read_clocks().steady + timeout;
     auto result = co_await context_.connections.exchange(
-        *peer, std::move(request), timeout);
+        *peer, std::move(request), timeout,
+        [deadline] { return read_clocks().steady <= deadline; });
     const auto* error = std::get_if<exchange_error>(&result);
     if (!error)
         co_return decode_answer(std::get<http_response>(result));
@@ -431,8 +446,12 @@
     bool may_have_run = false;
     while (true)
     {
-        const auto age = read_clocks().steady - began;
-        const auto remaining = total_timeout - age;
+        const auto remaining = total_timeout - (read_clocks().steady - began);
+        // The process may have been frozen since the last attempt.
+        if (remaining <= 0ms)
+            co_return shard_answer{
+                may_have_run ? shard_outcome::unknown : shard_outcome::rejected,
+                {}};
         shard_answer answer{shard_outcome::not_owner, {}};
         const auto local = owners_.find(call.shard);
         if (local != owners_.end() && !local->second->is_lost())
@@ -449,6 +468,7 @@
             auto request = encode_call(owner->address, call);
             const auto bounded = std::clamp<std::chrono::milliseconds>(
                 remaining, 1ms, attempt_time(request.body().size()));
+            request.set(timeout_field, std::to_string(bounded.count()));
             answer =
                 co_await ask_remote(*owner, call, std::move(request), bounded);
         }
@@ -457,6 +477,7 @@
         case shard_outcome::done:
         case shard_outcome::not_found:
         case shard_outcome::ask_others:
+        case shard_outcome::withdrawn:
             co_return answer;
         case shard_outcome::rejected:
             // The owner may still accept an earlier attempt that it has not
@@ -546,11 +567,25 @@
     announcement_store_ = std::move(store);
 }
 
-asio::awaitable<http_response> shard_router::serve(http_request request)
+asio::awaitable<http_response>
+shard_router::serve(http_request request, boot_time arrived)
 {
     auto call = decode_call(request);
     if (!call)
         co_return malformed_call();
+    const auto waited = read_clocks().steady - arrived;
+    if (call->timeout > 0ms && waited >= call->timeout)
+    {
+        context_.log.write(
+            "router", "call_expired",
+            log_line()
+                .add("shard", call->shard)
+                .add("submission", submission_name(call->submission))
+                .add("waited_ms", waited.count())
+                .add("timeout_ms", call->timeout.count()));
+        co_return make_response(
+            http::status::misdirected_request, "application/octet-stream", {});
+    }
     // The decoded form takes its place.
     std::string().swap(request.body());
     shard_answer answer{shard_outcome::not_owner, {}};
--- a/src/libnode/shard_router_test.cpp
+++ b/src/libnode/shard_router_test.cpp
@@ -64,7 +64,8 @@
         shards_.apply({owner_key(shard), encode(record), 0}, read_clocks());
     }
 
-    shard_answer submit(std::size_t bytes)
+    shard_answer
+    submit(std::size_t bytes, std::chrono::milliseconds timeout = 10s)
     {
         submission_record record;
         record.spec.text.resize(bytes, 'x');
@@ -74,7 +75,7 @@
         shard_answer answer;
         bool answered = false;
         asio::co_spawn(
-            context_, router_.ask(std::move(call), 10s, 10s),
+            context_, router_.ask(std::move(call), timeout, 10s),
             [&](const std::exception_ptr&, shard_answer got) {
                 answer = std::move(got);
                 answered = true;
@@ -91,6 +92,39 @@
 
 } // namespace
 
+// Guards against acting on a call that waited in the socket of a frozen node
+// while its sender gave it up.
+TEST_F(shard_router_test, call_that_has_waited_too_long_is_not_acted_on)
+{
+    const auto serve = [this](std::chrono::milliseconds waited) {
+        http_request request(
+            http::verb::post, "/configuration-version/0/0000000000000000", 11);
+        request.set("Tack-Timeout-Ms", "900");
+        http_response answer;
+        bool answered = false;
+        asio::co_spawn(
+            context_,
+            router_.serve(std::move(request), read_clocks().steady - waited),
+            [&](const std::exception_ptr&, http_response got) {
+                answer = std::move(got);
+                answered = true;
+            });
+        while (!answered)
+            context_.run_one();
+        return answer.result();
+    };
+    EXPECT_EQ(serve(100ms), http::status::not_found);
+    EXPECT_EQ(serve(900ms), http::status::misdirected_request);
+}
+
+// Guards against an attempt that begins after the time of the request has run
+// out, as the process was frozen between two attempts.
+TEST_F(shard_router_test, nothing_is_sent_once_the_time_has_run_out)
+{
+    EXPECT_EQ(submit(1, 0ms).outcome, shard_outcome::rejected);
+    EXPECT_EQ(owner.calls, 0);
+}
+
 // Guards against a large submission that never gets to its owner: an attempt
 // was given up before its bytes had passed a narrow link, and the next one
 // began with the first of them.
--- a/src/libnode/tack_node.cpp
+++ b/src/libnode/tack_node.cpp
@@ -195,10 +195,11 @@
       connections_(std::make_shared<connection_budget>(
           client_connections_of(context.settings.limits))),
       callers_(
-          context.executor, caller_limits(context.settings, connections_),
+          context.executor,
+          with_arrivals(caller_limits(context.settings, connections_)),
           context.metrics,
-          [this](http_request request) {
-              return front_.handle(std::move(request));
+          [this](http_request request, boot_time arrived) {
+              return front_.handle(std::move(request), arrived);
           }),
       readiness_(
           context.executor,
@@ -211,10 +212,11 @@
                   "text/plain", is_ready() ? "ready\n" : "not ready\n");
           }),
       peers_(
-          context.executor, peer_limits(context.settings, connections_),
+          context.executor,
+          with_arrivals(peer_limits(context.settings, connections_)),
           context.metrics,
-          [this](http_request request) {
-              return router_.serve(std::move(request));
+          [this](http_request request, boot_time arrived) {
+              return router_.serve(std::move(request), arrived);
           }),
       metrics_(
           context.executor,
@@ -471,14 +473,29 @@
     auto& responses = context_.metrics.get_gauge("tack_response_held_bytes");
     while (true)
     {
+        const auto stall = stalls_.beat(read_clocks().steady);
+        if (stall > 0ms)
+        {
+            context_.metrics.get_counter("tack_stalls_total").add();
+            context_.log.write(
+                "node", "stalled", log_line().add("took_ms", stall.count()));
+        }
         context_.log.flush();
         dropped.set(static_cast<std::int64_t>(context_.log.dropped()));
         responses.set(
             static_cast<std::int64_t>(context_.connections.buffered_bytes()));
-        co_await pause_for(context_.executor, log_interval);
+        co_await pause_for(context_.executor, stall_watch::beat_interval);
     }
 }
 
+http_limits tack_node::with_arrivals(http_limits limits) const
+{
+    limits.earliest_arrival = [this] {
+        return stalls_.earliest_arrival(read_clocks().steady);
+    };
+    return limits;
+}
+
 void tack_node::apply_configuration(
     std::string_view encoded, std::string_view source,
     const peer_version* sender)
--- a/src/libutil/http_connection.cpp
+++ b/src/libutil/http_connection.cpp
@@ -96,6 +96,9 @@
     {
         beast::error_code ignored;
         stream.socket().set_option(tcp::no_delay(true), ignored);
+        // A call that is given up must not reach the other side later: closing
+        // drops what has not been sent, also where the process ends.
+        stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
         // For `quiet`, which must not wait.
         stream.socket().non_blocking(true, ignored);
         open = true;
--- a/src/libutil/http_server.cpp
+++ b/src/libutil/http_server.cpp
@@ -71,6 +71,8 @@
     buffer_share share;
     connection_phase phase = connection_phase::idle;
     bool busy = false;
+    /// When the first bytes of the request may have arrived.
+    boot_time arrived;
 };
 
 using session_table = connection_table<session>;
@@ -202,7 +204,7 @@
 {
     core(
         asio::any_io_executor run_on, http_limits bounds,
-        metric_registry& registry, handler handler_function)
+        metric_registry& registry, timed_handler handler_function)
         : executor(std::move(run_on)),
           limits(bounds),
           metrics(registry),
@@ -231,7 +233,9 @@
     asio::awaitable<void> finish(session& s);
     void start(tcp::socket socket);
     void accept_waiting();
-    asio::awaitable<std::optional<http_response>> answer(http_request request);
+    asio::awaitable<std::optional<http_response>>
+    answer(http_request request, boot_time arrived);
+    boot_time earliest_arrival() const;
     asio::awaitable<bool>
     write_response(session& s, http_response response, bool keep_alive);
     asio::awaitable<bool> reject(session& s, const read_failure& failure);
@@ -241,7 +245,7 @@
     asio::any_io_executor executor;
     http_limits limits;
     metric_registry& metrics;
-    handler handle;
+    timed_handler handle;
     tcp::acceptor acceptor;
     std::shared_ptr<buffer_budget> budget;
     gauge& held_bytes;
@@ -369,6 +373,7 @@
             std::min<std::size_t>(read_bytes, limits.header_bytes)),
         no_throw);
     s.buffer.commit(bytes);
+    s.arrived = earliest_arrival();
     if (!ec)
         co_return true;
     beast::error_code ignored;
@@ -451,7 +456,7 @@
     // Responses that had to give way are freed before there are more.
     if (!s.share.has_room())
         co_await wait_for_room(s);
-    auto response = co_await answer(std::move(request));
+    auto response = co_await answer(std::move(request), s.arrived);
     if (!response)
         co_return false;
     reserve(s, bytes_of(s.buffer) + response->body().size());
@@ -468,13 +473,19 @@
     co_return written&& keep_alive && !closing;
 }
 
+boot_time http_server::core::earliest_arrival() const
+{
+    return limits.earliest_arrival ? limits.earliest_arrival()
+                                   : read_clocks().steady;
+}
+
 // Nothing where the handler threw: the connection is closed without an answer.
 asio::awaitable<std::optional<http_response>>
-http_server::core::answer(http_request request)
+http_server::core::answer(http_request request, boot_time arrived)
 {
     try
     {
-        co_return co_await handle(std::move(request));
+        co_return co_await handle(std::move(request), arrived);
     }
     catch (const std::exception& error)
     {
@@ -589,11 +600,21 @@
 
 http_server::http_server(
     asio::any_io_executor executor, http_limits limits,
-    metric_registry& metrics, handler handle)
+    metric_registry& metrics, timed_handler handle)
     : core_(std::make_shared<core>(
           std::move(executor), limits, metrics, std::move(handle)))
 {}
 
+http_server::http_server(
+    asio::any_io_executor executor, http_limits limits,
+    metric_registry& metrics, handler handle)
+    : http_server(
+          std::move(executor), std::move(limits), metrics,
+          [handle = std::move(handle)](http_request request, boot_time) {
+              return handle(std::move(request));
+          })
+{}
+
 http_server::~http_server()
 {
     beast::error_code ignored;
--- a/src/libutil/http_server_test.cpp
+++ b/src/libutil/http_server_test.cpp
@@ -76,6 +76,39 @@
     std::thread thread;
 };
 
+// Guards against counting a caller's time from the end of its request, which
+// may have been read in part before this process was frozen.
+TEST(http_server, request_has_arrived_with_its_first_bytes)
+{
+    asio::io_context context;
+    metric_registry metrics;
+    http_limits limits;
+    boot_time clock;
+    limits.earliest_arrival = [&clock] { return clock += long_bound; };
+    std::optional<boot_time> arrived;
+    http_server server(
+        context.get_executor(), limits, metrics,
+        [&arrived](
+            http_request, boot_time at) -> asio::awaitable<http_response> {
+            arrived = at;
+            co_return make_response(http::status::ok, "text/plain", {});
+        });
+    const auto where = server.listen({});
+    asio::ip::tcp::socket socket(context);
+    socket.connect({asio::ip::make_address(where.address), where.port});
+    for (const std::string part :
+         {"POST / HTTP/1.1\r\nhost: x\r\n", "content-length: 2\r\n\r\na", "b"})
+    {
+        asio::write(socket, asio::buffer(part));
+        context.poll();
+        context.restart();
+    }
+    while (!arrived)
+        context.run_one();
+    EXPECT_EQ(*arrived, boot_time() + long_bound);
+    context.stop();
+}
+
 TEST(http_server, a_silent_connection_is_closed)
 {
     running_server s({.idle = short_bound, .transfer = long_bound});
--- a/testsuite/fleet_nodes/fleet_nodes_test.cpp
+++ b/testsuite/fleet_nodes/fleet_nodes_test.cpp
@@ -4,11 +4,13 @@
 #include "harness/cluster.hpp"
 #include "harness/counting_relay.hpp"
 
+#include <boost/asio.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/json.hpp>
 #include <gtest/gtest.h>
 
 #include <csignal>
+#include <thread>
 
 namespace dandeliontack::harness
 {
@@ -147,6 +149,42 @@
         return call(callers_[node], std::move(request));
     }
 
+    // Writes a request to hand in, and leaves without reading an answer.
+    void hand_in_and_leave(
+        const std::string& node, const std::string& id, const std::string& body,
+        std::chrono::milliseconds timeout)
+    {
+        http_request request(http::verb::post, "/checks/" + id, 11);
+        request.set(http::field::host, "reg.example");
+        request.set(
+            "Dandeliontack-Request-Deadline", std::to_string(timeout.count()));
+        request.body() = body;
+        request.prepare_payload();
+        boost::asio::io_context context;
+        boost::asio::ip::tcp::socket socket(context);
+        const auto& to = callers_[node];
+        socket.connect(
+            {boost::asio::ip::make_address(to.address),
+             static_cast<std::uint16_t>(to.port)});
+        http::write(socket, request);
+    }
+
+    bool shows_metric(const std::string& node, const std::string& line)
+    {
+        return eventually([&] {
+            return get(metrics_[node], "/metrics").body().find(line + "\n") !=
+                   std::string::npos;
+        });
+    }
+
+    // Two nodes that don't own the pool's shard.
+    std::vector<std::string> nodes_in_front()
+    {
+        std::vector<std::string> out{"n1", "n2", "n3"};
+        std::erase(out, owner());
+        return out;
+    }
+
     // Hands in again under the same id until it is accepted.
     bool hand_in(
         const std::string& node, const std::string& id, const std::string& body)
@@ -681,6 +719,58 @@
     EXPECT_TRUE(reaches("n2", id_of(1), "completed"));
 }
 
+// Guards against a submission that starts after its cancelling was
+// acknowledged: it waited in the socket of a node that was frozen, while
+// another node answered the cancel with 410.
+TEST_F(node_fleet, submission_that_comes_after_its_cancel_never_starts)
+{
+    start_nodes();
+    const auto past_owner = owner();
+    const auto front = nodes_in_front();
+    const auto body = submission("lasting", 1, true);
+    nodes_.at(front[0]).send_signal(SIGSTOP);
+    hand_in_and_leave(front[0], id_of(1), body, std::chrono::seconds(60));
+    const auto cancel = [&] {
+        return ask(front[1], http::verb::delete_, "/checks/" + id_of(1))
+                   .result() == http::status::gone;
+    };
+    ASSERT_TRUE(eventually(cancel));
+    nodes_.at(front[0]).send_signal(SIGCONT);
+    EXPECT_TRUE(shows_metric(
+        front[0], "tack_requests_total{method=\"POST\",status=\"410\"} 1"));
+    EXPECT_TRUE(cancel());
+    EXPECT_EQ(state(front[1], id_of(1)), "410");
+    // Nor does a successor of the owner accept it.
+    nodes_.at(past_owner).send_signal(SIGKILL);
+    nodes_.erase(past_owner);
+    EXPECT_TRUE(eventually([&] {
+        const auto answer =
+            ask(front[0], http::verb::post, "/checks/" + id_of(1), body);
+        EXPECT_NE(answer.result(), http::status::ok);
+        return answer.result() == http::status::gone;
+    }));
+    EXPECT_TRUE(all_runs().empty());
+    EXPECT_TRUE(hand_in(front[0], id_of(2), submission("100", 1, false)));
+    EXPECT_TRUE(reaches(front[1], id_of(2), "completed"));
+}
+
+// Guards against acting on a request whose caller has left: its time was
+// counted from when the node looked at it, not from when it came.
+TEST_F(node_fleet, request_that_waited_for_a_frozen_node_has_expired)
+{
+    using namespace std::chrono_literals;
+    start_nodes();
+    const auto front = nodes_in_front();
+    nodes_.at(front[0]).send_signal(SIGSTOP);
+    hand_in_and_leave(
+        front[0], id_of(1), submission("lasting", 1, true), 500ms);
+    std::this_thread::sleep_for(2s);
+    nodes_.at(front[0]).send_signal(SIGCONT);
+    EXPECT_TRUE(shows_metric(front[0], "tack_requests_expired_total 1"));
+    EXPECT_EQ(state(front[0], id_of(1)), "410");
+    EXPECT_TRUE(all_runs().empty());
+}
+
 TEST_F(node_fleet, refuses_at_once_while_the_store_is_down)
 {
     start_nodes();
