--- a/src/include/dandeliontack/queue_admission.hpp
+++ b/src/include/dandeliontack/queue_admission.hpp
@@ -135,6 +135,8 @@
     /// When the registry had stored the list that first has the queue; not of
     /// queues that were listed before the claim.
     std::map<std::uint64_t, boot_time> listed_at_;
+    /// The same of a list of all queues.
+    boot_time all_listed_at_;
 };
 
 } // namespace dandeliontack
--- a/src/libnode/queue_admission.cpp
+++ b/src/libnode/queue_admission.cpp
@@ -125,6 +125,8 @@
 
 void queue_admission::set_listed(shard_queues list, boot_time now)
 {
+    if (list.all && !listed_.all)
+        all_listed_at_ = now;
     for (const auto queue : list.queues)
         if (!is_listed(queue))
             listed_at_.try_emplace(queue, now);
@@ -177,7 +179,7 @@
     hear_of(terms.version, view.now);
     const auto listed = listed_at_.find(terms.queue);
     const auto needed = std::max(
-        {claimed_at_, heard_at_,
+        {claimed_at_, heard_at_, all_listed_at_,
          listed == listed_at_.end() ? boot_time() : listed->second});
     if (view.registry_as_of <= needed ||
         request.asked.version > version_of(terms))
--- a/src/libnode/queue_admission_test.cpp
+++ b/src/libnode/queue_admission_test.cpp
@@ -182,6 +182,37 @@
     EXPECT_TRUE(admission.is_open(table_of(3, pools[0]).queues.front().terms));
 }
 
+// Guards against accepting by a registry that was read before this shard's own
+// list was stored: other shards that were listed meanwhile would not be asked.
+TEST(queue_admission, nothing_is_accepted_before_the_registry_shows_the_list)
+{
+    const auto table = table_of(1, pools[0]);
+    const auto shard = shard_for(table);
+    const admission_request request{table.queues.front().terms, {1, {}}, false};
+    for (const bool lists_all : {false, true})
+    {
+        queue_admission admission{{}};
+        admission.apply(table, shard, partitions, now);
+        admission.mark_claimed(now);
+        EXPECT_EQ(
+            admission.decide(request, {now, now + 1s, {}}),
+            admission::unlisted);
+        shard_queues list;
+        list.insert(request.terms.queue);
+        list.all = lists_all;
+        admission.set_listed(list, now + 1s);
+        EXPECT_EQ(
+            admission.decide(request, {now + 1s, now + 1s, {shard}}),
+            admission::outdated);
+        EXPECT_EQ(
+            admission.decide(request, {now + 2s, now + 2s, {shard}}),
+            admission::open);
+        EXPECT_EQ(
+            admission.decide(request, {now + 2s, now + 2s, {shard, shard + 1}}),
+            admission::ask_others);
+    }
+}
+
 // A list that no longer fits a record stands for all queues.
 TEST(queue_admission, long_list_becomes_a_list_of_all)
 {
--- a/src/libnode/shard_owner.cpp
+++ b/src/libnode/shard_owner.cpp
@@ -1133,11 +1133,11 @@
     // A copy of the request that an older configuration sent here may still be
     // on its way.
     admission_.close(terms, read_clocks().steady);
+    const auto closed = refusals_batch();
     const bool found = engine_->find(id).has_value();
     if (!found && withdrawn_.contains(id, account))
         co_return shard_answer{shard_outcome::withdrawn, {}};
-    const auto batch =
-        found ? engine_->find(id)->after_batch : refusals_batch();
+    const auto batch = found ? engine_->find(id)->after_batch : closed;
     const auto outcome = co_await wait_until_stored(batch);
     if (outcome != shard_outcome::done || found)
         co_return shard_answer{outcome, {}};
