--- a/src/libnode/front_history_test.cpp
+++ b/src/libnode/front_history_test.cpp
@@ -240,6 +240,12 @@
             draw(static_cast<int>(from.count()), static_cast<int>(to.count())));
     }
 
+    const std::string& any_pool()
+    {
+        return pools_[static_cast<std::size_t>(
+            draw(0, static_cast<int>(pools_.size())))];
+    }
+
     bool chance(int steps)
     {
         return draw(0, steps) == 0;
@@ -269,8 +275,7 @@
     void publish()
     {
         queue_entry queue;
-        queue.terms.pool =
-            pools_[static_cast<std::size_t>(draw(0, std::ssize(pools_)))];
+        queue.terms.pool = any_pool();
         queue.terms.queue = queue_;
         queue.terms.version = published_.size() + 1;
         queue_table table;
@@ -459,66 +464,80 @@
         call.waits_since = began;
         call.claim = owner.claim;
         const bool too_long = now_ - began > owner_wait;
-        const auto& view = nodes_[owner.node];
-        if (call.kind == verb::withdraw && !owner.known.contains(call.id) &&
-            !call.noted)
-        {
-            call.noted = owner.withdrawn.add(call.id, {}, now_);
-            owner.admission.want(queue_);
-        }
+        std::optional<reply> outcome;
         if (owner.known.contains(call.id))
         {
             // Acknowledged only once it is stored.
             if (stored_[call.shard].contains(call.id))
-                return answer(call, reply::done);
-            return too_long && answer(call, reply::rejected);
+                outcome = reply::done;
+        }
+        else if (call.kind == verb::submit)
+            outcome = submit(owner, call);
+        else
+            outcome = search(owner, call);
+        if (!outcome && too_long)
+            outcome = reply::rejected;
+        return outcome && answer(call, *outcome);
+    }
+
+    // Nothing while the owner waits, also for what it has accepted to be
+    // stored.
+    std::optional<reply>
+    submit(simulated_owner& owner, const simulated_call& call)
+    {
+        const auto& view = nodes_[owner.node].registry;
+        const auto decision = owner.admission.decide(
+            {call.terms, call.asked, is_cell_of_pool(spec_of(call.id))},
+            {now_, view.read_as_of(), view.shards_with(queue_)});
+        if (decision == admission::closed)
+            return reply::not_owner;
+        if (decision == admission::ask_others)
+            return reply::ask_others;
+        if (decision != admission::open)
+        {
+            owner.admission.want(queue_);
+            return std::nullopt;
         }
+        if (owner.withdrawn.contains(call.id, {}))
+            return reply::withdrawn;
+        note(
+            "accepted " + std::to_string(call.id) + " in " +
+            std::to_string(call.shard) + " version " +
+            std::to_string(call.terms.version) + " of " +
+            std::to_string(owner.admission.version()) + " asked " +
+            encode(call.asked));
+        owner.known.insert(call.id);
+        owner.appends.push_back({call.id, now_ + draw(20ms, 200ms)});
+        return std::nullopt;
+    }
+
+    // The other calls, for a submission that the owner does not know.
+    std::optional<reply> search(simulated_owner& owner, simulated_call& call)
+    {
+        const auto& view = nodes_[owner.node].registry;
         if (call.kind == verb::find && owner.withdrawn.contains(call.id, {}))
-            return answer(call, reply::withdrawn);
+            return reply::withdrawn;
         if (call.kind == verb::find)
             owner.admission.close(call.terms, now_);
-        if ((call.kind == verb::find || call.kind == verb::withdraw) &&
-            has_unstored_refusals(owner))
-            return too_long && answer(call, reply::rejected);
+        if (call.kind == verb::withdraw && !call.noted)
+        {
+            call.noted = owner.withdrawn.add(call.id, {}, now_);
+            owner.admission.want(queue_);
+        }
+        const bool relies_on_store =
+            call.kind == verb::find || call.kind == verb::withdraw;
+        if (relies_on_store && has_unstored_refusals(owner))
+            return std::nullopt;
         if (call.kind == verb::withdraw && !call.listed_at)
         {
             if (!owner.admission.is_listed(queue_))
-                return too_long && answer(call, reply::rejected);
+                return std::nullopt;
             call.listed_at = now_;
         }
-        if (call.kind != verb::submit)
-        {
-            if (call.wants_places &&
-                view.registry.read_as_of() <= call.listed_at.value_or(began))
-                return too_long && answer(call, reply::rejected);
-            return answer(call, reply::not_found);
-        }
-        const auto decision = owner.admission.decide(
-            {call.terms, call.asked, is_cell_of_pool(spec_of(call.id))},
-            {now_, view.registry.read_as_of(),
-             view.registry.shards_with(queue_)});
-        switch (decision)
-        {
-        case admission::closed:
-            return answer(call, reply::not_owner);
-        case admission::ask_others:
-            return answer(call, reply::ask_others);
-        case admission::open:
-            if (owner.withdrawn.contains(call.id, {}))
-                return answer(call, reply::withdrawn);
-            note(
-                "accepted " + std::to_string(call.id) + " in " +
-                std::to_string(call.shard) + " version " +
-                std::to_string(call.terms.version) + " of " +
-                std::to_string(owner.admission.version()) + " asked " +
-                encode(call.asked));
-            owner.known.insert(call.id);
-            owner.appends.push_back({call.id, now_ + draw(20ms, 200ms)});
-            return false;
-        default:
-            owner.admission.want(queue_);
-            return too_long && answer(call, reply::rejected);
-        }
+        if (call.wants_places &&
+            view.read_as_of() <= call.listed_at.value_or(*call.waits_since))
+            return std::nullopt;
+        return reply::not_found;
     }
 
     bool answer(const simulated_call& call, reply outcome)
@@ -783,8 +802,7 @@
     shard_id any_shard()
     {
         return shard_of(
-            pools_[static_cast<std::size_t>(draw(0, std::ssize(pools_)))],
-            static_cast<cell_id>(draw(0, cell_count)), partitions);
+            any_pool(), static_cast<cell_id>(draw(0, cell_count)), partitions);
     }
 
     void run_owners()
