--- a/src/libcore/stall_watch.cpp
+++ b/src/libcore/stall_watch.cpp
@@ -8,9 +8,11 @@
 
 using namespace std::chrono_literals;
 
-// Several beats late: more than timers are late in a busy process.
+// A beat that is later than this ends a stall.
 constexpr std::chrono::milliseconds min_stall = 3 * stall_watch::beat_interval;
-// By then all connections have been looked at.
+// How long what is read after a stall counts as having come before its end. A
+// process that takes longer to look at all its connections may take an old
+// request for a new one.
 constexpr std::chrono::milliseconds settle_time =
     2 * stall_watch::beat_interval;
 
--- a/src/libnode/queue_places_test.cpp
+++ b/src/libnode/queue_places_test.cpp
@@ -31,6 +31,8 @@
     EXPECT_EQ(search.asked(), (asked_shards{4, {}}));
 }
 
+// Guards against shards or versions that are lost or changed on their way to
+// another node.
 RC_GTEST_PROP(queue_places, decoded_as_encoded, ())
 {
     queue_places places{*rc::gen::arbitrary<std::uint64_t>(), {}};
@@ -51,6 +53,7 @@
     RC_ASSERT(*decoded_asked == asked);
 }
 
+// Guards against taking a malformed list for one of fewer shards.
 TEST(queue_places, malformed_text_is_refused)
 {
     for (const auto* text :
--- a/src/libnode/shard_owner.cpp
+++ b/src/libnode/shard_owner.cpp
@@ -60,8 +60,8 @@
 constexpr auto hand_over_timeout = 1500ms;
 // Longest wait for a queue that the registry does not list yet.
 constexpr auto queues_check_interval = 10s;
-// Submissions that were cancelled before they came. Their records are read in a
-// takeover, 500 in each page.
+// The most submissions that are kept as cancelled before they came. A successor
+// has to read them all before it serves.
 constexpr std::size_t most_withdrawn = 4000;
 // A count of pending submissions may be this old, so its places may be, too.
 constexpr auto max_pending_age = 2000ms;
